--- /dev/null
+++ b/cmd/cicada-standin/main.go
@@ -0,0 +1,175 @@
+// Command cicada-standin runs stand-ins of the platform and of backend servers,
+// for trying the system out.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"cicadarouter/contract/platform"
+	"cicadarouter/host/program"
+	"cicadarouter/operator"
+	"cicadarouter/record"
+	"cicadarouter/standin"
+)
+
+func main() {
+	parser := flags.NewParser(&struct{}{}, flags.HelpFlag|flags.PassDoubleDash)
+	add := func(name, short string, data any) {
+		if _, err := parser.AddCommand(name, short, short, data); err != nil {
+			os.Exit(program.Fail(err))
+		}
+	}
+	add("platform", "the platform's store and host list", &platformCommand{})
+	add("servers", "backend servers of one service", &serversCommand{})
+	add("records", "print the records of backend servers", &recordsCommand{})
+	_, err := parser.Parse()
+	var flagsErr *flags.Error
+	switch {
+	case err == nil:
+		os.Exit(program.ExitOK)
+	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
+		fmt.Println(err)
+		os.Exit(program.ExitOK)
+	case errors.As(err, &flagsErr):
+		os.Exit(program.Usage(err))
+	}
+	os.Exit(program.Fail(err))
+}
+
+type platformCommand struct {
+	Listen    string        `long:"listen" required:"yes" value-name:"IP:PORT" description:"address of the store"`
+	HostsFile string        `long:"hosts" value-name:"FILE" description:"JSON list of entry hosts; it is read again when it changes"`
+	HostLag   time.Duration `long:"host-lag" default:"500ms" description:"how late changes of the host list become visible"`
+}
+
+// Execute implements flags.Commander.
+func (c *platformCommand) Execute([]string) error {
+	served := standin.NewPlatform()
+	served.HostLag = c.HostLag
+	ctx, stop := program.Signals()
+	defer stop()
+	if c.HostsFile != "" {
+		go followHosts(ctx, served, c.HostsFile)
+	}
+	return serve(ctx, c.Listen, served.Handler())
+}
+
+// followHosts reads the hosts file when it has changed.
+func followHosts(ctx context.Context, served *standin.Platform, file string) {
+	const every = 200 * time.Millisecond
+	var seen time.Time
+	for ctx.Err() == nil {
+		if info, err := os.Stat(file); err == nil && !info.ModTime().Equal(seen) {
+			seen = info.ModTime()
+			if hosts, err := readHosts(file); err == nil {
+				served.SetHosts(hosts)
+			}
+		}
+		time.Sleep(every)
+	}
+}
+
+func readHosts(file string) ([]platform.Host, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var hosts []platform.Host
+	err = json.Unmarshal(data, &hosts)
+	return hosts, err
+}
+
+// fleetOptions describe a fleet on the command line.
+type fleetOptions struct {
+	Service     string        `long:"service" required:"yes" description:"service that the servers belong to"`
+	Domains     string        `long:"domains" required:"yes" value-name:"A,B,..." description:"failure domains, dealt out in turn"`
+	Count       int           `long:"count" required:"yes" description:"number of servers"`
+	IP          string        `long:"ip" default:"127.0.0.1" description:"IP number of the servers"`
+	BasePort    int           `long:"base-port" required:"yes" description:"port of the first server"`
+	Slots       int           `long:"slots" default:"4" description:"requests that a server runs at a time"`
+	Connections int           `long:"connections" default:"130" description:"connections that a server accepts"`
+	Work        time.Duration `long:"work" default:"2ms" description:"time that a request holds a slot"`
+	Unchecked   bool          `long:"unchecked" description:"servers do not check tokens"`
+	ColdFor     time.Duration `long:"cold-for" default:"0s" description:"time for which a started server is slow"`
+	ColdFactor  float64       `long:"cold-factor" default:"4" description:"how much slower a cold server is"`
+	ReportLag   time.Duration `long:"report-lag" default:"500ms" description:"age of reported loads"`
+}
+
+func (o fleetOptions) config() standin.FleetConfig {
+	return standin.FleetConfig{
+		ServerConfig: standin.ServerConfig{
+			Service:    o.Service,
+			Slots:      o.Slots,
+			Checked:    !o.Unchecked,
+			Work:       o.Work,
+			ColdFor:    o.ColdFor,
+			ColdFactor: o.ColdFactor,
+			ReportLag:  o.ReportLag,
+		},
+		Domains:     strings.Split(o.Domains, ","),
+		Count:       o.Count,
+		IP:          o.IP,
+		BasePort:    o.BasePort,
+		Connections: o.Connections,
+	}
+}
+
+type serversCommand struct {
+	fleetOptions
+	Admin string `long:"admin" required:"yes" value-name:"IP:PORT" description:"address of the fleet's switches"`
+}
+
+// Execute implements flags.Commander.
+func (c *serversCommand) Execute([]string) error {
+	fleet, err := standin.StartFleet(c.config())
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	ctx, stop := program.Signals()
+	defer stop()
+	return serve(ctx, c.Admin, fleet.Handler())
+}
+
+type recordsCommand struct{ fleetOptions }
+
+// Execute implements flags.Commander.
+func (c *recordsCommand) Execute([]string) error {
+	encoder := json.NewEncoder(os.Stdout)
+	for _, server := range c.config().Records() {
+		envelope, err := server.Encode(record.SchemaV2)
+		if err != nil {
+			return err
+		}
+		if err := encoder.Encode(operator.Document{Envelope: envelope}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func serve(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/contract/platform/httpstore/httpstore.go
@@ -0,0 +1,188 @@
+// Package httpstore reaches the platform's store by its HTTP interface.
+package httpstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"cicadarouter/contract/platform"
+	"cicadarouter/record"
+)
+
+// DomainHeader tells the platform which failure domain a call comes from.
+const DomainHeader = "X-Failure-Domain"
+
+// callTimeout bounds every call but a watch. The store answers in milliseconds.
+const callTimeout = 2 * time.Second
+
+// watchSlack is what a watch may take beyond the time it was asked to wait.
+const watchSlack = time.Second
+
+// StatusError reports an answer of the store that the protocol does not know.
+type StatusError struct {
+	Method, Path string
+	Status       int
+	Body         string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("store answered %s %s with status %d: %s", e.Method, e.Path, e.Status, e.Body)
+}
+
+// Is makes a failure of the store itself count as platform.ErrUnavailable.
+func (e *StatusError) Is(target error) bool {
+	return target == platform.ErrUnavailable && e.Status >= http.StatusInternalServerError
+}
+
+// Client is a platform.Store over HTTP. It is safe for concurrent use.
+type Client struct {
+	base   string
+	domain string
+	http   *http.Client
+}
+
+var _ platform.Store = (*Client)(nil)
+
+// New returns a client for the store at address, an IP number and port. domain
+// is the caller's failure domain.
+func New(address, domain string) *Client {
+	return &Client{base: "http://" + address, domain: domain, http: &http.Client{}}
+}
+
+// Get implements platform.Store.
+func (c *Client) Get(ctx context.Context, ref record.Ref) (platform.Object, error) {
+	var object platform.Object
+	err := c.call(ctx, callTimeout, http.MethodGet, recordPath(ref), nil, &object, ref, 0)
+	return object, err
+}
+
+// List implements platform.Store.
+func (c *Client) List(ctx context.Context) (platform.Snapshot, error) {
+	var snapshot platform.Snapshot
+	err := c.call(ctx, callTimeout, http.MethodGet, "/v1/records", nil, &snapshot, record.Ref{}, 0)
+	return snapshot, err
+}
+
+// Update implements platform.Store.
+func (c *Client) Update(ctx context.Context, envelope record.Envelope, version uint64) (uint64, error) {
+	var object platform.Object
+	ref := envelope.Ref()
+	err := c.call(ctx, callTimeout, http.MethodPut, versioned(ref, version), envelope, &object, ref, version)
+	return object.Version, err
+}
+
+// Delete implements platform.Store.
+func (c *Client) Delete(ctx context.Context, ref record.Ref, version uint64) error {
+	return c.call(ctx, callTimeout, http.MethodDelete, versioned(ref, version), nil, nil, ref, version)
+}
+
+// Watch implements platform.Store.
+func (c *Client) Watch(ctx context.Context, revision uint64, wait time.Duration) (platform.Snapshot, error) {
+	var snapshot platform.Snapshot
+	path := fmt.Sprintf("/v1/watch?revision=%d&wait=%d", revision, wait.Milliseconds())
+	err := c.call(ctx, wait+watchSlack, http.MethodGet, path, nil, &snapshot, record.Ref{}, 0)
+	return snapshot, err
+}
+
+// Hosts implements platform.Store.
+func (c *Client) Hosts(ctx context.Context) ([]platform.Host, error) {
+	var hosts []platform.Host
+	err := c.call(ctx, callTimeout, http.MethodGet, "/v1/hosts", nil, &hosts, record.Ref{}, 0)
+	return hosts, err
+}
+
+func recordPath(ref record.Ref) string {
+	return "/v1/records/" + url.PathEscape(string(ref.Kind)) + "/" + url.PathEscape(ref.Name)
+}
+
+func versioned(ref record.Ref, version uint64) string {
+	return recordPath(ref) + "?version=" + strconv.FormatUint(version, 10)
+}
+
+// call sends one request. Whatever keeps the reply from being read whole is
+// ErrUnavailable, since the store may have acted on the request.
+func (c *Client) call(ctx context.Context, limit time.Duration, method, path string, in, out any, ref record.Ref, version uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	request, err := c.request(ctx, method, path, in)
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return unavailable(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return unavailable(err)
+	}
+	return decode(response.StatusCode, body, out, request, ref, version)
+}
+
+func (c *Client) request(ctx context.Context, method, path string, in any) (*http.Request, error) {
+	var body io.Reader
+	if in != nil {
+		encoded, err := json.Marshal(in)
+		if err != nil {
+			return nil, eris.Wrap(err, "encoding a call to the store")
+		}
+		body = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return nil, eris.Wrap(err, "building a call to the store")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(DomainHeader, c.domain)
+	return request, nil
+}
+
+func unavailable(cause error) error {
+	return &UnavailableError{Cause: cause}
+}
+
+// UnavailableError wraps the reason why the store's answer is not known.
+type UnavailableError struct{ Cause error }
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return platform.ErrUnavailable.Error() + ": " + e.Cause.Error()
+}
+
+// Unwrap makes the error match platform.ErrUnavailable and its cause.
+func (e *UnavailableError) Unwrap() []error { return []error{platform.ErrUnavailable, e.Cause} }
+
+func decode(status int, body []byte, out any, request *http.Request, ref record.Ref, version uint64) error {
+	switch status {
+	case http.StatusOK:
+		if out == nil {
+			return nil
+		}
+		if err := json.Unmarshal(body, out); err != nil {
+			return unavailable(err)
+		}
+		return nil
+	case http.StatusNotFound:
+		return &platform.NotFoundError{Ref: ref}
+	case http.StatusGone:
+		return platform.ErrCompacted
+	case http.StatusConflict:
+		conflict := &platform.ConflictError{Ref: ref, Given: version}
+		if err := json.Unmarshal(body, &conflict.Current); err != nil {
+			return unavailable(err)
+		}
+		return conflict
+	}
+	return &StatusError{Method: request.Method, Path: request.URL.Path, Status: status, Body: string(body)}
+}
--- /dev/null
+++ b/directory/delta.go
@@ -0,0 +1,68 @@
+package directory
+
+import (
+	"slices"
+
+	"cicadarouter/contract/platform"
+	"cicadarouter/record"
+)
+
+// Delta is what changed in a directory since a point in its own order.
+type Delta struct {
+	Objects      []platform.Object
+	Hosts        []platform.Host
+	HostsChanged bool
+	// Dispatchers maps pages to hosts.
+	Dispatchers map[string]string
+	Revision    uint64
+	// Seq is the point that this delta reaches.
+	Seq uint64
+}
+
+// Filter says which records a consumer needs.
+type Filter func(object platform.Object) bool
+
+// Since returns what changed after seq and passes the filter, and a channel
+// that is closed at the next change.
+func (d *Directory) Since(seq uint64, filter Filter) (Delta, <-chan struct{}) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	delta := Delta{Seq: d.seq, Revision: d.revision, Dispatchers: map[string]string{}}
+	for _, known := range d.entries {
+		if known.seq > seq && filter(known.object) {
+			delta.Objects = append(delta.Objects, known.object)
+		}
+	}
+	slices.SortFunc(delta.Objects, func(a, b platform.Object) int {
+		return int(int64(a.Version) - int64(b.Version))
+	})
+	if d.hostsSeq > seq {
+		delta.Hosts = slices.Clone(d.hosts)
+		delta.HostsChanged = true
+	}
+	for page, changedAt := range d.dispatchersSeq {
+		if changedAt > seq {
+			delta.Dispatchers[page] = d.dispatchers[page]
+		}
+	}
+	return delta, d.changed
+}
+
+// EveryRecord passes all records.
+func EveryRecord(platform.Object) bool { return true }
+
+// RouterRecords passes what a router needs: all services and what operators
+// declared lost, but only its own domain's servers. Pages reach a router with
+// its dispatch leases, so that it holds no other assignment.
+func RouterRecords(domain string) Filter {
+	return func(object platform.Object) bool {
+		switch object.Kind {
+		case record.KindService, record.KindLost:
+			return true
+		case record.KindServer:
+			server, err := record.DecodeServer(object.Envelope)
+			return object.Deleted || err == nil && server.Domain == domain
+		}
+		return false
+	}
+}
--- /dev/null
+++ b/dispatch/load.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// hashBusy is the time that requests for one hash held slots.
+type hashBusy struct {
+	busy  time.Duration
+	count int
+}
+
+// LoadMeter measures how long requests held slots, by shard and by hash, since
+// the last reading. It is not safe for concurrent use.
+type LoadMeter struct {
+	since  time.Duration
+	shards map[uint64]time.Duration
+	hashes map[uint64]*hashBusy
+}
+
+// Bounds of what a meter keeps and tells.
+const (
+	mostHashes   = 512
+	toldHashes   = 2
+	hotShareTold = 0.1
+)
+
+// NewLoadMeter returns a meter that starts at now.
+func NewLoadMeter(now time.Duration) *LoadMeter {
+	return &LoadMeter{since: now, shards: map[uint64]time.Duration{}, hashes: map[uint64]*hashBusy{}}
+}
+
+// Add notes that a request for a hash of the shard that begins at low held a slot.
+func (m *LoadMeter) Add(low, hash uint64, held time.Duration) {
+	m.shards[low] += held
+	entry, known := m.hashes[hash]
+	if !known {
+		if len(m.hashes) >= mostHashes {
+			m.shrink()
+		}
+		entry = &hashBusy{}
+		m.hashes[hash] = entry
+	}
+	entry.busy += held
+	entry.count++
+}
+
+// shrink drops the colder half of the hashes.
+func (m *LoadMeter) shrink() {
+	busy := make([]time.Duration, 0, len(m.hashes))
+	for _, entry := range m.hashes {
+		busy = append(busy, entry.busy)
+	}
+	slices.Sort(busy)
+	median := busy[len(busy)/2]
+	maps.DeleteFunc(m.hashes, func(_ uint64, entry *hashBusy) bool { return entry.busy <= median })
+}
+
+// HotHash is a hash with the share of time that its requests held slots.
+type HotHash struct {
+	Hash uint64
+	Rate float64
+}
+
+// ShardRate is the load of a shard, in busy slots.
+type ShardRate struct {
+	Low  uint64
+	Rate float64
+	Hot  []HotHash
+}
+
+// Read returns the loads since the last reading and starts anew. Shards without
+// load are told as idle, so that their averages fall. shardOf returns the first
+// hash of the shard that a hash lies in.
+func (m *LoadMeter) Read(now time.Duration, shards []uint64, shardOf func(hash uint64) uint64) []ShardRate {
+	elapsed := float64(max(now-m.since, time.Millisecond))
+	hot := m.hotByShard(elapsed, shardOf)
+	rates := make([]ShardRate, 0, len(shards))
+	for _, low := range shards {
+		rate := float64(m.shards[low]) / elapsed
+		rates = append(rates, ShardRate{Low: low, Rate: rate, Hot: hottest(hot[low], rate)})
+	}
+	m.since = now
+	clear(m.shards)
+	clear(m.hashes)
+	return rates
+}
+
+func (m *LoadMeter) hotByShard(elapsed float64, shardOf func(uint64) uint64) map[uint64][]HotHash {
+	hot := map[uint64][]HotHash{}
+	for hash, entry := range m.hashes {
+		if entry.count < 2 {
+			continue
+		}
+		low := shardOf(hash)
+		hot[low] = append(hot[low], HotHash{Hash: hash, Rate: float64(entry.busy) / elapsed})
+	}
+	return hot
+}
+
+// hottest keeps the few hashes that carry a notable part of the shard's load.
+func hottest(hashes []HotHash, rate float64) []HotHash {
+	slices.SortFunc(hashes, func(a, b HotHash) int {
+		if c := cmp.Compare(b.Rate, a.Rate); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Hash, b.Hash)
+	})
+	kept := hashes[:0]
+	for _, hash := range hashes {
+		if len(kept) < toldHashes && hash.Rate >= rate*hotShareTold {
+			kept = append(kept, hash)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/domain/controller.go
@@ -0,0 +1,235 @@
+package domain
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+
+	"cicadarouter/contract/backend"
+	"cicadarouter/contract/platform"
+	"cicadarouter/directory"
+	"cicadarouter/host/clock"
+	"cicadarouter/host/ring"
+	"cicadarouter/link/linkpb"
+	"cicadarouter/ownership"
+	"cicadarouter/record"
+)
+
+// Identity says which entry host a controller runs on.
+type Identity struct {
+	Host   string
+	Domain string
+}
+
+// Links gives the connections to the other processes of the system.
+type Links interface {
+	// Control returns the client of a controller's link address.
+	Control(address string) linkpb.ControlClient
+	// Dispatch returns the client of a router's link address.
+	Dispatch(address string) linkpb.DispatchClient
+}
+
+// ServerDialer returns the control interface of a backend server.
+type ServerDialer func(server record.Server) backend.Control
+
+// Timing sets the pace of a controller.
+type Timing struct {
+	// Tick is the time between two renewals.
+	Tick time.Duration
+	// WatchWait is how long one watch waits at the store.
+	WatchWait time.Duration
+	// HostsEvery is how often the host list is read.
+	HostsEvery time.Duration
+}
+
+// DefaultTiming suits ownership.DefaultTerms.
+func DefaultTiming() Timing {
+	const (
+		tick       = 150 * time.Millisecond
+		watchWait  = 20 * time.Second
+		hostsEvery = 2 * time.Second
+	)
+	return Timing{Tick: tick, WatchWait: watchWait, HostsEvery: hostsEvery}
+}
+
+// Controller renews leases and moves shards for one failure domain, together
+// with the controllers of the domain's other entry hosts.
+type Controller struct {
+	identity  Identity
+	terms     ownership.Terms
+	timing    Timing
+	store     platform.Store
+	directory *directory.Directory
+	links     Links
+	dial      ServerDialer
+	clock     clock.Clock
+	log       *log.Logger
+	meters    *meters
+
+	events *ring.Ring[event]
+	voter  lockedVoter
+	// peers notes when each peer last asked for each page.
+	heard heardAsks
+
+	callsMu sync.Mutex
+	calls   map[string]int // outstanding calls by target
+	working sync.WaitGroup
+}
+
+// eventRingSize bounds what may wait for the loop. Answers that find it full
+// are dropped, which is the same as a lost message.
+const eventRingSize = 4096
+
+// NewController returns a controller that has not started.
+func NewController(identity Identity, terms ownership.Terms, timing Timing, store platform.Store,
+	dir *directory.Directory, links Links, dial ServerDialer, clk clock.Clock, logger *log.Logger) *Controller {
+	c := &Controller{
+		identity:  identity,
+		terms:     terms,
+		timing:    timing,
+		store:     store,
+		directory: dir,
+		links:     links,
+		dial:      dial,
+		clock:     clk,
+		log:       logger,
+		meters:    newMeters(),
+		events:    ring.New[event](eventRingSize),
+		calls:     map[string]int{},
+	}
+	c.voter.voter = ownership.NewVoter(terms, clk.Now())
+	c.heard.at = map[heardKey]time.Duration{}
+	return c
+}
+
+// Run works until the context ends, then waits for its duties to end.
+func (c *Controller) Run(ctx context.Context) {
+	c.duty(func() { c.watchStore(ctx) })
+	c.duty(func() { c.watchHosts(ctx) })
+	loop := newLoop(c)
+	loop.run(ctx)
+	c.working.Wait()
+}
+
+// duty runs work in a goroutine that Run waits for.
+func (c *Controller) duty(work func()) {
+	c.working.Add(1)
+	go func() {
+		defer c.working.Done()
+		work()
+	}()
+}
+
+// maxCallsPerTarget bounds the calls that wait for one silent process.
+const maxCallsPerTarget = 3
+
+// call runs work beside the loop unless too many calls to the target wait. It
+// reports whether the work was started.
+func (c *Controller) call(target string, work func()) bool {
+	c.callsMu.Lock()
+	full := c.calls[target] >= maxCallsPerTarget
+	if !full {
+		c.calls[target]++
+	}
+	c.callsMu.Unlock()
+	if full {
+		return false
+	}
+	c.duty(func() {
+		defer c.callEnded(target)
+		work()
+	})
+	return true
+}
+
+func (c *Controller) callEnded(target string) {
+	c.callsMu.Lock()
+	defer c.callsMu.Unlock()
+	c.calls[target]--
+	if c.calls[target] == 0 {
+		delete(c.calls, target)
+	}
+}
+
+// learn takes objects into the directory and tells voter and loop of new pages.
+func (c *Controller) learn(objects []platform.Object, revision uint64) {
+	for _, ref := range c.directory.Apply(objects, revision) {
+		if ref.Kind != record.KindPage {
+			continue
+		}
+		page, _, ok := c.directory.Page(ref.Name)
+		if !ok {
+			continue
+		}
+		c.voter.learn(page.Name, page.Generation)
+		c.events.Offer(pageLearned{page: page})
+	}
+	for ref, err := range c.directory.Rejected() {
+		c.log.Warn("record does not decode, its last good version stays in force", "record", ref.String(), "error", err)
+	}
+}
+
+// newAttempt mints the id of a write.
+func newAttempt() string { return uuid.Must(uuid.NewV7()).String() }
+
+// lockedVoter shares the voter between the loop and the link's handlers.
+type lockedVoter struct {
+	mu    sync.Mutex
+	voter *ownership.Voter
+}
+
+func (v *lockedVoter) learn(page string, generation uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.voter.Learn(page, generation)
+}
+
+func (v *lockedVoter) storeRead(began time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.voter.StoreRead(began)
+}
+
+func (v *lockedVoter) established() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.voter.Established()
+}
+
+func (v *lockedVoter) agree(now time.Duration, ask ownership.Ask) ownership.Answer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.voter.Agree(now, ask)
+}
+
+func (v *lockedVoter) stop(now time.Duration, page string, generation uint64) ownership.Promise {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.voter.Stop(now, page, generation)
+}
+
+type heardKey struct{ page, host string }
+
+// heardAsks remembers when each peer last asked for a page, so that a member
+// that stands later in a group knows whether an earlier one is at work.
+type heardAsks struct {
+	mu sync.Mutex
+	at map[heardKey]time.Duration
+}
+
+func (h *heardAsks) note(page, host string, now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.at[heardKey{page, host}] = now
+}
+
+// last returns when the host last asked for the page.
+func (h *heardAsks) last(page, host string) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at, ok := h.at[heardKey{page, host}]
+	return at, ok
+}
--- /dev/null
+++ b/domain/events.go
@@ -0,0 +1,190 @@
+package domain
+
+import (
+	"time"
+
+	"cicadarouter/contract/backend"
+	"cicadarouter/link/linkpb"
+	"cicadarouter/ownership"
+	"cicadarouter/placement"
+	"cicadarouter/record"
+)
+
+type pageLearned struct{ page record.Page }
+
+func (e pageLearned) apply(l *loop, now time.Duration) {
+	state, known := l.pages[e.page.Name]
+	if !known {
+		return
+	}
+	state.machine.Learn(now, e.page)
+	l.pump(now, state)
+}
+
+type asksAnswered struct {
+	host    string
+	asks    []ownership.AskOut
+	answers []*linkpb.Answer
+}
+
+func (e asksAnswered) apply(l *loop, now time.Duration) {
+	for i, ask := range e.asks {
+		state, known := l.pages[ask.Ask.Page]
+		if !known {
+			continue
+		}
+		answer := ownership.Answer{
+			Verdict:    ownership.Verdict(e.answers[i].GetVerdict()),
+			Known:      e.answers[i].GetKnown(),
+			Dispatcher: e.answers[i].GetDispatcher(),
+			BusyFor:    time.Duration(e.answers[i].GetBusyForNanos()),
+		}
+		state.machine.Answer(now, ask.Round, e.host, answer)
+		l.pump(now, state)
+	}
+}
+
+type stopsPromised struct {
+	host      string
+	stops     []ownership.StopOut
+	remaining []int64
+}
+
+func (e stopsPromised) apply(l *loop, now time.Duration) {
+	for i, stop := range e.stops {
+		state, known := l.pages[stop.Page]
+		if !known {
+			continue
+		}
+		promise := ownership.Promise{Remaining: time.Duration(e.remaining[i])}
+		state.machine.Promised(now, stop.Generation, e.host, promise)
+		l.pump(now, state)
+	}
+}
+
+type serverAnswered struct {
+	out    ownership.GrantOut
+	report backend.Report
+}
+
+func (e serverAnswered) apply(l *loop, now time.Duration) {
+	health := l.server(e.out.Holder.Name)
+	health.noteAnswer(now, e.report.Incarnation, e.report.Draining, e.report.InFlight)
+	state, known := l.pages[e.out.Page]
+	if !known {
+		return
+	}
+	state.machine.Ack(now, e.out.Holder, ownership.HolderAck{
+		SentAt:      e.out.SentAt,
+		Stamp:       e.report.Clock,
+		Incarnation: e.report.Incarnation,
+		Generation:  e.report.Generation,
+		Busy:        e.report.Busy,
+	})
+	l.pump(now, state)
+}
+
+type serverFailed struct {
+	server  string
+	refused bool
+}
+
+func (e serverFailed) apply(l *loop, now time.Duration) {
+	if e.refused {
+		l.server(e.server).refusedAt = now
+	}
+	l.askPeers(now, e.server)
+}
+
+type peerReached struct{ server string }
+
+func (e peerReached) apply(l *loop, now time.Duration) { l.server(e.server).noteSign(now) }
+
+type leaseAnswered struct {
+	host   string
+	sentAt time.Duration
+	reply  *linkpb.LeaseReply
+}
+
+func (e leaseAnswered) apply(l *loop, now time.Duration) {
+	l.router(e.host).noteAnswer(now, e.reply.GetLeaving())
+	for _, status := range e.reply.GetPages() {
+		state, known := l.pages[status.GetPage()]
+		if !known {
+			continue
+		}
+		id := ownership.HolderID{Kind: ownership.Router, Name: e.host}
+		state.machine.Ack(now, id, ownership.HolderAck{
+			SentAt:      e.sentAt,
+			Stamp:       time.Duration(e.reply.GetClockNanos()),
+			Incarnation: e.reply.GetIncarnation(),
+			Generation:  status.GetGeneration(),
+			Leaving:     e.reply.GetLeaving(),
+		})
+		l.noteSigns(now, status)
+		state.planner.Observe(now, shardLoads(status))
+		l.pump(now, state)
+	}
+}
+
+func (l *loop) noteSigns(now time.Duration, status *linkpb.PageStatus) {
+	for _, sign := range status.GetSigns() {
+		if sign.GetAnswered() {
+			l.server(sign.GetServer()).noteSign(now)
+		}
+	}
+}
+
+func shardLoads(status *linkpb.PageStatus) []placement.ShardLoad {
+	loads := make([]placement.ShardLoad, 0, len(status.GetLoads()))
+	for _, load := range status.GetLoads() {
+		shard := placement.ShardLoad{Low: load.GetLow(), Rate: load.GetRate()}
+		for _, hot := range load.GetHot() {
+			shard.Hot = append(shard.Hot, placement.HotHash{Hash: hot.GetHash(), Rate: hot.GetRate()})
+		}
+		loads = append(loads, shard)
+	}
+	return loads
+}
+
+type writeFinished struct {
+	page    string
+	attempt string
+	result  ownership.WriteResult
+}
+
+func (e writeFinished) apply(l *loop, now time.Duration) {
+	state, known := l.pages[e.page]
+	if !known {
+		return
+	}
+	state.machine.WriteResult(now, e.attempt, e.result)
+	l.pump(now, state)
+}
+
+type rereadFinished struct{ page string }
+
+func (e rereadFinished) apply(l *loop, _ time.Duration) {
+	if state, known := l.pages[e.page]; known {
+		state.reading = false
+	}
+}
+
+// askPeers asks another observer about a silent server.
+func (l *loop) askPeers(now time.Duration, server string) {
+	health := l.server(server)
+	if !health.shouldAskPeers(now) {
+		return
+	}
+	health.askedPeers = now
+	hosts := liveHosts(l.c.directory.Hosts(), l.c.identity.Domain)
+	const observers = 2
+	asked := 0
+	for _, host := range ranked("observe\x00"+server, hosts) {
+		if host == l.c.identity.Host || asked == observers {
+			continue
+		}
+		asked++
+		l.out.probes = append(l.out.probes, probe{server: server, peer: host})
+	}
+}
--- /dev/null
+++ b/domain/grouping.go
@@ -0,0 +1,91 @@
+package domain
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cicadarouter/contract/platform"
+)
+
+// Sizes of a renewal group. An odd size tolerates as many losses as the next
+// even one.
+const (
+	smallGroup = 3
+	largeGroup = 5
+)
+
+// ranked orders names by a hash over the purpose and each name (rendezvous
+// hashing), so that a name that comes or goes moves little.
+func ranked(purpose string, names []string) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	list := make([]scored, len(names))
+	for i, name := range names {
+		list[i] = scored{name: name, score: xxhash.Sum64String(purpose + "\x00" + name)}
+	}
+	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	ordered := make([]string, len(list))
+	for i, entry := range list {
+		ordered[i] = entry.name
+	}
+	return ordered
+}
+
+// liveHosts lists the hosts of a failure domain that are not leaving.
+func liveHosts(hosts []platform.Host, domain string) []string {
+	var names []string
+	for _, host := range hosts {
+		if host.Domain == domain && !host.Leaving {
+			names = append(names, host.Name)
+		}
+	}
+	return names
+}
+
+// groupFor returns the renewal group that a page should have; the first member
+// is its assigner.
+func groupFor(page string, hosts []platform.Host, domain string) []string {
+	ordered := ranked("renew\x00"+page, liveHosts(hosts, domain))
+	size := len(ordered)
+	switch {
+	case size >= largeGroup:
+		size = largeGroup
+	case size >= smallGroup:
+		size = smallGroup
+	}
+	return ordered[:size]
+}
+
+// DispatchOrder returns the hosts of a failure domain in the order in which
+// their routers are preferred to dispatch the page.
+func DispatchOrder(page string, hosts []platform.Host, domain string) []string {
+	return ranked("dispatch\x00"+page, liveHosts(hosts, domain))
+}
+
+// replaceGone returns the group with members that left the host list replaced
+// by the best hosts outside it, or nil if no change is worth a change of group.
+// Members that are only out of order stay: each change of group costs a lapse.
+func replaceGone(group, wanted, live []string) []string {
+	next := make([]string, 0, len(group))
+	for _, member := range group {
+		if slices.Contains(live, member) {
+			next = append(next, member)
+		}
+	}
+	if len(next) == len(group) && len(next) >= len(wanted) {
+		return nil
+	}
+	for _, candidate := range wanted {
+		if len(next) < len(wanted) && !slices.Contains(next, candidate) {
+			next = append(next, candidate)
+		}
+	}
+	if len(next) < len(group) && len(next) < smallGroup || slices.Equal(next, group) {
+		return nil
+	}
+	return next
+}
--- /dev/null
+++ b/domain/health.go
@@ -0,0 +1,128 @@
+package domain
+
+import "time"
+
+// Times of the judgement of health. Detection, the lapse of a lease, two writes
+// and a grant together stay under 2 s.
+const (
+	// silenceToAsk is how long a server may be silent before others are asked.
+	silenceToAsk = 250 * time.Millisecond
+	// silenceToSuspect is how long a server may be silent before it is suspected,
+	// if nobody else has heard from it.
+	silenceToSuspect = 450 * time.Millisecond
+	// silenceToGiveUp is how long others' word keeps a silent server trusted. A
+	// server that only this controller cannot reach gets no leases all the same.
+	silenceToGiveUp = 2 * time.Second
+	// signFreshness is how long another observer's word counts.
+	signFreshness = 450 * time.Millisecond
+	// coldFor is how long a server that started is given less new load.
+	coldFor = 5 * time.Second
+)
+
+// serverHealth gathers the signs about one backend server. Reports lag and
+// mislead, so that no single sign decides.
+type serverHealth struct {
+	firstAsked  time.Duration
+	asked       bool
+	lastAnswer  time.Duration // to this controller
+	lastSign    time.Duration // to a dispatch router's request, or to a peer's probe
+	heardSign   bool
+	refusedAt   time.Duration // last refused connection, 0 if answered since
+	askedPeers  time.Duration
+	draining    bool
+	inFlight    int
+	incarnation uint64
+	startedAt   time.Duration
+}
+
+func (h *serverHealth) noteAsked(now time.Duration) {
+	if h.asked {
+		return
+	}
+	h.asked = true
+	h.firstAsked = now
+	h.lastAnswer = now
+}
+
+func (h *serverHealth) noteAnswer(now time.Duration, incarnation uint64, draining bool, inFlight int) {
+	h.lastAnswer = now
+	h.refusedAt = 0
+	h.draining = draining
+	h.inFlight = inFlight
+	if h.incarnation != incarnation {
+		h.incarnation = incarnation
+		h.startedAt = now
+	}
+}
+
+func (h *serverHealth) noteSign(now time.Duration) {
+	h.lastSign = now
+	h.heardSign = true
+}
+
+func (h *serverHealth) silence(now time.Duration) time.Duration {
+	if !h.asked {
+		return 0
+	}
+	return now - h.lastAnswer
+}
+
+// shouldAskPeers reports whether another observer's word is wanted.
+func (h *serverHealth) shouldAskPeers(now time.Duration) bool {
+	return h.silence(now) >= silenceToAsk && now-h.askedPeers >= silenceToAsk
+}
+
+// suspected reports whether the server should lose its shards.
+func (h *serverHealth) suspected(now time.Duration) bool {
+	silent := h.silence(now)
+	if silent < silenceToSuspect {
+		return false
+	}
+	contradicted := h.heardSign && now-h.lastSign < signFreshness
+	return !contradicted || silent >= silenceToGiveUp
+}
+
+func (h *serverHealth) cold(now time.Duration) bool {
+	return h.incarnation != 0 && now-h.startedAt < coldFor
+}
+
+// routerHealth is what a controller knows of one router.
+type routerHealth struct {
+	asked      bool
+	lastAnswer time.Duration
+	leaving    bool
+	avoidUntil time.Duration
+}
+
+// Times of the choice of a dispatch router.
+const (
+	routerSilence = 450 * time.Millisecond
+	routerAvoid   = 3 * time.Second
+)
+
+func (h *routerHealth) noteAsked(now time.Duration) {
+	if h.asked {
+		return
+	}
+	h.asked = true
+	h.lastAnswer = now
+}
+
+func (h *routerHealth) noteAnswer(now time.Duration, leaving bool) {
+	h.lastAnswer = now
+	h.leaving = leaving
+}
+
+// usable reports whether the router may be chosen. A silent one is left out for
+// a while, then tried again.
+func (h *routerHealth) usable(now time.Duration) bool {
+	if h.leaving || now < h.avoidUntil {
+		return false
+	}
+	if h.asked && now-h.lastAnswer >= routerSilence {
+		h.asked = false
+		h.avoidUntil = now + routerAvoid
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/domain/loop.go
@@ -0,0 +1,199 @@
+package domain
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"cicadarouter/ownership"
+	"cicadarouter/placement"
+	"cicadarouter/record"
+)
+
+// event is something that happened outside the loop.
+type event interface {
+	apply(l *loop, now time.Duration)
+}
+
+// pageState is the loop's state of one page.
+type pageState struct {
+	machine *ownership.Machine
+	planner *placement.Planner
+	// groupDue is when a change of group that seems needed may be proposed.
+	groupDue time.Duration
+	reading  bool
+}
+
+// loop owns the state machines of a controller. Only its goroutine touches it.
+type loop struct {
+	c       *Controller
+	pages   map[string]*pageState
+	servers map[string]*serverHealth
+	routers map[string]*routerHealth
+	out     outbox
+	started time.Duration
+	created map[string]time.Duration
+}
+
+func newLoop(c *Controller) *loop {
+	return &loop{
+		c:       c,
+		pages:   map[string]*pageState{},
+		servers: map[string]*serverHealth{},
+		routers: map[string]*routerHealth{},
+		created: map[string]time.Duration{},
+		started: c.clock.Now(),
+		out:     newOutbox(),
+	}
+}
+
+func (l *loop) run(ctx context.Context) {
+	ticker := time.NewTicker(l.c.timing.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.tick(l.c.clock.Now())
+		case happened := <-l.c.events.Out():
+			l.handle(happened)
+		}
+		l.flush(ctx)
+	}
+}
+
+// eventBatch bounds the events that are taken before the answers go out.
+const eventBatch = 64
+
+// handle takes an event and those already waiting, so that their answers leave
+// together in one message for each peer.
+func (l *loop) handle(first event) {
+	now := l.c.clock.Now()
+	first.apply(l, now)
+	for range eventBatch {
+		select {
+		case next := <-l.c.events.Out():
+			next.apply(l, now)
+		default:
+			return
+		}
+	}
+}
+
+func (l *loop) tick(now time.Duration) {
+	l.createPages(now)
+	for _, page := range l.c.directory.Pages() {
+		if !slices.Contains(page.Voters(), l.c.identity.Host) {
+			delete(l.pages, page.Name)
+			continue
+		}
+		l.tickPage(now, l.page(now, page))
+	}
+	l.takeOverLost(now)
+}
+
+// page returns the state of a page of whose group this controller is a member.
+func (l *loop) page(now time.Duration, page record.Page) *pageState {
+	state, known := l.pages[page.Name]
+	if !known {
+		state = &pageState{
+			machine: ownership.NewMachine(l.c.terms, l.c.identity.Host, newAttempt),
+			planner: placement.NewPlanner(placement.DefaultPolicy()),
+		}
+		l.pages[page.Name] = state
+		state.machine.Learn(now, page)
+	}
+	return state
+}
+
+func (l *loop) tickPage(now time.Duration, state *pageState) {
+	view := l.view(now, state)
+	state.machine.Tick(now, view)
+	if view.Active {
+		l.propose(now, state, view)
+		l.c.directory.SetDispatcher(state.machine.Page().Name, state.machine.Dispatcher())
+	}
+	l.pump(now, state)
+}
+
+// pump carries out what a machine wants, until it wants nothing more.
+func (l *loop) pump(now time.Duration, state *pageState) {
+	for {
+		ready := state.machine.Ready()
+		if !l.route(now, state, ready) {
+			return
+		}
+	}
+}
+
+// route passes a machine's wishes on and reports whether there were any.
+func (l *loop) route(now time.Duration, state *pageState, ready ownership.Ready) bool {
+	for _, ask := range ready.Asks {
+		l.routeAsk(now, state, ask)
+	}
+	for _, stop := range ready.Stops {
+		l.routeStop(now, state, stop)
+	}
+	for _, grant := range ready.Grants {
+		l.routeGrant(now, grant)
+	}
+	if ready.Write != nil {
+		l.out.writes = append(l.out.writes, *ready.Write)
+	}
+	if ready.Reread && !state.reading {
+		state.reading = true
+		l.out.rereads = append(l.out.rereads, state.machine.Page().Name)
+	}
+	return len(ready.Asks)+len(ready.Stops)+len(ready.Grants) > 0
+}
+
+func (l *loop) routeAsk(now time.Duration, state *pageState, ask ownership.AskOut) {
+	for _, host := range ask.Hosts {
+		if host == l.c.identity.Host {
+			answer := l.c.voter.agree(now, ask.Ask)
+			state.machine.Answer(now, ask.Round, host, answer)
+			continue
+		}
+		l.out.asks[host] = append(l.out.asks[host], ask)
+	}
+}
+
+func (l *loop) routeStop(now time.Duration, state *pageState, stop ownership.StopOut) {
+	for _, host := range stop.Hosts {
+		if host == l.c.identity.Host {
+			promise := l.c.voter.stop(now, stop.Page, stop.Generation)
+			state.machine.Promised(now, stop.Generation, host, promise)
+			continue
+		}
+		l.out.stops[host] = append(l.out.stops[host], stop)
+	}
+}
+
+func (l *loop) routeGrant(now time.Duration, grant ownership.GrantOut) {
+	if grant.Holder.Kind == ownership.Router {
+		l.router(grant.Holder.Name).noteAsked(now)
+		l.out.leases[grant.Holder.Name] = append(l.out.leases[grant.Holder.Name], grant)
+		return
+	}
+	l.server(grant.Holder.Name).noteAsked(now)
+	l.out.grants = append(l.out.grants, grant)
+}
+
+func (l *loop) server(name string) *serverHealth {
+	if known, ok := l.servers[name]; ok {
+		return known
+	}
+	fresh := &serverHealth{}
+	l.servers[name] = fresh
+	return fresh
+}
+
+func (l *loop) router(name string) *routerHealth {
+	if known, ok := l.routers[name]; ok {
+		return known
+	}
+	fresh := &routerHealth{}
+	l.routers[name] = fresh
+	return fresh
+}
--- /dev/null
+++ b/domain/outbox.go
@@ -0,0 +1,257 @@
+package domain
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"syscall"
+	"time"
+
+	"cicadarouter/contract/backend"
+	"cicadarouter/contract/platform"
+	"cicadarouter/link/linkpb"
+	"cicadarouter/ownership"
+	"cicadarouter/record"
+)
+
+// Limits of calls to others. A call that takes longer counts as lost.
+const (
+	peerTimeout   = 300 * time.Millisecond
+	serverTimeout = 300 * time.Millisecond
+	routerTimeout = 300 * time.Millisecond
+	writeTimeout  = 2 * time.Second
+	rereadPause   = 50 * time.Millisecond
+)
+
+// outbox gathers what the loop wants sent, so that one message for each peer
+// and router carries all pages.
+type outbox struct {
+	asks    map[string][]ownership.AskOut
+	stops   map[string][]ownership.StopOut
+	leases  map[string][]ownership.GrantOut
+	grants  []ownership.GrantOut
+	writes  []record.Page
+	rereads []string
+	probes  []probe
+}
+
+// probe asks a peer whether it reaches a server.
+type probe struct{ server, peer string }
+
+func newOutbox() outbox {
+	return outbox{
+		asks:   map[string][]ownership.AskOut{},
+		stops:  map[string][]ownership.StopOut{},
+		leases: map[string][]ownership.GrantOut{},
+	}
+}
+
+// flush starts the calls that the outbox holds.
+func (l *loop) flush(ctx context.Context) {
+	out := l.out
+	l.out = newOutbox()
+	for host, asks := range out.asks {
+		l.c.sendAsks(ctx, host, asks)
+	}
+	for host, stops := range out.stops {
+		l.c.sendStops(ctx, host, stops)
+	}
+	for host, grants := range out.leases {
+		l.sendLeases(ctx, host, grants)
+	}
+	for _, grant := range out.grants {
+		l.c.sendGrant(ctx, grant)
+	}
+	for _, page := range out.writes {
+		l.c.sendWrite(ctx, page)
+	}
+	for _, page := range out.rereads {
+		l.c.reread(ctx, page)
+	}
+	for _, probe := range out.probes {
+		l.c.sendProbe(ctx, probe)
+	}
+}
+
+func (c *Controller) sendAsks(ctx context.Context, host string, asks []ownership.AskOut) {
+	peer, ok := c.directory.Host(host)
+	if !ok {
+		return
+	}
+	c.call("agree/"+host, func() {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		reply, err := c.links.Control(peer.Link).Agree(ctx, agreeRequest(c.identity.Host, asks))
+		if err != nil || len(reply.GetAnswers()) != len(asks) {
+			return
+		}
+		c.events.Offer(asksAnswered{host: host, asks: asks, answers: reply.GetAnswers()})
+	})
+}
+
+func agreeRequest(from string, asks []ownership.AskOut) *linkpb.AgreeRequest {
+	request := &linkpb.AgreeRequest{From: from}
+	for _, ask := range asks {
+		request.Asks = append(request.Asks, &linkpb.Ask{
+			Page:       ask.Ask.Page,
+			Generation: ask.Ask.Generation,
+			Dispatcher: ask.Ask.Dispatcher,
+			Released:   ask.Ask.Released,
+			Bounded:    ask.Ask.Bounded,
+			Round:      ask.Round,
+		})
+	}
+	return request
+}
+
+func (c *Controller) sendStops(ctx context.Context, host string, stops []ownership.StopOut) {
+	peer, ok := c.directory.Host(host)
+	if !ok {
+		return
+	}
+	c.call("stop/"+host, func() {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		request := &linkpb.StopRequest{From: c.identity.Host}
+		for _, stop := range stops {
+			request.Stops = append(request.Stops, &linkpb.Stop{Page: stop.Page, Generation: stop.Generation})
+		}
+		reply, err := c.links.Control(peer.Link).Stop(ctx, request)
+		if err != nil || len(reply.GetRemainingNanos()) != len(stops) {
+			return
+		}
+		c.events.Offer(stopsPromised{host: host, stops: stops, remaining: reply.GetRemainingNanos()})
+	})
+}
+
+// sendLeases offers or renews a router's leases. The page itself goes along
+// until the router has acknowledged its generation.
+func (l *loop) sendLeases(ctx context.Context, host string, grants []ownership.GrantOut) {
+	router, ok := l.c.directory.Host(host)
+	if !ok {
+		return
+	}
+	request := &linkpb.LeaseRequest{From: l.c.identity.Host}
+	for _, out := range grants {
+		request.Leases = append(request.Leases, l.pageLease(out))
+	}
+	sentAt := grants[0].SentAt
+	for _, out := range grants {
+		sentAt = min(sentAt, out.SentAt)
+	}
+	l.c.call("lease/"+host, func() {
+		ctx, cancel := context.WithTimeout(ctx, routerTimeout)
+		defer cancel()
+		reply, err := l.c.links.Dispatch(router.RouterLink).Lease(ctx, request)
+		if err != nil {
+			return
+		}
+		l.c.events.Offer(leaseAnswered{host: host, sentAt: sentAt, reply: reply})
+	})
+}
+
+func (l *loop) pageLease(out ownership.GrantOut) *linkpb.PageLease {
+	if out.Grant == nil {
+		return &linkpb.PageLease{Page: out.Page, Probe: true}
+	}
+	lease := &linkpb.PageLease{
+		Page:        out.Page,
+		Generation:  out.Grant.Generation,
+		Incarnation: out.Grant.Incarnation,
+		ExpiryNanos: int64(out.Grant.Expiry),
+	}
+	state, known := l.pages[out.Page]
+	if known && out.Grant.Complete && state.machine.Page().Generation == out.Grant.Generation {
+		lease.Record, _ = json.Marshal(state.machine.Page())
+	}
+	return lease
+}
+
+func (c *Controller) sendGrant(ctx context.Context, out ownership.GrantOut) {
+	name := out.Holder.Name
+	server, ok := c.directory.Server(name)
+	if !ok {
+		return
+	}
+	c.call("server/"+name, func() {
+		ctx, cancel := context.WithTimeout(ctx, serverTimeout)
+		defer cancel()
+		control := c.dial(server)
+		var report backend.Report
+		var err error
+		if out.Grant == nil {
+			report, err = control.Report(ctx, out.Page)
+		} else {
+			report, err = control.Grant(ctx, *out.Grant)
+		}
+		if err != nil {
+			c.events.Offer(serverFailed{server: name, refused: errors.Is(err, syscall.ECONNREFUSED)})
+			return
+		}
+		c.events.Offer(serverAnswered{out: out, report: report})
+	})
+}
+
+func (c *Controller) sendWrite(ctx context.Context, page record.Page) {
+	c.duty(func() {
+		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+		defer cancel()
+		result := c.write(ctx, page)
+		c.log.Debug("page written", "page", page.Name, "generation", page.Generation, "result", int(result))
+		_ = c.events.Put(ctx, writeFinished{page: page.Name, attempt: page.Attempt, result: result})
+	})
+}
+
+// write puts a generation of a page on top of the version that is known to
+// hold the generation before it.
+func (c *Controller) write(ctx context.Context, page record.Page) ownership.WriteResult {
+	known, version, ok := c.directory.Page(page.Name)
+	if !ok || known.Generation != page.Generation-1 {
+		return ownership.WriteConflict
+	}
+	envelope, err := page.Encode()
+	if err != nil {
+		return ownership.WriteConflict
+	}
+	written, err := c.store.Update(ctx, envelope, version)
+	var conflict *platform.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		c.learn([]platform.Object{conflict.Current}, 0)
+		return ownership.WriteConflict
+	case err != nil:
+		return ownership.WriteUnknown
+	}
+	c.learn([]platform.Object{{Envelope: envelope, Version: written}}, 0)
+	return ownership.WriteDone
+}
+
+// reread gets a page from the store, to settle what became of a write or
+// because a peer knows a newer generation.
+func (c *Controller) reread(ctx context.Context, page string) {
+	c.duty(func() {
+		defer func() { _ = c.events.Put(ctx, rereadFinished{page: page}) }()
+		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+		defer cancel()
+		object, err := c.store.Get(ctx, record.Ref{Kind: record.KindPage, Name: page})
+		if err == nil {
+			c.learn([]platform.Object{object}, 0)
+		}
+		sleep(ctx, rereadPause)
+	})
+}
+
+func (c *Controller) sendProbe(ctx context.Context, probe probe) {
+	peer, ok := c.directory.Host(probe.peer)
+	if !ok {
+		return
+	}
+	c.call("probe/"+probe.peer, func() {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		reply, err := c.links.Control(peer.Link).Probe(ctx, &linkpb.ProbeRequest{Server: probe.server})
+		if err == nil && reply.GetReached() {
+			c.events.Offer(peerReached{server: probe.server})
+		}
+	})
+}
--- /dev/null
+++ b/host/controller.go
@@ -0,0 +1,118 @@
+package host
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/wire"
+
+	"cicadarouter/contract/backend"
+	"cicadarouter/contract/platform"
+	"cicadarouter/contract/platform/httpstore"
+	"cicadarouter/directory"
+	"cicadarouter/domain"
+	"cicadarouter/host/clock"
+	"cicadarouter/host/logs"
+	"cicadarouter/link"
+	"cicadarouter/link/linkpb"
+	"cicadarouter/ownership"
+	"cicadarouter/record"
+)
+
+// ControllerDaemon is a controller with its listeners.
+type ControllerDaemon struct {
+	settings   ControllerSettings
+	creds      LinkCredentials
+	controller *domain.Controller
+	directory  *directory.Directory
+	links      *link.Pool
+	log        *log.Logger
+}
+
+// controllerSet makes a ControllerDaemon from its settings.
+var controllerSet = wire.NewSet(
+	directory.New,
+	clock.System,
+	ownership.DefaultTerms,
+	domain.DefaultTiming,
+	controllerCredentials,
+	controllerIdentity,
+	controllerLog,
+	controllerStore,
+	newLinks,
+	newServerDialer,
+	domain.NewController,
+	wire.Bind(new(domain.Links), new(*link.Pool)),
+	wire.Struct(new(ControllerDaemon), "*"),
+)
+
+func controllerCredentials(s ControllerSettings) (LinkCredentials, error) {
+	return newCredentials(s.TLS)
+}
+
+func controllerIdentity(s ControllerSettings) domain.Identity {
+	return domain.Identity{Host: s.Host, Domain: s.Domain}
+}
+
+func controllerLog(s ControllerSettings) *log.Logger {
+	return logs.New(os.Stderr, "cicada-controller", s.Host, parseLevel(s.LogLevel))
+}
+
+func controllerStore(s ControllerSettings) platform.Store {
+	return httpstore.New(s.Store, s.Domain)
+}
+
+func newLinks(creds LinkCredentials) *link.Pool { return link.NewPool(creds) }
+
+// serverIdleConnections is what a controller keeps open to one backend server.
+const serverIdleConnections = 2
+
+// newServerDialer shares one transport between the backend servers' clients.
+func newServerDialer() domain.ServerDialer {
+	const idleFor = 10 * time.Second
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: serverIdleConnections,
+		IdleConnTimeout:     idleFor,
+		DisableCompression:  true,
+	}
+	return func(server record.Server) backend.Control {
+		return backend.NewClient(server.Name, server.Address, transport)
+	}
+}
+
+// stopWait bounds a controller's graceful stop.
+const stopWait = 5 * time.Second
+
+// Run serves until the context ends, then stops gracefully: peers take the
+// pages over when this controller falls silent, long before a lease lapses.
+func (d *ControllerDaemon) Run(ctx context.Context) error {
+	linkListener, err := listen("the link", d.settings.Link)
+	if err != nil {
+		return err
+	}
+	adminListener, err := listen("administration", d.settings.Admin)
+	if err != nil {
+		return err
+	}
+	server := link.NewServer(d.creds)
+	linkpb.RegisterControlServer(server, domain.NewLinkServer(d.controller))
+	admin := newHTTPServer(newAdminHandler(adminRoutes{
+		healthy: func() bool { return ctx.Err() == nil },
+		status:  func() any { return d.controller.Status() },
+		extra:   func(out io.Writer) { d.controller.WriteMetrics(out) },
+	}))
+	go serveGRPC(server, linkListener, d.log)
+	go serveHTTP(admin, adminListener, d.log)
+	d.log.Info("controller started", "domain", d.settings.Domain, "link", d.settings.Link)
+	d.controller.Run(ctx)
+	d.log.Info("controller stops")
+	stopping, cancel := context.WithTimeout(context.Background(), stopWait)
+	defer cancel()
+	server.Stop()
+	d.links.Close()
+	return admin.Shutdown(stopping)
+}
--- /dev/null
+++ b/host/keys.go
@@ -0,0 +1,114 @@
+package host
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// KeyError reports a key file that cannot be used. It never holds key material.
+type KeyError struct {
+	File  string
+	Cause error
+}
+
+// Error implements error.
+func (e *KeyError) Error() string { return fmt.Sprintf("key file %s: %v", e.File, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *KeyError) Unwrap() error { return e.Cause }
+
+// LinkCredentials are the credentials of the link between processes.
+type LinkCredentials credentials.TransportCredentials
+
+// newCredentials returns mutual TLS if the settings name keys. Both ends must
+// show a certificate of the authority, so that only the system's own processes
+// can ask for agreement, promise or lease.
+func newCredentials(keys TLSSettings) (LinkCredentials, error) {
+	if !keys.Enabled() {
+		return insecure.NewCredentials(), nil
+	}
+	store := &keyStore{settings: keys}
+	if _, err := store.certificate(); err != nil {
+		return nil, err
+	}
+	authority, err := loadAuthority(keys.Authority)
+	if err != nil {
+		return nil, err
+	}
+	return credentials.NewTLS(&tls.Config{
+		MinVersion: tls.VersionTLS13,
+		ClientAuth: tls.RequireAndVerifyClientCert,
+		ClientCAs:  authority,
+		RootCAs:    authority,
+		ServerName: linkServerName,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return store.certificate()
+		},
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return store.certificate()
+		},
+	}), nil
+}
+
+// linkServerName is the name that every process's certificate must hold. Hosts
+// are addressed by IP numbers that come and go, so certificates do not name them.
+const linkServerName = "cicadarouter.link"
+
+func loadAuthority(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &KeyError{File: file, Cause: err}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, &KeyError{File: file, Cause: errNoCertificate}
+	}
+	return pool, nil
+}
+
+var errNoCertificate = fmt.Errorf("holds no PEM certificate")
+
+// keyStore reads a certificate again when its file has changed, so that keys
+// are replaced without a restart.
+type keyStore struct {
+	settings TLSSettings
+
+	mu       sync.Mutex
+	loaded   *tls.Certificate
+	modified time.Time
+}
+
+func (s *keyStore) certificate() (*tls.Certificate, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	info, err := os.Stat(s.settings.Certificate)
+	if err != nil {
+		return s.lastGood(&KeyError{File: s.settings.Certificate, Cause: err})
+	}
+	if s.loaded != nil && info.ModTime().Equal(s.modified) {
+		return s.loaded, nil
+	}
+	pair, err := tls.LoadX509KeyPair(s.settings.Certificate, s.settings.Key)
+	if err != nil {
+		return s.lastGood(&KeyError{File: s.settings.Certificate, Cause: err})
+	}
+	s.loaded = &pair
+	s.modified = info.ModTime()
+	return s.loaded, nil
+}
+
+// lastGood keeps the last usable certificate in use while its files are being
+// replaced or are broken.
+func (s *keyStore) lastGood(err error) (*tls.Certificate, error) {
+	if s.loaded != nil {
+		return s.loaded, nil
+	}
+	return nil, err
+}
--- /dev/null
+++ b/host/router.go
@@ -0,0 +1,117 @@
+package host
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/wire"
+
+	"cicadarouter/directory"
+	"cicadarouter/host/clock"
+	"cicadarouter/host/logs"
+	"cicadarouter/link"
+	"cicadarouter/link/linkpb"
+	"cicadarouter/router"
+)
+
+// RouterDaemon is a router with its listeners.
+type RouterDaemon struct {
+	settings  RouterSettings
+	creds     LinkCredentials
+	router    *router.Router
+	directory *directory.Directory
+	links     *link.Pool
+	identity  router.Identity
+	log       *log.Logger
+}
+
+// routerSet makes a RouterDaemon from its settings.
+var routerSet = wire.NewSet(
+	directory.New,
+	clock.System,
+	routerCredentials,
+	routerIdentity,
+	routerLimits,
+	routerLog,
+	newLinks,
+	newIncarnation,
+	wallClock,
+	router.New,
+	wire.Bind(new(router.Links), new(*link.Pool)),
+	wire.Struct(new(RouterDaemon), "*"),
+)
+
+func routerCredentials(s RouterSettings) (LinkCredentials, error) { return newCredentials(s.TLS) }
+
+func routerIdentity(s RouterSettings) router.Identity {
+	return router.Identity{Host: s.Host, Domain: s.Domain}
+}
+
+func routerLimits(s RouterSettings) router.Limits {
+	limits := router.DefaultLimits()
+	limits.InFlight = s.InFlight
+	return limits
+}
+
+func routerLog(s RouterSettings) *log.Logger {
+	return logs.New(os.Stderr, "cicada-router", s.Host, parseLevel(s.LogLevel))
+}
+
+// newIncarnation names this run of a process. It never is 0.
+func newIncarnation() uint64 { return rand.Uint64() | 1 }
+
+func wallClock() func() time.Time { return time.Now }
+
+// Run serves until the context ends, then stops gracefully: the balancer's
+// check fails first, the dispatch leases are handed back, and every request in
+// flight is finished before the listeners close.
+func (d *RouterDaemon) Run(ctx context.Context) error {
+	callersListener, err := listen("callers", d.settings.Callers)
+	if err != nil {
+		return err
+	}
+	linkListener, err := listen("the link", d.settings.Link)
+	if err != nil {
+		return err
+	}
+	adminListener, err := listen("administration", d.settings.Admin)
+	if err != nil {
+		return err
+	}
+	feeding, stopFeed := context.WithCancel(context.Background())
+	defer stopFeed()
+	go router.Feed(feeding, d.directory, d.links, d.identity, d.settings.Controllers)
+
+	linkServer := link.NewServer(d.creds)
+	linkpb.RegisterDispatchServer(linkServer, router.NewLinkServer(d.router))
+	callers := newHTTPServer(router.NewFront(d.router))
+	admin := newHTTPServer(newAdminHandler(adminRoutes{
+		healthy: func() bool { return !d.router.Leaving() && router.Ready(d.directory) },
+		status:  func() any { return d.router.Status() },
+		extra:   func(out io.Writer) { d.router.WriteMetrics(out) },
+	}))
+	go serveGRPC(linkServer, linkListener, d.log)
+	go serveHTTP(admin, adminListener, d.log)
+	go serveHTTP(callers, callersListener, d.log)
+	d.log.Info("router started", "domain", d.settings.Domain, "callers", d.settings.Callers)
+
+	<-ctx.Done()
+	d.log.Info("router stops", "balancer-wait", d.settings.BalancerWait, "drain-wait", d.settings.DrainWait)
+	d.router.Leave()
+	time.Sleep(d.settings.BalancerWait)
+	stopping, cancel := context.WithTimeout(context.Background(), d.settings.DrainWait)
+	defer cancel()
+	err = callers.Shutdown(stopping)
+	drained := d.router.Drain(stopping)
+	stopGRPC(stopping, linkServer)
+	d.log.Info("router stopped", "drained", drained)
+	d.links.Close()
+	if err != nil {
+		return err
+	}
+	return admin.Shutdown(stopping)
+}
--- /dev/null
+++ b/load/balancer.go
@@ -0,0 +1,102 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// balancer stands in for the platform's balancer: it sends callers to entry
+// hosts whose health check passes.
+type balancer struct {
+	entries []Entry
+	client  *http.Client
+
+	mu      sync.Mutex
+	healthy []string
+}
+
+func newBalancer(entries []Entry, client *http.Client) *balancer {
+	return &balancer{entries: entries, client: client}
+}
+
+// Pace of the health checks.
+const (
+	checkEvery   = 300 * time.Millisecond
+	checkTimeout = 200 * time.Millisecond
+)
+
+func (b *balancer) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		b.check(ctx)
+		time.Sleep(checkEvery)
+	}
+}
+
+func (b *balancer) check(ctx context.Context) {
+	passed := make([]bool, len(b.entries))
+	var checks sync.WaitGroup
+	for i, entry := range b.entries {
+		checks.Go(func() { passed[i] = b.passes(ctx, entry) })
+	}
+	checks.Wait()
+	var healthy []string
+	for i, entry := range b.entries {
+		if passed[i] {
+			healthy = append(healthy, entry.Callers)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.healthy = healthy
+}
+
+func (b *balancer) passes(ctx context.Context, entry Entry) bool {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.Admin+"/healthz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := b.client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// wait returns once all entry hosts are healthy, or after a while with those
+// that are.
+func (b *balancer) wait(ctx context.Context) {
+	const longestWait = 15 * time.Second
+	until := time.Now().Add(longestWait)
+	for ctx.Err() == nil && time.Now().Before(until) && b.count() < len(b.entries) {
+		time.Sleep(checkTimeout)
+	}
+}
+
+func (b *balancer) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.healthy)
+}
+
+// pick returns the callers' address of an entry host, other than avoid if there is one.
+func (b *balancer) pick(avoid string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.healthy) == 0 {
+		return b.entries[rand.IntN(len(b.entries))].Callers
+	}
+	chosen := b.healthy[rand.IntN(len(b.healthy))]
+	for range 3 {
+		if chosen != avoid {
+			break
+		}
+		chosen = b.healthy[rand.IntN(len(b.healthy))]
+	}
+	return chosen
+}
--- /dev/null
+++ b/load/fault.go
@@ -0,0 +1,76 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"cicadarouter/standin"
+)
+
+// fault makes one fault happen and, after its time, ends it.
+func (r *Runner) fault(ctx context.Context, fault Fault) {
+	defer r.working.Done()
+	wait(ctx, fault.At)
+	r.setFault(ctx, fault, true)
+	wait(ctx, fault.For)
+	r.setFault(context.WithoutCancel(ctx), fault, false)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Runner) setFault(ctx context.Context, fault Fault, on bool) {
+	const slowFactor = 5
+	const lostReplies = 3
+	var server standin.ServerFaults
+	var store standin.PlatformFaults
+	switch fault.Action {
+	case ActionFreeze:
+		server.Frozen = on
+	case ActionDrain:
+		server.Draining = on
+	case ActionShed:
+		server.Shed = on
+	case ActionSlow:
+		if on {
+			server.SlowFactor = slowFactor
+		}
+	case ActionStore:
+		store.Down = on
+	case ActionLose:
+		if on {
+			store.LoseReplies = lostReplies
+		}
+	}
+	if fault.Action == ActionStore || fault.Action == ActionLose {
+		r.put(ctx, "http://"+r.experiment.Store+"/standin/faults", store)
+		return
+	}
+	for _, fleet := range r.experiment.Fleets {
+		r.put(ctx, "http://"+fleet+"/standin/servers/"+fault.Target+"/faults", server)
+	}
+}
+
+func (r *Runner) put(ctx context.Context, url string, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if response, err := r.client.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
--- /dev/null
+++ b/load/oracle.go
@@ -0,0 +1,109 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"cicadarouter/contract/caller"
+	"cicadarouter/standin"
+)
+
+// Violation is a broken promise.
+type Violation struct {
+	Promise string `json:"promise"`
+	Detail  string `json:"detail"`
+}
+
+// The promises that the oracle checks.
+const (
+	PromiseOnce    = "a non-idempotent request runs at most once"
+	PromiseNotRun  = "a request that was told not run did not run"
+	PromiseDone    = "a request that was told done ran"
+	PromiseAnswer  = "every caller gets the whole answer to its own request"
+	PromiseOwner   = "a key has at most one owning server at any moment"
+	PromiseOutcome = "every answer tells an outcome"
+)
+
+// fetchRuns reads what the servers did.
+func (r *Runner) fetchRuns() ([]standin.Run, error) {
+	var runs []standin.Run
+	for _, fleet := range r.experiment.Fleets {
+		response, err := r.client.Get("http://" + fleet + "/standin/runs")
+		if err != nil {
+			return nil, err
+		}
+		scanner := bufio.NewScanner(response.Body)
+		for scanner.Scan() {
+			var run standin.Run
+			if err := json.Unmarshal(scanner.Bytes(), &run); err != nil {
+				_ = response.Body.Close()
+				return nil, err
+			}
+			runs = append(runs, run)
+		}
+		_ = response.Body.Close()
+	}
+	return runs, nil
+}
+
+// Judge compares what callers were told with what the servers did.
+func Judge(results []Result, runs []standin.Run) []Violation {
+	count := map[string]int{}
+	for _, run := range runs {
+		count[run.ID]++
+	}
+	var found []Violation
+	for _, result := range results {
+		found = append(found, judgeResult(result, count[result.ID])...)
+	}
+	return append(found, judgeOwners(results, runs)...)
+}
+
+func judgeResult(result Result, ran int) []Violation {
+	var found []Violation
+	add := func(promise string) {
+		detail := fmt.Sprintf("request %s (key %q, writes %t) ran %d times, was told %v", result.ID, result.Key, result.Writes, ran, result.Outcomes)
+		found = append(found, Violation{Promise: promise, Detail: detail})
+	}
+	if result.Writes && ran > 1 {
+		add(PromiseOnce)
+	}
+	if slices.Contains(result.Outcomes, caller.NotRun) && ran > 0 {
+		add(PromiseNotRun)
+	}
+	if result.Done() && ran == 0 {
+		add(PromiseDone)
+	}
+	if result.Foreign || result.Partial {
+		add(PromiseAnswer)
+	}
+	return found
+}
+
+// judgeOwners checks that the tokens under which a key's requests ran never
+// fall, and that no token is used by two servers. The stand-ins share one
+// clock, so that their times can be compared.
+func judgeOwners(results []Result, runs []standin.Run) []Violation {
+	service := map[string]string{}
+	for _, result := range results {
+		service[result.ID] = result.Service
+	}
+	slices.SortStableFunc(runs, func(a, b standin.Run) int { return a.At.Compare(b.At) })
+	last := map[string]standin.Run{}
+	var found []Violation
+	for _, run := range runs {
+		if run.Token == 0 {
+			continue
+		}
+		key := service[run.ID] + "/" + run.Key
+		before, seen := last[key]
+		if seen && (run.Token < before.Token || run.Token == before.Token && run.Server != before.Server) {
+			detail := fmt.Sprintf("key %s ran at %s under token %d after %s under token %d", key, run.Server, run.Token, before.Server, before.Token)
+			found = append(found, Violation{Promise: PromiseOwner, Detail: detail})
+		}
+		last[key] = run
+	}
+	return found
+}
--- /dev/null
+++ b/load/runner.go
@@ -0,0 +1,214 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cicadarouter/contract/platform/httpstore"
+	"cicadarouter/record"
+)
+
+// Runner runs one experiment.
+type Runner struct {
+	experiment Experiment
+	client     *http.Client
+	balancer   *balancer
+	began      time.Time
+	results    []Result
+	mu         sync.Mutex
+	working    sync.WaitGroup
+	started    atomic.Int64
+	ended      atomic.Int64
+	moves      moveCounter
+}
+
+// mostConnections bounds the connections to each entry host.
+const mostConnections = 256
+
+// NewRunner returns a runner.
+func NewRunner(experiment Experiment) *Runner {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: mostConnections,
+		MaxConnsPerHost:     mostConnections,
+		DisableCompression:  true,
+	}
+	client := &http.Client{Transport: transport}
+	return &Runner{
+		experiment: experiment,
+		client:     client,
+		balancer:   newBalancer(experiment.Entries, client),
+	}
+}
+
+// Run sends the streams, then waits for the answers that are due.
+func (r *Runner) Run(ctx context.Context, progress func(Progress)) Report {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go r.balancer.follow(ctx)
+	go r.moves.follow(ctx, r.experiment.Store)
+	r.balancer.wait(ctx)
+	r.began = time.Now()
+	for i, stream := range r.experiment.Streams {
+		r.working.Add(1)
+		go r.stream(ctx, stream, rand.New(rand.NewPCG(uint64(r.experiment.Seed), uint64(i))))
+	}
+	for _, fault := range r.experiment.Faults {
+		r.working.Add(1)
+		go r.fault(ctx, fault)
+	}
+	r.tell(ctx, progress)
+	r.working.Wait()
+	time.Sleep(settleTime)
+	return r.report()
+}
+
+// settleTime lets the servers note what they did last.
+const settleTime = 300 * time.Millisecond
+
+// Progress is how far a run has come.
+type Progress struct {
+	Elapsed        time.Duration
+	Started, Ended int64
+	Done, Refused  int64
+	Entries        int
+}
+
+// tell reports progress each second until the streams end.
+func (r *Runner) tell(ctx context.Context, progress func(Progress)) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	end := time.NewTimer(r.experiment.Duration)
+	defer end.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			progress(r.progress())
+		case <-end.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Runner) progress() Progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := Progress{
+		Elapsed: time.Since(r.began),
+		Started: r.started.Load(),
+		Ended:   r.ended.Load(),
+		Entries: r.balancer.count(),
+	}
+	for _, result := range r.results {
+		if result.Done() {
+			now.Done++
+		} else {
+			now.Refused++
+		}
+	}
+	return now
+}
+
+// stream sends one stream's requests at random times with the stream's rate.
+func (r *Runner) stream(ctx context.Context, stream Stream, random *rand.Rand) {
+	defer r.working.Done()
+	keys := newKeyChooser(stream, random)
+	end := r.experiment.Duration
+	if stream.Until > 0 {
+		end = min(end, stream.Until)
+	}
+	next := stream.From
+	for {
+		next += time.Duration(random.ExpFloat64() / stream.Rate * float64(time.Second))
+		if next >= end || ctx.Err() != nil {
+			return
+		}
+		call := &call{
+			stream:   stream,
+			due:      r.began.Add(next),
+			key:      keys.choose(next),
+			caller:   fmt.Sprintf("%s-%d", stream.Name, random.IntN(stream.Callers)),
+			writes:   random.Float64() < stream.Writes,
+			attempts: 0,
+		}
+		time.Sleep(time.Until(call.due))
+		r.started.Add(1)
+		r.working.Add(1)
+		go r.perform(ctx, call)
+	}
+}
+
+func (r *Runner) perform(ctx context.Context, call *call) {
+	defer r.working.Done()
+	results := call.perform(ctx, r)
+	r.ended.Add(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.results = append(r.results, results...)
+}
+
+// moveCounter counts changes of owner in the store's pages.
+type moveCounter struct {
+	mu     sync.Mutex
+	owners map[string]map[uint64]string
+	moves  int
+	splits int
+}
+
+// follow watches the store and counts.
+func (m *moveCounter) follow(ctx context.Context, address string) {
+	if address == "" {
+		return
+	}
+	const wait = 5 * time.Second
+	store := httpstore.New(address, "load")
+	var revision uint64
+	for ctx.Err() == nil {
+		snapshot, err := store.Watch(ctx, revision, wait)
+		if err != nil {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		revision = snapshot.Revision
+		for _, object := range snapshot.Objects {
+			if page, err := record.DecodePage(object.Envelope); err == nil && object.Kind == record.KindPage {
+				m.note(page)
+			}
+		}
+	}
+}
+
+// note compares a page with its last generation.
+func (m *moveCounter) note(page record.Page) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.owners == nil {
+		m.owners = map[string]map[uint64]string{}
+	}
+	known := m.owners[page.Name]
+	fresh := map[uint64]string{}
+	for _, shard := range page.Shards {
+		owner := shard.Owner
+		fresh[shard.Low] = owner
+		before, had := known[shard.Low]
+		switch {
+		case !had && known != nil:
+			m.splits++
+		case had && before != "" && before != owner:
+			m.moves++
+		}
+	}
+	m.owners[page.Name] = fresh
+}
+
+func (m *moveCounter) counts() (moves, splits int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.moves, m.splits
+}
--- /dev/null
+++ b/ownership/holders.go
@@ -0,0 +1,117 @@
+package ownership
+
+import (
+	"slices"
+	"time"
+)
+
+// holderState is what a machine knows of one lease holder.
+type holderState struct {
+	stamped     bool
+	stamp       time.Duration
+	incarnation uint64
+	// generation is the newest that the holder's present run has accepted.
+	generation uint64
+	// ackSentAt is when the newest message that the holder answered was sent.
+	ackSentAt time.Duration
+	busy      []uint64
+	sent      bool
+	sentAt    time.Duration
+}
+
+func (m *Machine) holder(id HolderID) *holderState {
+	if known, ok := m.holders[id]; ok {
+		return known
+	}
+	fresh := &holderState{}
+	m.holders[id] = fresh
+	return fresh
+}
+
+// holderIDs lists the holders that this page's leases or probes go to.
+func (m *Machine) holderIDs() []HolderID {
+	names := slices.Clone(m.view.Servers)
+	for _, shard := range m.page.Shards {
+		if shard.Owner != "" && !slices.Contains(names, shard.Owner) {
+			names = append(names, shard.Owner)
+		}
+	}
+	ids := make([]HolderID, 0, len(names)+1)
+	for _, name := range names {
+		ids = append(ids, HolderID{Kind: BackendServer, Name: name})
+	}
+	if m.view.Dispatcher != "" {
+		ids = append(ids, HolderID{Kind: Router, Name: m.view.Dispatcher})
+	}
+	return ids
+}
+
+// Ack takes a holder's answer. Answers may come late, twice and out of order.
+func (m *Machine) Ack(now time.Duration, id HolderID, ack HolderAck) {
+	state := m.holder(id)
+	if state.stamped && ack.SentAt < state.ackSentAt {
+		return
+	}
+	state.stamped = true
+	state.stamp = ack.Stamp
+	state.incarnation = ack.Incarnation
+	state.generation = ack.Generation
+	state.ackSentAt = ack.SentAt
+	state.busy = ack.Busy
+	if ack.Leaving && id.Name == m.dispatcher {
+		m.gaveUp = id.Name
+		m.dispatchAfter = now
+	}
+	if m.known && m.view.Active {
+		m.advance(now)
+	}
+}
+
+// probeSilent sends probes to holders that got nothing since the last round
+// began, so that a holder without a lease still stamps the next round.
+func (m *Machine) probeSilent(now time.Duration) {
+	for _, id := range m.holderIDs() {
+		state := m.holder(id)
+		if state.sent && m.round.number != 0 && state.sentAt >= m.round.startedAt {
+			continue
+		}
+		m.send(now, id, nil)
+	}
+}
+
+func (m *Machine) send(now time.Duration, id HolderID, grant *Grant) {
+	state := m.holder(id)
+	state.sent = true
+	state.sentAt = now
+	out := GrantOut{Holder: id, SentAt: now, Page: m.page.Name, Grant: grant}
+	m.ready.Grants = append(m.ready.Grants, out)
+}
+
+// grantFor builds the lease of one holder from the stamp that it gave before
+// the round began.
+func (m *Machine) grantFor(id HolderID, stamped stampOf) *Grant {
+	grant := &Grant{
+		Page:        m.page.Name,
+		Generation:  m.round.generation,
+		Incarnation: stamped.incarnation,
+		Expiry:      stamped.stamp + m.terms.Lease,
+	}
+	state := m.holder(id)
+	current := state.incarnation == stamped.incarnation && state.generation >= m.round.generation
+	grant.Complete = !current
+	if id.Kind == BackendServer && !current {
+		grant.Shards = m.shardsOf(id.Name)
+	}
+	return grant
+}
+
+// shardsOf lists the shards that the newest generation gives to a server.
+func (m *Machine) shardsOf(server string) []HeldShard {
+	var held []HeldShard
+	for i, shard := range m.page.Shards {
+		if shard.Grantable() && shard.Owner == server {
+			held = append(held, HeldShard{Low: shard.Low, High: m.page.ShardHigh(i), Token: shard.Token})
+		}
+	}
+	return held
+}
--- /dev/null
+++ b/record/spec.go
@@ -0,0 +1,79 @@
+package record
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+	"strings"
+)
+
+// decodeSpec fills target from the envelope's spec and returns the fields that
+// target has no place for.
+func decodeSpec(e Envelope, target any) (map[string]json.RawMessage, error) {
+	spec := e.Spec
+	if len(bytes.TrimSpace(spec)) == 0 {
+		spec = []byte("{}")
+	}
+	if err := json.Unmarshal(spec, target); err != nil {
+		return nil, specError(e, err)
+	}
+	var all map[string]json.RawMessage
+	if err := json.Unmarshal(spec, &all); err != nil {
+		return nil, specError(e, err)
+	}
+	for _, name := range jsonNames(target) {
+		delete(all, name)
+	}
+	return all, nil
+}
+
+func specError(e Envelope, err error) error {
+	field := "spec"
+	if typed, ok := err.(*json.UnmarshalTypeError); ok && typed.Field != "" {
+		field = typed.Field
+	}
+	return &FieldError{Record: e.Ref(), Field: field, Value: shorten(string(e.Spec)), Fix: err.Error()}
+}
+
+const shownValueLength = 120
+
+func shorten(value string) string {
+	if len(value) <= shownValueLength {
+		return value
+	}
+	return value[:shownValueLength] + "..."
+}
+
+// encodeSpec writes the known fields of value together with the extra ones.
+func encodeSpec(value any, extra map[string]json.RawMessage) (json.RawMessage, error) {
+	known, err := json.Marshal(value)
+	if err != nil {
+		return nil, err
+	}
+	if len(extra) == 0 {
+		return known, nil
+	}
+	all := map[string]json.RawMessage{}
+	if err := json.Unmarshal(known, &all); err != nil {
+		return nil, err
+	}
+	for name, raw := range extra {
+		if _, taken := all[name]; !taken {
+			all[name] = raw
+		}
+	}
+	return json.Marshal(all)
+}
+
+// jsonNames lists the JSON names of the fields of a struct pointer.
+func jsonNames(target any) []string {
+	structType := reflect.TypeOf(target).Elem()
+	var names []string
+	for i := range structType.NumField() {
+		name, _, _ := strings.Cut(structType.Field(i).Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/router/headers.go
@@ -0,0 +1,68 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"cicadarouter/contract/backend"
+	"cicadarouter/dispatch"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host",
+}
+
+// ownPrefix begins the names of the system's own headers.
+const ownPrefix = "Cicada-"
+
+// callerHeaders returns the headers of a caller's request that go to the server.
+func callerHeaders(header http.Header) []dispatch.Header { return passed(header) }
+
+// answerHeaders returns the headers of a server's answer that go to the caller.
+func answerHeaders(header http.Header) []dispatch.Header { return passed(header) }
+
+func passed(header http.Header) []dispatch.Header {
+	connection := strings.Split(header.Get("Connection"), ",")
+	out := make([]dispatch.Header, 0, len(header))
+	for name, values := range header {
+		if strings.HasPrefix(name, ownPrefix) || slices.Contains(hopHeaders, name) || named(connection, name) {
+			continue
+		}
+		for _, value := range values {
+			out = append(out, dispatch.Header{Name: name, Value: value})
+		}
+	}
+	return out
+}
+
+// named reports whether the Connection header declares the name as hop-by-hop.
+func named(connection []string, name string) bool {
+	return slices.ContainsFunc(connection, func(token string) bool {
+		return strings.EqualFold(strings.TrimSpace(token), name)
+	})
+}
+
+// serverRequest builds the request as the backend server gets it.
+func serverRequest(ctx context.Context, req *request, chosen target, address string) (*http.Request, error) {
+	out, err := http.NewRequestWithContext(ctx, req.method, "http://"+address+req.path, bytes.NewReader(req.body))
+	if err != nil {
+		return nil, err
+	}
+	for _, header := range req.headers {
+		out.Header.Add(header.Name, header.Value)
+	}
+	out.Header.Set(backend.HeaderRequestID, req.meta.ID.String())
+	out.Header.Set(backend.HeaderDeadlineMs, strconv.FormatInt(remaining(ctx).Milliseconds(), 10))
+	if req.service.Keyed {
+		out.Header.Set(backend.HeaderKey, req.meta.Key)
+		out.Header.Set(backend.HeaderPage, req.page)
+		out.Header.Set(backend.HeaderToken, strconv.FormatUint(chosen.token, 10))
+	}
+	return out, nil
+}
--- /dev/null
+++ b/router/serve.go
@@ -0,0 +1,144 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"cicadarouter/contract/caller"
+	"cicadarouter/link/linkpb"
+	"cicadarouter/ownership"
+	"cicadarouter/record"
+)
+
+// LinkServer serves a router's link.
+type LinkServer struct {
+	linkpb.UnimplementedDispatchServer
+	r *Router
+}
+
+// NewLinkServer returns the link server of a router.
+func NewLinkServer(r *Router) *LinkServer { return &LinkServer{r: r} }
+
+var _ linkpb.DispatchServer = (*LinkServer)(nil)
+
+// Forward implements linkpb.DispatchServer.
+func (s *LinkServer) Forward(ctx context.Context, in *linkpb.ForwardRequest) (*linkpb.ForwardReply, error) {
+	s.r.tracked.Add(1)
+	defer s.r.tracked.Done()
+	service, ok := s.r.directory.Service(in.GetService())
+	if !ok {
+		return replyToLink(notRun(caller.ReasonNoDispatcher, searchPauseMost), ""), nil
+	}
+	req, err := requestFromLink(service, in)
+	if err != nil {
+		return replyToLink(notRun(caller.ReasonBadRequest, 0), ""), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(in.GetBudgetNanos()))
+	defer cancel()
+	reply := s.r.deliverOnce(ctx, req, 0)
+	return replyToLink(reply, s.hint(req.page)), nil
+}
+
+// hint names the page's dispatch router, as far as this router knows.
+func (s *LinkServer) hint(page string) string {
+	if _, ok := s.r.dispatched(page); ok {
+		return s.r.identity.Host
+	}
+	hint := s.r.directory.Dispatcher(page)
+	if hint == s.r.identity.Host {
+		return "" // this router was it, and is not any more
+	}
+	return hint
+}
+
+// Lease implements linkpb.DispatchServer.
+func (s *LinkServer) Lease(_ context.Context, in *linkpb.LeaseRequest) (*linkpb.LeaseReply, error) {
+	reply := &linkpb.LeaseReply{Incarnation: s.r.holder.Incarnation(), Leaving: s.r.leaving.Load()}
+	for _, offered := range in.GetLeases() {
+		reply.Pages = append(reply.Pages, s.r.takeLease(offered, reply.Leaving))
+	}
+	// The stamp is taken last: a lease that is counted from it ends no later
+	// than one counted from any earlier moment of this exchange would allow.
+	reply.ClockNanos = int64(s.r.clock.Now())
+	return reply, nil
+}
+
+// takeLease accepts one offered lease and reports on the page.
+func (r *Router) takeLease(offered *linkpb.PageLease, leaving bool) *linkpb.PageStatus {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	status := &linkpb.PageStatus{Page: offered.GetPage()}
+	if !offered.GetProbe() && !leaving {
+		if err := r.accept(offered); err != nil {
+			status.Refused = true
+			var refusal *ownership.GrantRefusal
+			if !errors.As(err, &refusal) {
+				r.log.Error("lease cannot be read", "page", offered.GetPage(), "error", err)
+			}
+		}
+	}
+	status.Generation = r.holder.Generation(offered.GetPage())
+	if held, known := r.pages[offered.GetPage()]; known {
+		held.report(status)
+	}
+	return status
+}
+
+// accept takes a lease into force. The caller holds r.mu.
+func (r *Router) accept(offered *linkpb.PageLease) error {
+	var fresh *record.Page
+	if len(offered.GetRecord()) > 0 && offered.GetGeneration() > r.holder.Generation(offered.GetPage()) {
+		fresh = &record.Page{Name: offered.GetPage()}
+		if err := json.Unmarshal(offered.GetRecord(), fresh); err != nil {
+			return err
+		}
+	}
+	grant := ownership.Grant{
+		Page:        offered.GetPage(),
+		Generation:  offered.GetGeneration(),
+		Incarnation: offered.GetIncarnation(),
+		Expiry:      time.Duration(offered.GetExpiryNanos()),
+		Complete:    fresh != nil,
+	}
+	if err := r.holder.Accept(grant); err != nil {
+		return err
+	}
+	held, known := r.pages[offered.GetPage()]
+	if !known {
+		held = newPage(r, offered.GetPage())
+		r.pages[offered.GetPage()] = held
+	}
+	held.renew(r.clock.Now(), r.holder.Expiry(offered.GetPage()), fresh)
+	return nil
+}
+
+// report adds what the page's requests say about servers and load.
+func (p *page) report(status *linkpb.PageStatus) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, known := range p.servers {
+		status.Signs = append(status.Signs, &linkpb.ServerSign{
+			Server:   name,
+			Answered: known.answered,
+			Failed:   known.failed && !known.answered,
+			InFlight: uint32(known.gate.InFlight()),
+		})
+		known.answered = false
+		known.failed = false
+	}
+	held := p.lease.Load()
+	lows := make([]uint64, len(held.page.Shards))
+	for i, shard := range held.page.Shards {
+		lows[i] = shard.Low
+	}
+	shardOf := func(hash uint64) uint64 { return held.page.Shards[held.page.ShardAt(hash)].Low }
+	for _, rate := range p.meter.Read(p.router.clock.Now(), lows, shardOf) {
+		load := &linkpb.ShardLoad{Low: rate.Low, Rate: rate.Rate}
+		for _, hot := range rate.Hot {
+			load.Hot = append(load.Hot, &linkpb.HotHash{Hash: hot.Hash, Rate: hot.Rate})
+		}
+		status.Loads = append(status.Loads, load)
+	}
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,287 @@
+// Package standin holds small stand-ins for what the system runs against: the
+// platform's store and host list, and backend servers. They exist for tests,
+// for the bench and for trying the system out.
+package standin
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	restful "github.com/emicklei/go-restful/v3"
+
+	"cicadarouter/contract/platform"
+	"cicadarouter/contract/platform/httpstore"
+	"cicadarouter/contract/platform/memstore"
+	"cicadarouter/record"
+)
+
+// PlatformFaults are the faults that a platform stand-in can be given.
+type PlatformFaults struct {
+	// Down makes every call fail.
+	Down bool `json:"down"`
+	// SlowMillis delays every call.
+	SlowMillis int `json:"slowMillis"`
+	// LoseReplies is how many of the next writes take effect without an answer.
+	LoseReplies int `json:"loseReplies"`
+	// Cut lists failure domains whose calls fail.
+	Cut []string `json:"cut"`
+}
+
+// PlatformCounts counts the calls that a platform stand-in has got. A watch
+// counts once when it begins to wait.
+type PlatformCounts struct {
+	Reads   uint64 `json:"reads"`
+	Writes  uint64 `json:"writes"`
+	Watches uint64 `json:"watches"`
+	// Waiting is the number of watches that wait now.
+	Waiting int64 `json:"waiting"`
+}
+
+// Platform serves a memstore over HTTP. It is safe for concurrent use.
+type Platform struct {
+	store *memstore.Store
+	// HostLag is how late changes of the host list become visible.
+	HostLag time.Duration
+
+	mu     sync.Mutex
+	faults PlatformFaults
+	counts PlatformCounts
+}
+
+// NewPlatform returns a platform with an empty store.
+func NewPlatform() *Platform { return &Platform{store: memstore.New()} }
+
+// Store returns the store behind the HTTP interface.
+func (p *Platform) Store() *memstore.Store { return p.store }
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(faults PlatformFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = faults
+}
+
+// Counts returns the calls counted so far.
+func (p *Platform) Counts() PlatformCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// SetHosts replaces the host list after HostLag.
+func (p *Platform) SetHosts(hosts []platform.Host) {
+	if p.HostLag <= 0 {
+		p.store.SetHosts(hosts)
+		return
+	}
+	time.AfterFunc(p.HostLag, func() { p.store.SetHosts(hosts) })
+}
+
+// Handler returns the HTTP interface: the store under /v1, and the switches of
+// the stand-in itself under /standin.
+func (p *Platform) Handler() http.Handler {
+	container := restful.NewContainer()
+	container.Add(p.storeRoutes())
+	container.Add(p.switchRoutes())
+	return container
+}
+
+func (p *Platform) storeRoutes() *restful.WebService {
+	routes := new(restful.WebService)
+	routes.Path("/v1").Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON)
+	routes.Filter(p.fail)
+	routes.Route(routes.GET("/records").To(p.list))
+	routes.Route(routes.GET("/records/{kind}/{name}").To(p.get))
+	routes.Route(routes.PUT("/records/{kind}/{name}").To(p.update))
+	routes.Route(routes.DELETE("/records/{kind}/{name}").To(p.remove))
+	routes.Route(routes.GET("/watch").To(p.watch))
+	routes.Route(routes.GET("/hosts").To(p.hosts))
+	return routes
+}
+
+func (p *Platform) switchRoutes() *restful.WebService {
+	routes := new(restful.WebService)
+	routes.Path("/standin").Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON)
+	routes.Route(routes.PUT("/faults").To(p.putFaults))
+	routes.Route(routes.GET("/counts").To(p.getCounts))
+	routes.Route(routes.PUT("/hosts").To(p.putHosts))
+	return routes
+}
+
+// fail applies the faults that keep a call from being taken.
+func (p *Platform) fail(request *restful.Request, response *restful.Response, chain *restful.FilterChain) {
+	p.mu.Lock()
+	faults := p.faults
+	p.mu.Unlock()
+	if faults.SlowMillis > 0 {
+		pause(request.Request.Context(), time.Duration(faults.SlowMillis)*time.Millisecond)
+	}
+	domain := request.HeaderParameter(httpstore.DomainHeader)
+	if faults.Down || contains(faults.Cut, domain) {
+		_ = response.WriteErrorString(http.StatusServiceUnavailable, "store is down")
+		return
+	}
+	chain.ProcessFilter(request, response)
+}
+
+func (p *Platform) count(change func(counts *PlatformCounts)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(&p.counts)
+}
+
+func refOf(request *restful.Request) record.Ref {
+	return record.Ref{Kind: record.Kind(request.PathParameter("kind")), Name: request.PathParameter("name")}
+}
+
+func (p *Platform) list(request *restful.Request, response *restful.Response) {
+	p.count(func(c *PlatformCounts) { c.Reads++ })
+	snapshot, err := p.store.List(request.Request.Context())
+	answer(response, snapshot, err)
+}
+
+func (p *Platform) get(request *restful.Request, response *restful.Response) {
+	p.count(func(c *PlatformCounts) { c.Reads++ })
+	object, err := p.store.Get(request.Request.Context(), refOf(request))
+	answer(response, object, err)
+}
+
+func (p *Platform) update(request *restful.Request, response *restful.Response) {
+	p.count(func(c *PlatformCounts) { c.Writes++ })
+	var envelope record.Envelope
+	if err := request.ReadEntity(&envelope); err != nil {
+		_ = response.WriteErrorString(http.StatusBadRequest, err.Error())
+		return
+	}
+	version, err := parseVersion(request)
+	if err != nil || envelope.Ref() != refOf(request) {
+		_ = response.WriteErrorString(http.StatusBadRequest, "version or name is wrong")
+		return
+	}
+	written, err := p.store.Update(request.Request.Context(), envelope, version)
+	if p.loseReply() {
+		panic(http.ErrAbortHandler) // the write took effect; its reply is lost
+	}
+	answer(response, platform.Object{Envelope: envelope, Version: written}, err)
+}
+
+func (p *Platform) remove(request *restful.Request, response *restful.Response) {
+	p.count(func(c *PlatformCounts) { c.Writes++ })
+	version, err := parseVersion(request)
+	if err != nil {
+		_ = response.WriteErrorString(http.StatusBadRequest, err.Error())
+		return
+	}
+	err = p.store.Delete(request.Request.Context(), refOf(request), version)
+	if p.loseReply() {
+		panic(http.ErrAbortHandler)
+	}
+	answer(response, struct{}{}, err)
+}
+
+func parseVersion(request *restful.Request) (uint64, error) {
+	return strconv.ParseUint(request.QueryParameter("version"), 10, 64)
+}
+
+func (p *Platform) loseReply() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.LoseReplies == 0 {
+		return false
+	}
+	p.faults.LoseReplies--
+	return true
+}
+
+// longestWatch bounds a watch.
+const longestWatch = time.Minute
+
+func (p *Platform) watch(request *restful.Request, response *restful.Response) {
+	revision, err := strconv.ParseUint(request.QueryParameter("revision"), 10, 64)
+	millis, waitErr := strconv.Atoi(request.QueryParameter("wait"))
+	if err != nil || waitErr != nil {
+		_ = response.WriteErrorString(http.StatusBadRequest, "revision and wait must be numbers")
+		return
+	}
+	p.count(func(c *PlatformCounts) { c.Watches++; c.Waiting++ })
+	defer p.count(func(c *PlatformCounts) { c.Waiting-- })
+	wait := min(time.Duration(millis)*time.Millisecond, longestWatch)
+	snapshot, err := p.store.Watch(request.Request.Context(), revision, wait)
+	p.mu.Lock()
+	cut := p.faults.Down || contains(p.faults.Cut, request.HeaderParameter(httpstore.DomainHeader))
+	p.mu.Unlock()
+	if cut {
+		panic(http.ErrAbortHandler) // the store went down while the watch waited
+	}
+	answer(response, snapshot, err)
+}
+
+func (p *Platform) hosts(request *restful.Request, response *restful.Response) {
+	p.count(func(c *PlatformCounts) { c.Reads++ })
+	hosts, err := p.store.Hosts(request.Request.Context())
+	answer(response, hosts, err)
+}
+
+func (p *Platform) putFaults(request *restful.Request, response *restful.Response) {
+	var faults PlatformFaults
+	if err := request.ReadEntity(&faults); err != nil {
+		_ = response.WriteErrorString(http.StatusBadRequest, err.Error())
+		return
+	}
+	p.SetFaults(faults)
+	answer(response, faults, nil)
+}
+
+func (p *Platform) getCounts(_ *restful.Request, response *restful.Response) {
+	answer(response, p.Counts(), nil)
+}
+
+func (p *Platform) putHosts(request *restful.Request, response *restful.Response) {
+	var hosts []platform.Host
+	if err := request.ReadEntity(&hosts); err != nil {
+		_ = response.WriteErrorString(http.StatusBadRequest, err.Error())
+		return
+	}
+	p.SetHosts(hosts)
+	answer(response, hosts, nil)
+}
+
+// answer writes a value, or the status that stands for the error.
+func answer(response *restful.Response, value any, err error) {
+	var conflict *platform.ConflictError
+	var missing *platform.NotFoundError
+	switch {
+	case err == nil:
+		_ = response.WriteAsJson(value)
+	case errors.As(err, &conflict):
+		_ = response.WriteHeaderAndJson(http.StatusConflict, conflict.Current, restful.MIME_JSON)
+	case errors.As(err, &missing):
+		_ = response.WriteErrorString(http.StatusNotFound, err.Error())
+	case errors.Is(err, platform.ErrCompacted):
+		_ = response.WriteErrorString(http.StatusGone, err.Error())
+	default:
+		_ = response.WriteErrorString(http.StatusServiceUnavailable, err.Error())
+	}
+}
+
+func contains(list []string, wanted string) bool {
+	for _, entry := range list {
+		if entry == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
