Keyed services serve: grants name their content type

Cause: the stand-in server refused every grant with 415, because the client did not say that it sends JSON; probes went through, so that servers seemed to come and go and their shards moved without end. Ruled out: renewal rounds, the stamps, the call limits. Change: the client sets the header and takes no answer but 200 for a report; an inactive member no longer counts a server's silence; quiet services spread requests.

--- a/contract/backend/client.go
+++ b/contract/backend/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"net/url"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 
@@ -37,6 +38,7 @@
 	if err != nil {
 		return Report{}, eris.Wrap(err, "building a grant")
 	}
+	request.Header.Set("Content-Type", "application/json")
 	return c.do(request)
 }
 
@@ -56,6 +58,9 @@
 		return Report{}, &UnreachableError{Server: c.name, Cause: err}
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return Report{}, &UnreachableError{Server: c.name, Cause: &StatusError{Status: response.StatusCode}}
+	}
 	var report Report
 	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
 		return Report{}, &UnreachableError{Server: c.name, Cause: err}
@@ -66,6 +71,14 @@
 	return report, nil
 }
 
+// StatusError reports an answer to a control call that is not a report.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return "control call answered with status " + strconv.Itoa(e.Status)
+}
+
 // UnreachableError wraps the reason why a server's answer is not known.
 type UnreachableError struct {
 	Server string
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -19,7 +19,6 @@
 	arrived  time.Duration
 	admitted bool
 	left     bool
-	tag      time.Duration
 }
 
 // Order decides which waiter goes next. Implementations are not safe for
--- a/domain/health.go
+++ b/domain/health.go
@@ -33,6 +33,8 @@
 	inFlight    int
 	incarnation uint64
 	startedAt   time.Duration
+	// told is the judgement that was last logged.
+	told bool
 }
 
 func (h *serverHealth) noteAsked(now time.Duration) {
--- a/domain/loop.go
+++ b/domain/loop.go
@@ -108,15 +108,28 @@
 }
 
 func (l *loop) tickPage(now time.Duration, state *pageState) {
+	page := state.machine.Page()
+	if !l.active(now, page) {
+		l.stopAsking(page)
+		state.machine.Tick(now, ownership.View{})
+		return
+	}
 	view := l.view(now, state)
 	state.machine.Tick(now, view)
-	if view.Active {
-		l.propose(now, state, view)
-		l.c.directory.SetDispatcher(state.machine.Page().Name, state.machine.Dispatcher())
-	}
+	l.propose(now, state, view)
+	l.c.directory.SetDispatcher(page.Name, state.machine.Dispatcher())
 	l.pump(now, state)
 }
 
+// stopAsking ends the count of the silence of servers that this controller asks
+// no more: another member does, and what is not asked does not answer.
+func (l *loop) stopAsking(page record.Page) {
+	service, _ := l.c.directory.Service(page.Service)
+	for _, server := range l.pageServers(page, service) {
+		l.server(server.Name).asked = false
+	}
+}
+
 // pump carries out what a machine wants, until it wants nothing more.
 func (l *loop) pump(now time.Duration, state *pageState) {
 	for {
--- a/domain/view.go
+++ b/domain/view.go
@@ -15,13 +15,14 @@
 	takeOverStep  = 150 * time.Millisecond
 )
 
-// view gathers what a machine needs to know of the world.
+// view gathers what the machine of a page that this controller works on needs
+// to know of the world.
 func (l *loop) view(now time.Duration, state *pageState) ownership.View {
 	page := state.machine.Page()
 	service, _ := l.c.directory.Service(page.Service)
 	servers := l.pageServers(page, service)
 	view := ownership.View{
-		Active:          l.active(now, page),
+		Active:          true,
 		Dispatcher:      l.chooseDispatcher(now, state, page),
 		LostHosts:       l.c.directory.Lost(record.LostHost),
 		LostServers:     l.c.directory.Lost(record.LostServer),
@@ -83,12 +84,27 @@
 
 func (l *loop) mayOwn(now time.Duration, server record.Server) bool {
 	health := l.server(server.Name)
-	if server.State == record.ServerLeaving || health.draining || health.suspected(now) {
+	suspected := health.suspected(now)
+	l.tellSuspicion(now, server.Name, health, suspected)
+	if server.State == record.ServerLeaving || health.draining || suspected {
 		return false
 	}
 	return health.incarnation != 0
 }
 
+func (l *loop) tellSuspicion(now time.Duration, name string, health *serverHealth, suspected bool) {
+	if health.told == suspected {
+		return
+	}
+	health.told = suspected
+	if suspected {
+		l.c.meters.suspect.Inc()
+		l.c.log.Warn("backend server suspected", "server", name, "silence", health.silence(now))
+		return
+	}
+	l.c.log.Info("backend server answers again", "server", name)
+}
+
 // chooseDispatcher keeps the router that has the lease while it answers, and
 // else takes the first of the page's order that does.
 func (l *loop) chooseDispatcher(now time.Duration, state *pageState, page record.Page) string {
--- a/host/controller.go
+++ b/host/controller.go
@@ -8,18 +8,15 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/google/wire"
 
 	"cicadarouter/contract/backend"
 	"cicadarouter/contract/platform"
 	"cicadarouter/contract/platform/httpstore"
 	"cicadarouter/directory"
 	"cicadarouter/domain"
-	"cicadarouter/host/clock"
 	"cicadarouter/host/logs"
 	"cicadarouter/link"
 	"cicadarouter/link/linkpb"
-	"cicadarouter/ownership"
 	"cicadarouter/record"
 )
 
@@ -33,23 +30,6 @@
 	log        *log.Logger
 }
 
-// controllerSet makes a ControllerDaemon from its settings.
-var controllerSet = wire.NewSet(
-	directory.New,
-	clock.System,
-	ownership.DefaultTerms,
-	domain.DefaultTiming,
-	controllerCredentials,
-	controllerIdentity,
-	controllerLog,
-	controllerStore,
-	newLinks,
-	newServerDialer,
-	domain.NewController,
-	wire.Bind(new(domain.Links), new(*link.Pool)),
-	wire.Struct(new(ControllerDaemon), "*"),
-)
-
 func controllerCredentials(s ControllerSettings) (LinkCredentials, error) {
 	return newCredentials(s.TLS)
 }
--- a/host/router.go
+++ b/host/router.go
@@ -8,10 +8,8 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/google/wire"
 
 	"cicadarouter/directory"
-	"cicadarouter/host/clock"
 	"cicadarouter/host/logs"
 	"cicadarouter/link"
 	"cicadarouter/link/linkpb"
@@ -29,22 +27,6 @@
 	log       *log.Logger
 }
 
-// routerSet makes a RouterDaemon from its settings.
-var routerSet = wire.NewSet(
-	directory.New,
-	clock.System,
-	routerCredentials,
-	routerIdentity,
-	routerLimits,
-	routerLog,
-	newLinks,
-	newIncarnation,
-	wallClock,
-	router.New,
-	wire.Bind(new(router.Links), new(*link.Pool)),
-	wire.Struct(new(RouterDaemon), "*"),
-)
-
 func routerCredentials(s RouterSettings) (LinkCredentials, error) { return newCredentials(s.TLS) }
 
 func routerIdentity(s RouterSettings) router.Identity {
--- a/host/wire.go
+++ b/host/wire.go
@@ -2,7 +2,49 @@
 
 package host
 
-import "github.com/google/wire"
+import (
+	"github.com/google/wire"
+
+	"cicadarouter/directory"
+	"cicadarouter/domain"
+	"cicadarouter/host/clock"
+	"cicadarouter/link"
+	"cicadarouter/ownership"
+	"cicadarouter/router"
+)
+
+// controllerSet makes a ControllerDaemon from its settings.
+var controllerSet = wire.NewSet(
+	directory.New,
+	clock.System,
+	ownership.DefaultTerms,
+	domain.DefaultTiming,
+	controllerCredentials,
+	controllerIdentity,
+	controllerLog,
+	controllerStore,
+	newLinks,
+	newServerDialer,
+	domain.NewController,
+	wire.Bind(new(domain.Links), new(*link.Pool)),
+	wire.Struct(new(ControllerDaemon), "*"),
+)
+
+// routerSet makes a RouterDaemon from its settings.
+var routerSet = wire.NewSet(
+	directory.New,
+	clock.System,
+	routerCredentials,
+	routerIdentity,
+	routerLimits,
+	routerLog,
+	newLinks,
+	newIncarnation,
+	wallClock,
+	router.New,
+	wire.Bind(new(router.Links), new(*link.Pool)),
+	wire.Struct(new(RouterDaemon), "*"),
+)
 
 // NewControllerDaemon wires a controller.
 func NewControllerDaemon(s ControllerSettings) (*ControllerDaemon, error) {
--- a/host/wire_gen.go
+++ b/host/wire_gen.go
@@ -10,8 +10,10 @@
 	"cicadarouter/directory"
 	"cicadarouter/domain"
 	"cicadarouter/host/clock"
+	"cicadarouter/link"
 	"cicadarouter/ownership"
 	"cicadarouter/router"
+	"github.com/google/wire"
 )
 
 // Injectors from wire.go:
@@ -69,3 +71,24 @@
 	}
 	return routerDaemon, nil
 }
+
+// wire.go:
+
+// controllerSet makes a ControllerDaemon from its settings.
+var controllerSet = wire.NewSet(directory.New, clock.System, ownership.DefaultTerms, domain.DefaultTiming, controllerCredentials,
+	controllerIdentity,
+	controllerLog,
+	controllerStore,
+	newLinks,
+	newServerDialer, domain.NewController, wire.Bind(new(domain.Links), new(*link.Pool)), wire.Struct(new(ControllerDaemon), "*"),
+)
+
+// routerSet makes a RouterDaemon from its settings.
+var routerSet = wire.NewSet(directory.New, clock.System, routerCredentials,
+	routerIdentity,
+	routerLimits,
+	routerLog,
+	newLinks,
+	newIncarnation,
+	wallClock, router.New, wire.Bind(new(router.Links), new(*link.Pool)), wire.Struct(new(RouterDaemon), "*"),
+)
--- a/operator/client.go
+++ b/operator/client.go
@@ -64,12 +64,7 @@
 	Replace bool
 }
 
-// Plan is an apply that was checked against the records in force.
-type Plan struct {
-	Warnings []string
-	steps    []step
-}
-
+// step is one document of an apply, with what it does to the record in force.
 type step struct {
 	document Document
 	change   Change
--- a/router/page.go
+++ b/router/page.go
@@ -44,6 +44,7 @@
 	// refused, drains or does not answer.
 	avoidUntil time.Duration
 	failures   int
+	chosen     int
 	answered   bool
 	failed     bool
 }
@@ -189,11 +190,24 @@
 		record: current,
 		pool:   backendlink.NewPool(current.Address, idle, p.router.limits.AnswerBody),
 		gate:   dispatch.NewGate(dispatch.DefaultGatePolicy(), current.Slots, dispatch.NewRoundRobin()),
+		chosen: p.leastChosen(),
 	}
 	p.servers[name] = known
 	return known, true
 }
 
+// leastChosen is where the count of a server that joins starts, so that it does
+// not get every request until it has caught up. The caller holds p.mu.
+func (p *page) leastChosen() int {
+	least := -1
+	for _, known := range p.servers {
+		if least < 0 || known.chosen < least {
+			least = known.chosen
+		}
+	}
+	return max(least, 0)
+}
+
 func notRun(reason caller.Reason, retryAfter time.Duration) dispatch.Reply {
 	return dispatch.Reply{Outcome: caller.NotRun, Reason: reason, RetryAfter: retryAfter}
 }
--- a/router/run.go
+++ b/router/run.go
@@ -154,19 +154,31 @@
 // for its slots. This router sees all requests to the page's servers, so no
 // sampling is needed. The caller holds p.mu.
 func (p *page) leastLoaded(now time.Duration, req *request, avoid map[string]bool) (target, bool) {
-	var best string
-	var bestScore float64
+	var best *server
 	for _, candidate := range p.router.directory.Servers(req.service.Name, p.router.identity.Domain) {
 		known, ok := p.server(candidate.Name)
 		if !ok || avoid[candidate.Name] || !usable(now, known) {
 			continue
 		}
-		score := known.gate.Pressure()
-		if best == "" || score < bestScore {
-			best, bestScore = candidate.Name, score
+		if best == nil || lessLoaded(known, best) {
+			best = known
 		}
 	}
-	return target{server: best}, best != ""
+	if best == nil {
+		return target{}, false
+	}
+	best.chosen++
+	return target{server: best.record.Name}, true
+}
+
+// lessLoaded compares by requests for each slot. Among equals, as on a quiet
+// service, the server that was chosen less often comes first.
+func lessLoaded(a, b *server) bool {
+	first, second := a.gate.Pressure(), b.gate.Pressure()
+	if first != second {
+		return first < second
+	}
+	return a.chosen*b.record.Slots < b.chosen*a.record.Slots
 }
 
 func usable(now time.Duration, known *server) bool {
--- a/standin/server.go
+++ b/standin/server.go
@@ -69,7 +69,6 @@
 	faults   ServerFaults
 	thawed   chan struct{}
 	running  map[*inFlight]struct{}
-	waiting  int
 	slots    chan struct{}
 	runs     []Run
 	sampled  int
