--- a/domain/outbox.go
+++ b/domain/outbox.go
@@ -93,12 +93,14 @@
 	request := &linkpb.AgreeRequest{From: from}
 	for _, ask := range asks {
 		request.Asks = append(request.Asks, &linkpb.Ask{
-			Page:       ask.Ask.Page,
-			Generation: ask.Ask.Generation,
-			Dispatcher: ask.Ask.Dispatcher,
-			Released:   ask.Ask.Released,
-			Bounded:    ask.Ask.Bounded,
-			Round:      ask.Round,
+			Page:        ask.Ask.Page,
+			Generation:  ask.Ask.Generation,
+			Dispatcher:  ask.Ask.Dispatcher,
+			Run:         ask.Ask.Run,
+			Released:    ask.Ask.Released,
+			ReleasedRun: ask.Ask.ReleasedRun,
+			Bounded:     ask.Ask.Bounded,
+			Round:       ask.Round,
 		})
 	}
 	return request
--- a/domain/serve.go
+++ b/domain/serve.go
@@ -30,11 +30,13 @@
 		now := s.c.clock.Now()
 		s.c.heard.note(ask.GetPage(), request.GetFrom(), now)
 		answer := s.c.voter.agree(now, ownership.Ask{
-			Page:       ask.GetPage(),
-			Generation: ask.GetGeneration(),
-			Dispatcher: ask.GetDispatcher(),
-			Released:   ask.GetReleased(),
-			Bounded:    ask.GetBounded(),
+			Page:        ask.GetPage(),
+			Generation:  ask.GetGeneration(),
+			Dispatcher:  ask.GetDispatcher(),
+			Run:         ask.GetRun(),
+			Released:    ask.GetReleased(),
+			ReleasedRun: ask.GetReleasedRun(),
+			Bounded:     ask.GetBounded(),
 		})
 		s.noteDispatcher(ask, answer)
 		reply.Answers = append(reply.Answers, &linkpb.Answer{
--- a/ownership/holders.go
+++ b/ownership/holders.go
@@ -60,6 +60,7 @@
 	state.busy = ack.Busy
 	if ack.Leaving && id.Name == m.dispatcher {
 		m.gaveUp = id.Name
+		m.gaveUpRun = ack.Incarnation
 		m.dispatchAfter = now
 	}
 	if m.known && m.view.Active {
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -129,8 +129,9 @@
 	dispatcher string
 	// dispatchAfter is when another router's lease has lapsed.
 	dispatchAfter time.Duration
-	// gaveUp is a router that gave its leases up.
+	// gaveUp is a router that gave its leases up in the run gaveUpRun.
 	gaveUp    string
+	gaveUpRun uint64
 	renewedAt time.Duration
 }
 
@@ -211,3 +212,11 @@
 	// have this machine act on a generation that is no longer the newest.
 	m.ready.Reread = true
 }
+
+// WriteTimedOut tells that no reply to the write that Ready gave out will be
+// waited for any longer.
+func (m *Machine) WriteTimedOut(now time.Duration) {
+	if m.writing != nil {
+		m.WriteResult(now, m.writing.Attempt, WriteUnknown)
+	}
+}
--- a/ownership/round.go
+++ b/ownership/round.go
@@ -29,16 +29,18 @@
 		number:     m.rounds,
 		startedAt:  now,
 		generation: m.page.Generation,
-		dispatcher: m.askedDispatcher(now),
 		stamps:     m.freezeStamps(),
 		agreed:     map[string]bool{},
 	}
+	m.round.dispatcher = m.askedDispatcher(now)
 	ask := Ask{
-		Page:       m.page.Name,
-		Generation: m.round.generation,
-		Dispatcher: m.round.dispatcher,
-		Released:   m.gaveUp,
-		Bounded:    m.page.Bounded,
+		Page:        m.page.Name,
+		Generation:  m.round.generation,
+		Dispatcher:  m.round.dispatcher,
+		Run:         m.round.dispatcherRun(),
+		Released:    m.gaveUp,
+		ReleasedRun: m.gaveUpRun,
+		Bounded:     m.page.Bounded,
 	}
 	m.ready.Asks = append(m.ready.Asks, AskOut{Hosts: m.page.Voters(), Round: m.rounds, Ask: ask})
 }
@@ -52,9 +54,17 @@
 	if m.view.Dispatcher != m.dispatcher && now < m.dispatchAfter {
 		return ""
 	}
+	if _, stamped := m.round.stamps[HolderID{Kind: Router, Name: m.view.Dispatcher}]; !stamped {
+		return "" // no lease could follow
+	}
 	return m.view.Dispatcher
 }
 
+// dispatcherRun returns the incarnation of the round's dispatcher.
+func (r round) dispatcherRun() uint64 {
+	return r.stamps[HolderID{Kind: Router, Name: r.dispatcher}].incarnation
+}
+
 func (m *Machine) freezeStamps() map[HolderID]stampOf {
 	frozen := map[HolderID]stampOf{}
 	for _, id := range m.holderIDs() {
--- a/ownership/voter.go
+++ b/ownership/voter.go
@@ -27,9 +27,14 @@
 	// Dispatcher names the router that would dispatch the page, or is empty
 	// when only backend servers' leases are renewed.
 	Dispatcher string
+	// Run is the incarnation of Dispatcher that the lease is for.
+	Run uint64
 	// Released names a router that has given up its lease on the page and will
-	// not take another in its present run, so that a successor need not wait.
-	Released string
+	// not take another in the run ReleasedRun, so that a successor need not
+	// wait. The run matters: the router may have started again and hold a new
+	// lease by the time this ask arrives.
+	Released    string
+	ReleasedRun uint64
 	// Bounded is set for pages whose service moves when cut off.
 	Bounded bool
 }
@@ -64,6 +69,7 @@
 	stopped       uint64
 	agreements    []agreement
 	dispatcher    string
+	dispatcherRun uint64
 	dispatchUntil time.Duration
 }
 
@@ -121,6 +127,7 @@
 	vote.agree(now, ask.Generation, until)
 	if ask.Dispatcher != "" {
 		vote.dispatcher = ask.Dispatcher
+		vote.dispatcherRun = ask.Run
 		vote.dispatchUntil = until
 	}
 	return Answer{Verdict: Agreed, Known: vote.known, Dispatcher: vote.dispatcher}
@@ -150,7 +157,7 @@
 	if vote.dispatcher == ask.Dispatcher {
 		return 0, true
 	}
-	if vote.dispatcher != "" && vote.dispatcher == ask.Released {
+	if vote.dispatcher != "" && vote.dispatcher == ask.Released && vote.dispatcherRun == ask.ReleasedRun {
 		return 0, true
 	}
 	busyUntil := max(vote.dispatchUntil, v.freshUntil)
