--- a/ownership/fuzz_test.go
+++ b/ownership/fuzz_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,7 +28,7 @@
 		_ = flag.Set("rapid.seed", "20261202")
 	}
 	code := m.Run()
-	println("stateful steps:", steps.Load())
+	println("stateful steps:", steps.Load(), total.String())
 	os.Exit(code)
 }
 
@@ -49,42 +51,63 @@
 		w.read(c)
 	}
 	w.settle(t)
+	total.cases++
+	if w.page.Shards[0].Grantable() {
+		total.ownedAtStart++
+	}
 	a := actions{w}
-	t.Repeat(map[string]func(*rapid.T){
-		"":               func(t *rapid.T) { steps.Add(1); w.check(t) },
-		"work":           a.work,
-		"work again":     a.work,
-		"work on":        a.work,
-		"tick":           a.tick,
-		"deliver":        a.deliver,
-		"deliver more":   a.deliver,
-		"deliver all":    a.deliverAll,
-		"advance":        a.advance,
-		"advance far":    a.advanceFar,
-		"duplicate":      a.duplicate,
-		"drop":           a.drop,
-		"cut":            a.cut,
-		"heal":           a.heal,
-		"isolate":        a.isolate,
-		"store":          a.store,
-		"lose reply":     a.loseReply,
-		"pause":          a.pause,
-		"resume":         a.resume,
-		"restart":        a.restartController,
-		"restart holder": a.restartHolder,
-		"leave":          a.leave,
-		"move":           a.move,
-		"move on":        a.move,
-		"split":          a.split,
-		"change group":   a.changeGroup,
-		"suspect":        a.suspect,
-		"prefer":         a.preferDispatcher,
-		"read":           a.read,
-		"relay":          a.relay,
-		"request":        a.request,
-		"request again":  a.request,
-		"declare lost":   a.declareLost,
-	})
+	t.Repeat(weighted(map[string]weightedAction{
+		"work":           {a.work, 6},
+		"tick":           {a.tick, 1},
+		"deliver":        {a.deliver, 1},
+		"deliver all":    {a.deliverAll, 1},
+		"advance":        {a.advance, 2},
+		"advance far":    {a.advanceFar, 1},
+		"duplicate":      {a.duplicate, 1},
+		"drop":           {a.drop, 1},
+		"hold":           {a.hold, 2},
+		"let go":         {a.letGo, 2},
+		"cut":            {a.cut, 1},
+		"isolate":        {a.isolate, 1},
+		"partition":      {a.partition, 1},
+		"heal":           {a.heal, 3},
+		"store":          {a.store, 1},
+		"lose reply":     {a.loseReply, 1},
+		"pause":          {a.pause, 1},
+		"resume":         {a.resume, 2},
+		"restart":        {a.restartController, 1},
+		"restart holder": {a.restartHolder, 1},
+		"leave":          {a.leave, 1},
+		"move":           {a.move, 2},
+		"split":          {a.split, 1},
+		"change group":   {a.changeGroup, 1},
+		"suspect":        {a.suspect, 1},
+		"prefer":         {a.preferDispatcher, 1},
+		"take over":      {a.takeOver, 1},
+		"relay":          {a.relay, 1},
+		"request":        {a.request, 4},
+		"declare lost":   {a.declareLost, 1},
+		"fail over":      {a.failOver, 2},
+		"switch router":  {a.switchRouter, 2},
+		"cut off domain": {a.cutOffDomain, 1},
+	}, func(t *rapid.T) { steps.Add(1); w.check(t) }))
+}
+
+// weightedAction is an action that comes up weight times as often as others.
+type weightedAction struct {
+	act    func(*rapid.T)
+	weight int
+}
+
+// weighted lists each action under as many names as its weight says.
+func weighted(acts map[string]weightedAction, check func(*rapid.T)) map[string]func(*rapid.T) {
+	all := map[string]func(*rapid.T){"": check}
+	for name, entry := range acts {
+		for i := range entry.weight {
+			all[fmt.Sprint(name, strings.Repeat("+", i))] = entry.act
+		}
+	}
+	return all
 }
 
 // actions are what can happen in a world.
@@ -103,6 +126,7 @@
 func (a actions) work(t *rapid.T) {
 	for range 2 {
 		for _, name := range a.w.controllerNames() {
+			a.watch(a.w.controllers[name])
 			a.tickOne(a.w.controllers[name])
 		}
 		a.deliverAll(t)
@@ -121,8 +145,15 @@
 	return names
 }
 
+// watch has a controller read the store if it is behind, as a watch would.
+func (a actions) watch(c *controller) {
+	if !c.paused {
+		a.w.read(c)
+	}
+}
+
 func (a actions) tickOne(c *controller) {
-	if c.paused {
+	if c.paused || !slices.Contains(c.machine.Page().Voters(), c.name) {
 		return
 	}
 	c.machine.Tick(c.now(a.w), c.view)
@@ -197,6 +228,55 @@
 
 func (a actions) drop(t *rapid.T) { _, _ = a.takeMessage(t) }
 
+// hold takes a message aside: the network will deliver it much later.
+func (a actions) hold(t *rapid.T) {
+	if m, ok := a.takeMessage(t); ok {
+		a.w.held = append(a.w.held, m)
+	}
+}
+
+// holdFrom takes all messages of one process aside.
+func (a actions) holdFrom(name string) {
+	a.w.messages = slices.DeleteFunc(a.w.messages, func(m message) bool {
+		if m.from == name {
+			a.w.held = append(a.w.held, m)
+		}
+		return m.from == name
+	})
+}
+
+func (a actions) letGo(*rapid.T) {
+	a.w.messages = append(a.w.messages, a.w.held...)
+	a.w.held = nil
+}
+
+// partition splits the controllers in two sides. The store and each holder are
+// reached from one side or from both.
+func (a actions) partition(t *rapid.T) {
+	clear(a.w.cut)
+	near := map[string]bool{}
+	for _, name := range a.w.controllerNames() {
+		near[name] = rapid.Bool().Draw(t, "near")
+	}
+	for _, one := range a.w.controllerNames() {
+		for _, other := range a.w.controllerNames() {
+			if near[one] != near[other] {
+				a.w.cut[[2]string{one, other}] = true
+			}
+		}
+	}
+	for _, name := range append(slices.Clone(serverNames), append(slices.Clone(routerNames), storeName)...) {
+		reach := rapid.SampledFrom([]string{"near", "far", "both"}).Draw(t, "reach of "+name)
+		for _, one := range a.w.controllerNames() {
+			if reach == "both" || near[one] == (reach == "near") {
+				continue
+			}
+			a.w.cut[[2]string{one, name}] = true
+			a.w.cut[[2]string{name, one}] = true
+		}
+	}
+}
+
 // cut breaks one direction of one link.
 func (a actions) cut(t *rapid.T) {
 	names := a.w.processNames()
@@ -218,7 +298,10 @@
 	}
 }
 
-func (a actions) heal(*rapid.T) { clear(a.w.cut) }
+func (a actions) heal(*rapid.T) {
+	clear(a.w.cut)
+	a.w.storeDown = false
+}
 
 func (a actions) store(t *rapid.T) { a.w.storeDown = rapid.Bool().Draw(t, "down") }
 
@@ -241,6 +324,11 @@
 	for _, name := range a.w.processNames() {
 		a.w.setPaused(name, false)
 	}
+	for _, name := range routerNames {
+		if a.w.holders[name].leaving {
+			a.w.startHolder(a.w.holders[name])
+		}
+	}
 }
 
 func (w *world) setPaused(name string, paused bool) {
@@ -300,12 +388,37 @@
 	if c.paused {
 		return
 	}
-	size := rapid.IntRange(1, len(a.w.controllers)).Draw(t, "size")
-	group := rapid.Permutation(a.w.controllerNames()).Draw(t, "group")[:size]
+	home := a.w.namesOf(c.machine.Page().Home)
+	if len(home) == 0 {
+		return
+	}
+	size := rapid.IntRange(1, len(home)).Draw(t, "size")
+	group := rapid.Permutation(home).Draw(t, "group")[:size]
 	c.machine.Propose(c.now(a.w), ownership.Proposal{Group: group})
 	a.w.carryOut(c)
 }
 
+// namesOf lists the controllers of a failure domain.
+func (w *world) namesOf(domain string) []string {
+	return slices.DeleteFunc(w.controllerNames(), func(name string) bool {
+		return slices.Contains(heirNames, name) != (domain == "b")
+	})
+}
+
+// takeOver has the other domain take a page whose service moves when cut off,
+// whether or not the first domain is cut off.
+func (a actions) takeOver(t *rapid.T) {
+	c := a.w.controllers[rapid.SampledFrom(heirNames).Draw(t, "heir")]
+	if c == nil || c.paused {
+		return
+	}
+	page := c.machine.Page()
+	if !page.Bounded || page.Home == "b" {
+		return
+	}
+	a.w.carryWrite(c, ownership.TakeOver(page, "b", slices.Clone(heirNames), a.w.newAttempt()))
+}
+
 // suspect has a controller take some servers for lost, rightly or not.
 func (a actions) suspect(t *rapid.T) {
 	c := a.someController(t)
@@ -328,12 +441,6 @@
 	a.someController(t).view.Dispatcher = rapid.SampledFrom(append([]string{""}, routerNames...)).Draw(t, "router")
 }
 
-func (a actions) read(t *rapid.T) {
-	if c := a.someController(t); !c.paused {
-		a.w.read(c)
-	}
-}
-
 func (a actions) relay(t *rapid.T) {
 	from, to := a.someController(t), a.someController(t)
 	if !from.paused && from != to {
@@ -348,6 +455,9 @@
 	}
 	hash := uint64(rapid.IntRange(0, pageHigh/5).Draw(t, "hash")) * 5
 	a.w.request(router, hash)
+	if rapid.Bool().Draw(t, "slow") {
+		a.holdFrom(router.name)
+	}
 }
 
 // declareLost has an operator declare a controller's host lost, which must be
@@ -365,3 +475,113 @@
 		other.view.LostHosts = a.w.lostHosts
 	}
 }
+
+// disturb does one thing that can go wrong, or nothing.
+func (a actions) disturb(t *rapid.T) {
+	all := []func(*rapid.T){
+		a.restartController, a.restartHolder, a.partition, a.heal, a.store, a.hold, a.letGo,
+		a.changeGroup, a.request, a.request, a.request, a.resume, a.isolate, a.loseReply, a.move,
+	}
+	choice := rapid.IntRange(0, 4*len(all)).Draw(t, "disturbance")
+	if choice < len(all) {
+		all[choice](t)
+	}
+}
+
+// follow lets the system work for a while, disturbed.
+func (a actions) follow(t *rapid.T, rounds int) {
+	for range rounds {
+		a.work(t)
+		a.request(t)
+		a.disturb(t)
+	}
+}
+
+// member returns a controller of the page's group that can work.
+func (a actions) member(t *rapid.T) *controller {
+	name := rapid.SampledFrom(a.w.page.Group).Draw(t, "member")
+	c := a.w.controllers[name]
+	if c == nil || c.paused {
+		return nil
+	}
+	return c
+}
+
+// failOver loses a server, by a freeze or a cut, and has its shards moved; then
+// the server comes back, believing what it believed.
+func (a actions) failOver(t *rapid.T) {
+	c := a.member(t)
+	if c == nil {
+		return
+	}
+	lost := rapid.SampledFrom(serverNames).Draw(t, "lost")
+	if rapid.Bool().Draw(t, "freeze") {
+		a.w.setPaused(lost, true)
+	} else {
+		for _, name := range a.w.controllerNames() {
+			a.w.cut[[2]string{name, lost}] = true
+			a.w.cut[[2]string{lost, name}] = true
+		}
+	}
+	c.view.Eligible = slices.DeleteFunc(slices.Clone(serverNames), func(name string) bool { return name == lost })
+	var releases []ownership.Release
+	for _, shard := range c.machine.Page().Shards {
+		if shard.Owner == lost {
+			releases = append(releases, ownership.Release{Low: shard.Low, Next: c.view.Eligible[0]})
+		}
+	}
+	a.request(t)
+	c.machine.Propose(c.now(a.w), ownership.Proposal{Releases: releases})
+	a.w.carryOut(c)
+	a.follow(t, 10)
+	a.w.setPaused(lost, false)
+	a.follow(t, 2)
+	a.heal(t)
+	c.view = a.w.defaultView()
+}
+
+// switchRouter has the group prefer another dispatch router, because the one it
+// had leaves, is cut off or is not liked any more.
+func (a actions) switchRouter(t *rapid.T) {
+	old := a.someHolder(t, routerNames)
+	switch rapid.SampledFrom([]string{"leave", "restart", "freeze", "cut", "none"}).Draw(t, "how") {
+	case "leave":
+		old.leaving = true
+	case "restart":
+		a.w.startHolder(old)
+	case "freeze":
+		a.w.setPaused(old.name, true)
+	case "cut":
+		for _, name := range a.w.controllerNames() {
+			a.w.cut[[2]string{name, old.name}] = true
+		}
+	}
+	a.follow(t, 1)
+	for _, c := range a.w.controllers {
+		c.view.Dispatcher = routerNames[0]
+		if old.name == routerNames[0] {
+			c.view.Dispatcher = routerNames[1]
+		}
+	}
+	a.follow(t, 6)
+	a.heal(t)
+	a.resume(t)
+}
+
+// cutOffDomain cuts the page's domain off from the store and the other domain,
+// which then takes the page.
+func (a actions) cutOffDomain(t *rapid.T) {
+	if a.w.page.Home == "b" || !a.w.page.Bounded {
+		return
+	}
+	for _, name := range a.w.namesOf("a") {
+		for _, other := range append([]string{storeName}, heirNames...) {
+			a.w.cut[[2]string{name, other}] = true
+			a.w.cut[[2]string{other, name}] = true
+		}
+	}
+	a.takeOver(t)
+	a.follow(t, 18)
+	a.heal(t)
+	a.follow(t, 2)
+}
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -23,7 +23,7 @@
 )
 
 func testTerms() ownership.Terms {
-	return ownership.Terms{Lease: 100 * time.Millisecond, Drift: testDrift, StoreAway: 300 * time.Millisecond}
+	return ownership.Terms{Lease: 100 * time.Millisecond, Drift: testDrift, StoreAway: 150 * time.Millisecond}
 }
 
 // process is what every process has: a clock of its own and a run that messages
@@ -78,6 +78,8 @@
 	controllers map[string]*controller
 	holders     map[string]*holder
 	messages    []message
+	// held are messages that the network delays for long.
+	held        []message
 	cut         map[[2]string]bool
 	storeDown   bool
 	page        record.Page
@@ -91,11 +93,13 @@
 	unchecked   bool
 	lostHosts   []string
 	problem     string
-	// steps counts actions over all worlds, for the report.
 }
 
 const storeName = "store"
 
+// heirNames are controllers of another failure domain, which may take the page.
+var heirNames = []string{"d1", "d2", "d3"}
+
 var serverNames = []string{"s1", "s2", "s3"}
 
 var routerNames = []string{"r1", "r2"}
@@ -110,6 +114,9 @@
 		unchecked:   unchecked,
 		time:        time.Hour,
 	}
+	for _, name := range heirNames {
+		w.controllers[name] = &controller{process: w.newProcess(t, name)}
+	}
 	for i := range size + 1 {
 		name := fmt.Sprintf("c%d", i+1)
 		if i < size {
@@ -144,7 +151,7 @@
 }
 
 func (w *world) newProcess(t *rapid.T, name string) process {
-	rates := []float64{1 - testDrift, 1, 1 + testDrift}
+	rates := []float64{1 - testDrift, 1 + testDrift, 1}
 	return process{
 		name:   name,
 		rate:   rapid.SampledFrom(rates).Draw(t, "rate of "+name),
@@ -352,6 +359,21 @@
 			w.problem = fmt.Sprintf("hash %d went from %s to %s without being released", hash, before.Owner, after.Owner)
 		}
 	}
+	total.commits++
+	for i := range page.Shards {
+		if page.Shards[i].Token == page.Generation && page.Shards[i].Grantable() {
+			total.moves++
+		}
+	}
+	if page.GroupSince == page.Generation {
+		total.groups++
+	}
+	if page.TakenOver == page.Generation {
+		total.takeovers++
+	}
+	if len(w.page.OldGroup) > 0 && len(page.OldGroup) == 0 {
+		total.finishGroups++
+	}
 	w.page = page
 	w.version++
 	w.history = append(w.history, page)
@@ -421,6 +443,7 @@
 }
 
 func (w *world) run(server *holder, hash, token uint64) {
+	total.effects++
 	before := w.effects[hash]
 	if token < before.token || token == before.token && server.name != before.server {
 		w.problem = fmt.Sprintf("hash %d ran at %s under token %d after %s under token %d",
--- /dev/null
+++ b/tools/mutants/main.go
@@ -0,0 +1,149 @@
+// Command mutants shows that the tests can fail: it breaks one rule of the code
+// at a time, in an overlay that leaves the files alone, and expects the tests of
+// the package to notice. It exits non-zero if a mutant survives.
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"cicadarouter/host/program"
+)
+
+// mutant is one broken rule.
+type mutant struct {
+	name string
+	file string
+	old  string
+	new  string
+	// pkg is the package whose tests must notice, and run a pattern of tests.
+	pkg string
+	run string
+}
+
+type options struct {
+	Only   string `long:"only" description:"run mutants whose name contains this"`
+	Jobs   int    `long:"jobs" default:"4" description:"mutants at a time"`
+	Checks int    `long:"checks" default:"3000" description:"cases of each stateful test"`
+	Steps  int    `long:"steps" default:"60" description:"actions of each case"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var given options
+	if code, done := program.Parse(&given); done {
+		return code
+	}
+	var chosen []mutant
+	for _, m := range append(ownershipMutants(), pathMutants()...) {
+		if strings.Contains(m.name, given.Only) {
+			chosen = append(chosen, m)
+		}
+	}
+	results := runAll(chosen, given)
+	survivors := 0
+	for i, result := range results {
+		fmt.Printf("%-9s %6.1fs  %s\n", result.verdict, result.took.Seconds(), chosen[i].name)
+		if result.verdict != caught {
+			survivors++
+			fmt.Print(result.detail)
+		}
+	}
+	fmt.Printf("%d mutants, %d caught\n", len(results), len(results)-survivors)
+	if survivors > 0 {
+		return program.ExitFailure
+	}
+	return program.ExitOK
+}
+
+func runAll(chosen []mutant, given options) []result {
+	results := make([]result, len(chosen))
+	slots := make(chan struct{}, given.Jobs)
+	var working sync.WaitGroup
+	for i, m := range chosen {
+		working.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			results[i] = try(m, given)
+		})
+	}
+	working.Wait()
+	return results
+}
+
+// verdict is what became of a mutant.
+type verdict string
+
+const (
+	caught   verdict = "caught"
+	survived verdict = "SURVIVED"
+	broken   verdict = "BROKEN"
+)
+
+type result struct {
+	verdict verdict
+	took    time.Duration
+	detail  string
+}
+
+// try runs the tests against one mutant.
+func try(m mutant, given options) result {
+	began := time.Now()
+	dir, err := os.MkdirTemp("", "mutant")
+	if err != nil {
+		return result{verdict: broken, detail: err.Error() + "\n"}
+	}
+	defer os.RemoveAll(dir)
+	overlay, err := writeOverlay(dir, m)
+	if err != nil {
+		return result{verdict: broken, detail: err.Error() + "\n"}
+	}
+	args := []string{"test", "-overlay", overlay, "-count=1", "-run", m.run, "./" + m.pkg,
+		fmt.Sprintf("-rapid.checks=%d", given.Checks), fmt.Sprintf("-rapid.steps=%d", given.Steps),
+		"-rapid.nofailfile", "-rapid.shrinktime=1ms"}
+	output, err := exec.Command("go", args...).CombinedOutput()
+	took := time.Since(began)
+	switch {
+	case bytes.Contains(output, []byte("[build failed]")) || bytes.Contains(output, []byte("[setup failed]")):
+		return result{verdict: broken, took: took, detail: string(output)}
+	case err == nil:
+		return result{verdict: survived, took: took}
+	case !bytes.Contains(output, []byte("--- FAIL")):
+		return result{verdict: broken, took: took, detail: string(output)}
+	}
+	return result{verdict: caught, took: took}
+}
+
+// writeOverlay writes the mutated file and the overlay that puts it in place.
+func writeOverlay(dir string, m mutant) (string, error) {
+	source, err := filepath.Abs(m.file)
+	if err != nil {
+		return "", err
+	}
+	text, err := os.ReadFile(source)
+	if err != nil {
+		return "", err
+	}
+	if count := strings.Count(string(text), m.old); count != 1 {
+		return "", fmt.Errorf("%s: the text to change stands %d times, not once: %q", m.file, count, m.old)
+	}
+	const mode = 0o600
+	mutated := filepath.Join(dir, "mutated.go")
+	if err := os.WriteFile(mutated, []byte(strings.Replace(string(text), m.old, m.new, 1)), mode); err != nil {
+		return "", err
+	}
+	overlay, err := json.Marshal(map[string]any{"Replace": map[string]string{source: mutated}})
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "overlay.json")
+	return path, os.WriteFile(path, overlay, mode)
+}
--- /dev/null
+++ b/tools/mutants/path.go
@@ -0,0 +1,4 @@
+package main
+
+// pathMutants break the rules that the request path rests on.
+func pathMutants() []mutant { return nil }
