--- /dev/null
+++ b/contract/backend/conformance/conformance.go
@@ -0,0 +1,130 @@
+// Package conformance tests that a backend server keeps the contract, as far as
+// a controller and a router can see.
+package conformance
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/contract/backend"
+	"cicadarouter/ownership"
+)
+
+// Server is a server under test.
+type Server struct {
+	Control backend.Control
+	// Request sends a request for the key under a page and token, and returns
+	// the server's refusal, or "" if it ran.
+	Request func(key, page string, token uint64) backend.Refusal
+	// Hash returns a key's hash.
+	Hash func(key string) uint64
+	// Advance moves the server's clock.
+	Advance func(d time.Duration)
+}
+
+const (
+	page = "test.0"
+	key  = "key"
+	term = time.Minute
+)
+
+// Checked tests a server that checks tokens.
+func Checked(t *testing.T, open func(t *testing.T) Server) {
+	rows := []struct {
+		name string
+		test func(t *testing.T, s Server)
+	}{
+		{"a server without a grant refuses", func(t *testing.T, s Server) {
+			assert.Equal(t, s.Request(key, page, 1), backend.RefusedToken)
+		}},
+		{"a granted key runs under its token only", func(t *testing.T, s Server) {
+			s.grant(t, 1, 5)
+			assert.Equal(t, s.Request(key, page, 5), backend.Refusal(""))
+			assert.Equal(t, s.Request(key, page, 4), backend.RefusedToken)
+			assert.Equal(t, s.Request(key, page, 6), backend.RefusedToken)
+		}},
+		{"a lapsed grant is worth nothing", func(t *testing.T, s Server) {
+			s.grant(t, 1, 5)
+			s.Advance(term)
+			assert.Equal(t, s.Request(key, page, 5), backend.RefusedToken)
+		}},
+		{"an older generation is refused", func(t *testing.T, s Server) {
+			s.grant(t, 2, 5)
+			report := s.offer(t, 1, 4)
+			assert.Equal(t, report.Refusal, ownership.RefusedGeneration)
+			assert.Equal(t, s.Request(key, page, 4), backend.RefusedToken)
+		}},
+		{"a newer generation without the key takes it away", func(t *testing.T, s Server) {
+			s.grant(t, 1, 5)
+			report, err := s.Control.Report(context.Background(), page)
+			assert.NilError(t, err)
+			_, err = s.Control.Grant(context.Background(), ownership.Grant{
+				Page: page, Generation: 2, Incarnation: report.Incarnation, Expiry: report.Clock + term, Complete: true,
+			})
+			assert.NilError(t, err)
+			assert.Equal(t, s.Request(key, page, 5), backend.RefusedToken)
+		}},
+		{"a grant for an earlier run is refused", func(t *testing.T, s Server) {
+			report, err := s.Control.Report(context.Background(), page)
+			assert.NilError(t, err)
+			report, err = s.Control.Grant(context.Background(), ownership.Grant{
+				Page: page, Generation: 1, Incarnation: report.Incarnation + 1, Expiry: report.Clock + term, Complete: true,
+			})
+			assert.NilError(t, err)
+			assert.Equal(t, report.Refusal, ownership.RefusedIncarnation)
+		}},
+		{"a renewal needs no shards, a new generation does", func(t *testing.T, s Server) {
+			s.grant(t, 1, 5)
+			report, err := s.Control.Report(context.Background(), page)
+			assert.NilError(t, err)
+			renewal := ownership.Grant{Page: page, Generation: 1, Incarnation: report.Incarnation, Expiry: report.Clock + 2*term}
+			report, err = s.Control.Grant(context.Background(), renewal)
+			assert.NilError(t, err)
+			assert.Equal(t, report.Refusal, ownership.RefusalReason(""))
+			s.Advance(term)
+			assert.Equal(t, s.Request(key, page, 5), backend.Refusal(""))
+			renewal.Generation = 2
+			report, err = s.Control.Grant(context.Background(), renewal)
+			assert.NilError(t, err)
+			assert.Equal(t, report.Refusal, ownership.RefusedIncomplete)
+		}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) { row.test(t, open(t)) })
+	}
+}
+
+// Unchecked tests a server that runs whatever reaches it.
+func Unchecked(t *testing.T, open func(t *testing.T) Server) {
+	t.Run("a request runs without a grant", func(t *testing.T) {
+		assert.Equal(t, open(t).Request(key, page, 1), backend.Refusal(""))
+	})
+}
+
+// offer offers a generation that gives the key under the token.
+func (s Server) offer(t *testing.T, generation, token uint64) backend.Report {
+	t.Helper()
+	before, err := s.Control.Report(context.Background(), page)
+	assert.NilError(t, err)
+	hash := s.Hash(key)
+	report, err := s.Control.Grant(context.Background(), ownership.Grant{
+		Page:        page,
+		Generation:  generation,
+		Incarnation: before.Incarnation,
+		Expiry:      before.Clock + term,
+		Shards:      []ownership.HeldShard{{Low: hash, High: hash, Token: token}},
+		Complete:    true,
+	})
+	assert.NilError(t, err)
+	return report
+}
+
+func (s Server) grant(t *testing.T, generation, token uint64) {
+	t.Helper()
+	report := s.offer(t, generation, token)
+	assert.Equal(t, report.Refusal, ownership.RefusalReason(""))
+	assert.Equal(t, report.Generation, generation)
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -252,6 +252,7 @@
 
 // answer writes a value, or the status that stands for the error.
 func answer(response *restful.Response, value any, err error) {
+	response.PrettyPrint(false)
 	var conflict *platform.ConflictError
 	var missing *platform.NotFoundError
 	switch {
--- a/standin/server.go
+++ b/standin/server.go
@@ -221,11 +221,13 @@
 		return
 	}
 	report, _ := s.Grant(request.Request.Context(), grant)
+	response.PrettyPrint(false)
 	_ = response.WriteAsJson(report)
 }
 
 func (s *Server) takeProbe(request *restful.Request, response *restful.Response) {
 	report, _ := s.Report(request.Request.Context(), request.QueryParameter("page"))
+	response.PrettyPrint(false)
 	_ = response.WriteAsJson(report)
 }
 
