--- /dev/null
+++ b/router/fault_test.go
@@ -0,0 +1,347 @@
+package router_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/contract/backend"
+	"cicadarouter/contract/caller"
+	"cicadarouter/contract/platform"
+	"cicadarouter/directory"
+	"cicadarouter/host/clock"
+	"cicadarouter/host/logs"
+	"cicadarouter/link/linkpb"
+	"cicadarouter/record"
+	"cicadarouter/router"
+)
+
+// script is what a fake backend server does with a connection after it has read
+// a request.
+type script struct {
+	act func(conn net.Conn, in *http.Request)
+}
+
+// fakeServer is a backend server that follows scripts, one for each request;
+// the last script is repeated.
+type fakeServer struct {
+	address  string
+	requests atomic.Int64
+}
+
+func startFake(t *testing.T, scripts ...script) *fakeServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	fake := &fakeServer{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go fake.serve(conn, scripts)
+		}
+	}()
+	return fake
+}
+
+func (f *fakeServer) serve(conn net.Conn, scripts []script) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		in, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, in.Body)
+		number := int(f.requests.Add(1)) - 1
+		scripts[min(number, len(scripts)-1)].act(conn, in)
+	}
+}
+
+func answer(status int, header, body string) func(net.Conn, *http.Request) {
+	return func(conn net.Conn, in *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+			status, backend.HeaderRequestID, in.Header.Get(backend.HeaderRequestID), header, len(body), body)
+	}
+}
+
+var (
+	works      = script{act: answer(200, "", "whole")}
+	resets     = script{act: func(conn net.Conn, _ *http.Request) { _ = conn.(*net.TCPConn).SetLinger(0); _ = conn.Close() }}
+	hangsUp    = script{act: func(conn net.Conn, _ *http.Request) { _ = conn.Close() }}
+	halfHeader = script{act: func(conn net.Conn, _ *http.Request) { fmt.Fprint(conn, "HTTP/1.1 200 O"); _ = conn.Close() }}
+	halfBody   = script{act: func(conn net.Conn, _ *http.Request) {
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+		_ = conn.Close()
+	}}
+	foreign = script{act: func(conn net.Conn, _ *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nno", backend.HeaderRequestID, uuid.Max)
+	}}
+	stale    = script{act: answer(503, backend.HeaderRefused+": "+string(backend.RefusedToken)+"\r\n", "")}
+	sheds    = script{act: answer(503, backend.HeaderRefused+": "+string(backend.RefusedShed)+"\r\n", "")}
+	tooLarge = script{act: answer(200, "", strings.Repeat("x", 2<<20))}
+	silent   = script{act: func(conn net.Conn, _ *http.Request) { _, _ = io.Copy(io.Discard, conn) }}
+)
+
+// site is one router that holds the lease of a page whose only shard belongs to
+// one backend server.
+type site struct {
+	router  *router.Router
+	callers *httptest.Server
+}
+
+func startSite(t *testing.T, address string) *site {
+	dir := directory.New()
+	apply := func(envelope record.Envelope, err error) {
+		assert.NilError(t, err)
+		dir.Apply([]platform.Object{{Envelope: envelope, Version: dir.Revision() + 1}}, dir.Revision()+1)
+	}
+	service := record.Service{Name: "split", Keyed: true, Domains: []string{"a"}}
+	apply(service.Encode(record.SchemaV2))
+	server := record.Server{Name: "s1", Service: "split", Domain: "a", Address: address, Slots: 2, Connections: 20}
+	apply(server.Encode(record.SchemaV2))
+	dir.SetHosts([]platform.Host{{Name: "h1", Domain: "a"}})
+	limits := router.DefaultLimits()
+	limits.AnswerBody = 1 << 20
+	limits.OwnerWait = 300 * time.Millisecond
+	r := router.New(router.Identity{Host: "h1", Domain: "a"}, limits, dir, nil, clock.System(), time.Now, 7, logs.Discard())
+	s := &site{router: r, callers: httptest.NewServer(router.NewFront(r))}
+	t.Cleanup(s.callers.Close)
+	s.lease(t, 1, "s1")
+	return s
+}
+
+// lease gives the router a generation of the page.
+func (s *site) lease(t *testing.T, generation uint64, owner string) {
+	page := record.Page{Service: "split", Home: "a", High: 1<<64 - 1, Generation: generation,
+		Shards: []record.Shard{{Owner: owner, Token: generation, State: record.ShardOwned}}}
+	encoded, err := json.Marshal(page)
+	assert.NilError(t, err)
+	_, err = router.NewLinkServer(s.router).Lease(t.Context(), &linkpb.LeaseRequest{Leases: []*linkpb.PageLease{{
+		Page: "split.0", Generation: generation, Incarnation: 7, ExpiryNanos: int64(time.Hour), Record: encoded,
+	}}})
+	assert.NilError(t, err)
+}
+
+// told is what a caller was told.
+type told struct {
+	outcome caller.Outcome
+	reason  caller.Reason
+	status  int
+	body    string
+	header  http.Header
+}
+
+func (s *site) ask(t *testing.T, method string, header map[string]string) told {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, s.callers.URL+"/s/split/item", strings.NewReader(""))
+	assert.NilError(t, err)
+	request.Header.Set(caller.HeaderKey, "k")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return told{
+		outcome: caller.Outcome(response.Header.Get(caller.HeaderOutcome)),
+		reason:  caller.Reason(response.Header.Get(caller.HeaderReason)),
+		status:  response.StatusCode,
+		body:    string(body),
+		header:  response.Header,
+	}
+}
+
+// TestServerFaults has one row for each way in which an exchange with a backend
+// server can fail. A request that may have run is never told "not run", a
+// non-idempotent one is never sent twice, and no part of an answer is passed
+// off as the whole.
+func TestServerFaults(t *testing.T) {
+	const read, write = http.MethodGet, http.MethodPost
+	rows := []struct {
+		name    string
+		method  string
+		scripts []script
+		want    caller.Outcome
+		// sent is how many requests reached the server.
+		sent int64
+	}{
+		{"works", write, []script{works}, caller.Done, 1},
+		{"write, reset after the request was read", write, []script{resets, works}, caller.Unknown, 1},
+		{"read, reset after the request was read", read, []script{resets, works}, caller.Done, 2},
+		{"write, closed after the request was read", write, []script{hangsUp, works}, caller.Unknown, 1},
+		{"read, closed after the request was read", read, []script{hangsUp, works}, caller.Done, 2},
+		{"write, half a header", write, []script{halfHeader, works}, caller.Unknown, 1},
+		{"read, half a header", read, []script{halfHeader, works}, caller.Done, 2},
+		{"write, half a body", write, []script{halfBody, works}, caller.Unknown, 1},
+		{"read, half a body", read, []script{halfBody, works}, caller.Done, 2},
+		{"write, another request's answer", write, []script{foreign, works}, caller.Unknown, 1},
+		{"read, another request's answer", read, []script{foreign, works}, caller.Unknown, 1},
+		{"write, stale token once", write, []script{stale, works}, caller.Done, 2},
+		{"write, shed once", write, []script{sheds, works}, caller.Done, 2},
+		{"write, answer beyond the limit", write, []script{tooLarge}, caller.Unknown, 1},
+		{"write, no answer", write, []script{silent}, caller.Unknown, 1},
+		{"read, no answer", read, []script{silent}, caller.Unknown, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			fake := startFake(t, row.scripts...)
+			s := startSite(t, fake.address)
+			got := s.ask(t, row.method, map[string]string{caller.HeaderDeadlineMs: deadlineOf(row.scripts[0])})
+			assert.Equal(t, got.outcome, row.want, "reason %s", got.reason)
+			assert.Equal(t, fake.requests.Load(), row.sent)
+			if got.outcome == caller.Done {
+				assert.Equal(t, got.body, "whole")
+			}
+		})
+	}
+}
+
+// deadlineOf keeps rows short in which nothing but the deadline ends the wait.
+func deadlineOf(first script) string {
+	if fmt.Sprintf("%p", first.act) == fmt.Sprintf("%p", silent.act) {
+		return "300"
+	}
+	return "10000"
+}
+
+// TestServerNotThere: nothing left, so the request is told not run, with a time
+// to come back.
+func TestServerNotThere(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	s := startSite(t, address)
+	got := s.ask(t, http.MethodPost, map[string]string{caller.HeaderDeadlineMs: "200"})
+	assert.Equal(t, got.outcome, caller.NotRun)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+}
+
+// TestResendIsNotRunAgain: the same request sent twice runs once, and both get
+// the same answer.
+func TestResendIsNotRunAgain(t *testing.T) {
+	fake := startFake(t, works)
+	s := startSite(t, fake.address)
+	id := uuid.Must(uuid.NewV7()).String()
+	first := s.ask(t, http.MethodPost, map[string]string{caller.HeaderRequestID: id})
+	second := s.ask(t, http.MethodPost, map[string]string{caller.HeaderRequestID: id, caller.HeaderAttempt: "2"})
+	assert.Equal(t, first.outcome, caller.Done)
+	assert.Equal(t, second.outcome, caller.Done)
+	assert.Equal(t, second.body, first.body)
+	assert.Equal(t, fake.requests.Load(), int64(1))
+}
+
+// TestResendAfterTakeOver: a router that has just taken the page over does not
+// know what its predecessor did, and does not run a re-sent request.
+func TestResendAfterTakeOver(t *testing.T) {
+	fake := startFake(t, works)
+	s := startSite(t, fake.address)
+	id := uuid.Must(uuid.NewV7()).String()
+	got := s.ask(t, http.MethodPost, map[string]string{caller.HeaderRequestID: id, caller.HeaderAttempt: "2"})
+	assert.Equal(t, got.outcome, caller.Unknown)
+	assert.Equal(t, got.reason, caller.ReasonMaybeRunBefore)
+	assert.Equal(t, fake.requests.Load(), int64(0))
+}
+
+// TestKeyMovesWhileServerIsSilent: the caller of a non-idempotent request learns
+// at once that its outcome is unknown, and an idempotent one runs at the new owner.
+func TestKeyMovesWhileServerIsSilent(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			arrived := make(chan struct{}, 1)
+			old := startFake(t, script{act: func(conn net.Conn, _ *http.Request) {
+				arrived <- struct{}{}
+				_, _ = io.Copy(io.Discard, conn)
+			}}, works)
+			s := startSite(t, old.address)
+			answers := make(chan told, 1)
+			go func() { answers <- s.ask(t, method, map[string]string{caller.HeaderDeadlineMs: "60000"}) }()
+			<-arrived
+			s.lease(t, 2, "s1")
+			got := <-answers
+			if method == http.MethodPost {
+				assert.Equal(t, got.outcome, caller.Unknown)
+				assert.Equal(t, got.reason, caller.ReasonConnectionLost, "the deadline must not be waited for")
+				return
+			}
+			assert.Equal(t, got.outcome, caller.Done)
+		})
+	}
+}
+
+// TestBadRequests has one row for each thing that a caller can get wrong.
+func TestBadRequests(t *testing.T) {
+	s := startSite(t, startFake(t, works).address)
+	id := uuid.Must(uuid.NewV7()).String()
+	rows := []struct {
+		name   string
+		header map[string]string
+		want   string
+	}{
+		{"no key", map[string]string{caller.HeaderKey: ""}, caller.HeaderKey},
+		{"key too long", map[string]string{caller.HeaderKey: strings.Repeat("k", 513)}, "at most 512 bytes"},
+		{"id is no UUID", map[string]string{caller.HeaderRequestID: "7"}, "UUID of version 7"},
+		{"id without time", map[string]string{caller.HeaderRequestID: uuid.NewString()}, "UUID of version 7"},
+		{"attempt 0", map[string]string{caller.HeaderRequestID: id, caller.HeaderAttempt: "0"}, "1 to 1000"},
+		{"attempt without id", map[string]string{caller.HeaderAttempt: "2"}, caller.HeaderRequestID},
+		{"idempotent maybe", map[string]string{caller.HeaderIdempotent: "maybe"}, "true or false"},
+		{"deadline negative", map[string]string{caller.HeaderDeadlineMs: "-1"}, "1 to 60000"},
+		{"deadline absurd", map[string]string{caller.HeaderDeadlineMs: "99999999999999999999"}, "1 to 60000"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			got := s.ask(t, http.MethodPost, row.header)
+			assert.Equal(t, got.status, http.StatusBadRequest)
+			assert.Equal(t, got.outcome, caller.NotRun)
+			assert.Assert(t, strings.Contains(got.body, row.want), got.body)
+		})
+	}
+}
+
+// FuzzParseMeta: no header makes the parser fail without a typed error.
+func FuzzParseMeta(f *testing.F) {
+	f.Add("POST", "k", uuid.Must(uuid.NewV7()).String(), "1", "true", "100")
+	f.Add("GET", "", "", "", "", "")
+	f.Fuzz(func(t *testing.T, method, key, id, attempt, idempotent, deadline string) {
+		header := http.Header{}
+		header.Set(caller.HeaderKey, key)
+		header.Set(caller.HeaderRequestID, id)
+		header.Set(caller.HeaderAttempt, attempt)
+		header.Set(caller.HeaderIdempotent, idempotent)
+		header.Set(caller.HeaderDeadlineMs, deadline)
+		meta, err := caller.ParseMeta(method, header)
+		if err != nil {
+			var typed *caller.HeaderError
+			if !asHeaderError(err, &typed) {
+				t.Fatalf("error without a type: %v", err)
+			}
+			return
+		}
+		if meta.Attempt < 1 || meta.Deadline < 0 || meta.ID == uuid.Nil {
+			t.Fatalf("accepted %+v", meta)
+		}
+	})
+}
+
+func asHeaderError(err error, target **caller.HeaderError) bool {
+	typed, ok := err.(*caller.HeaderError)
+	*target = typed
+	return ok
+}
--- a/tools/mutants/main.go
+++ b/tools/mutants/main.go
@@ -17,6 +17,9 @@
 	"cicadarouter/host/program"
 )
 
+// stateful names the packages whose tests take rapid's flags.
+var stateful = map[string]bool{"ownership": true, "dispatch": true}
+
 // mutant is one broken rule.
 type mutant struct {
 	name string
@@ -106,9 +109,11 @@
 	if err != nil {
 		return result{verdict: broken, detail: err.Error() + "\n"}
 	}
-	args := []string{"test", "-overlay", overlay, "-count=1", "-run", m.run, "./" + m.pkg,
-		fmt.Sprintf("-rapid.checks=%d", given.Checks), fmt.Sprintf("-rapid.steps=%d", given.Steps),
-		"-rapid.nofailfile", "-rapid.shrinktime=1ms"}
+	args := []string{"test", "-overlay", overlay, "-count=1", "-run", m.run, "./" + m.pkg}
+	if stateful[m.pkg] {
+		args = append(args, fmt.Sprintf("-rapid.checks=%d", given.Checks), fmt.Sprintf("-rapid.steps=%d", given.Steps),
+			"-rapid.nofailfile", "-rapid.shrinktime=1ms")
+	}
 	output, err := exec.Command("go", args...).CombinedOutput()
 	took := time.Since(began)
 	switch {
