Controllers relay records: three of a domain watch the store, the others follow

Cause: every controller held a watch of its own, so that the store's load grew with hosts. Change: the first three of a domain by rendezvous watch; the rest read the store once at start and then follow one of them, with a heartbeat each second, and go back to the store when no watcher can be followed.

--- a/domain/controller.go
+++ b/domain/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -49,7 +50,7 @@
 func DefaultTiming() Timing {
 	const (
 		tick       = 150 * time.Millisecond
-		watchWait  = 20 * time.Second
+		watchWait  = 3 * time.Second
 		hostsEvery = 2 * time.Second
 	)
 	return Timing{Tick: tick, WatchWait: watchWait, HostsEvery: hostsEvery}
@@ -73,6 +74,10 @@
 	voter  lockedVoter
 	// peers notes when each peer last asked for each page.
 	heard heardAsks
+	// storeAnswers is set while this controller's own calls reach the store.
+	storeAnswers atomic.Bool
+	// relayed is set while the records come from another controller.
+	relayed atomic.Bool
 
 	callsMu sync.Mutex
 	calls   map[string]int // outstanding calls by target
--- a/domain/serve.go
+++ b/domain/serve.go
@@ -6,7 +6,6 @@
 
 	"google.golang.org/grpc"
 
-	"cicadarouter/contract/platform"
 	"cicadarouter/directory"
 	"cicadarouter/link/linkpb"
 	"cicadarouter/ownership"
@@ -79,58 +78,36 @@
 	return &linkpb.ProbeReply{Reached: err == nil}, nil
 }
 
+// relayRecheck is how often a relay makes sure that its sender still reaches the store.
+const relayRecheck = 500 * time.Millisecond
+
 // Records implements linkpb.ControlServer.
 func (s *LinkServer) Records(request *linkpb.RecordsRequest, stream grpc.ServerStreamingServer[linkpb.RecordsUpdate]) error {
 	filter := directory.RouterRecords(request.GetDomain())
 	if request.GetRelay() {
 		filter = directory.EveryRecord
 	}
+	recheck := time.NewTicker(relayRecheck)
+	defer recheck.Stop()
 	var seq uint64
+	var sentAt time.Time
 	for {
+		if request.GetRelay() && !s.c.storeAnswers.Load() {
+			return errStoreAway
+		}
 		delta, changed := s.c.directory.Since(seq, filter)
-		seq = delta.Seq
-		if err := stream.Send(updateOf(delta)); err != nil {
-			return err
+		if delta.Seq > seq || time.Since(sentAt) >= directory.HeartbeatEvery {
+			if err := stream.Send(directory.UpdateToLink(delta)); err != nil {
+				return err
+			}
+			sentAt = time.Now()
 		}
+		seq = delta.Seq
 		select {
 		case <-changed:
+		case <-recheck.C:
 		case <-stream.Context().Done():
 			return nil
 		}
 	}
 }
-
-func updateOf(delta directory.Delta) *linkpb.RecordsUpdate {
-	update := &linkpb.RecordsUpdate{Revision: delta.Revision, HostsChanged: delta.HostsChanged, Synced: true}
-	for _, object := range delta.Objects {
-		update.Records = append(update.Records, recordOf(object))
-	}
-	for _, host := range delta.Hosts {
-		update.Hosts = append(update.Hosts, hostOf(host))
-	}
-	for page, host := range delta.Dispatchers {
-		update.Dispatchers = append(update.Dispatchers, &linkpb.Dispatcher{Page: page, Host: host})
-	}
-	return update
-}
-
-func recordOf(object platform.Object) *linkpb.Record {
-	return &linkpb.Record{
-		Kind:    string(object.Kind),
-		Name:    object.Name,
-		Schema:  string(object.Schema),
-		Spec:    object.Spec,
-		Version: object.Version,
-		Deleted: object.Deleted,
-	}
-}
-
-func hostOf(host platform.Host) *linkpb.Host {
-	return &linkpb.Host{
-		Name:       host.Name,
-		Domain:     host.Domain,
-		Link:       host.Link,
-		RouterLink: host.RouterLink,
-		Leaving:    host.Leaving,
-	}
-}
--- a/domain/watch.go
+++ b/domain/watch.go
@@ -23,17 +23,24 @@
 	return policy
 }
 
-// watchStore keeps the directory at the store's state.
+// watchStore keeps the directory at the store's state: by a watch of its own if
+// this controller is one of its domain's watchers, and else by relay from one of
+// them, so that the store's load grows with domains and not with hosts.
 func (c *Controller) watchStore(ctx context.Context) {
 	retry := storeBackoff()
 	listed := false
-	for ctx.Err() == nil {
+	for turn := 0; ctx.Err() == nil; turn++ {
+		if listed && c.relays(turn) {
+			c.followRelay(ctx, turn)
+			continue
+		}
 		var err error
 		if listed {
 			err = c.watchOnce(ctx)
 		} else {
 			err = c.listOnce(ctx)
 		}
+		c.storeAnswers.Store(err == nil)
 		switch {
 		case err == nil:
 			listed = true
@@ -71,14 +78,17 @@
 	return nil
 }
 
-// watchHosts reads the platform's host list from time to time.
+// watchHosts reads the platform's host list from time to time, unless it comes
+// by relay.
 func (c *Controller) watchHosts(ctx context.Context) {
 	for ctx.Err() == nil {
-		hosts, err := c.store.Hosts(ctx)
-		if err == nil {
-			c.directory.SetHosts(hosts)
-		}
 		wait := c.timing.HostsEvery
+		if !c.relayed.Load() {
+			hosts, err := c.store.Hosts(ctx)
+			if err == nil {
+				c.directory.SetHosts(hosts)
+			}
+		}
 		if len(c.directory.Hosts()) == 0 {
 			wait = storeRetryFirst
 		}
--- a/ownership/faults_test.go
+++ b/ownership/faults_test.go
@@ -29,12 +29,6 @@
 	}
 }
 
-func between(one, other string) func(m message) bool {
-	return func(m message) bool {
-		return m.from == one && m.to == other || m.from == other && m.to == one
-	}
-}
-
 func everything(message) bool { return true }
 
 // run lets the whole system work for some ticks of 10 ms.
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -89,7 +89,6 @@
 	incarnation uint64
 	effects     map[uint64]effect
 	known       map[string]uint64 // newest generation of each controller
-	renewals    int
 	group       []string
 	unchecked   bool
 	lostHosts   []string
