Bench: cost of control by size, time to serve again by loss

Cause: a loss of server and assigner together took 1.8 s, and a lost server 1.65 s, since a dispatch router's last good word counted for 450 ms after it arrived and a member that took over waited from the beginning. Change: the word counts 300 ms, a member takes over after 300 ms and 150 ms for each place in the group, and a server that never answered the newcomer is suspected after 300 ms.

--- /dev/null
+++ b/bench/failover.go
@@ -0,0 +1,186 @@
+package bench
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"time"
+
+	"cicadarouter/contract/caller"
+	"cicadarouter/record"
+	"cicadarouter/standin"
+)
+
+// Loss is a kind of loss that a failover is measured for.
+type Loss string
+
+// The losses.
+const (
+	LoseServer        Loss = "server frozen"
+	LoseController    Loss = "assigning controller lost"
+	LoseBoth          Loss = "server frozen and assigning controller lost"
+	LoseRouter        Loss = "dispatch router lost"
+	LoseHost          Loss = "host of assigner or dispatcher lost"
+	LoseStore         Loss = "store down throughout"
+	LoseStoreAndRoute Loss = "store down, dispatch router lost"
+	MoveShard         Loss = "server drains (planned move)"
+)
+
+// Losses lists all kinds.
+func Losses() []Loss {
+	return []Loss{LoseServer, LoseController, LoseBoth, LoseRouter, LoseHost, LoseStore, LoseStoreAndRoute, MoveShard}
+}
+
+// testKey is the key whose unavailability is measured.
+const testKey = "key-1"
+
+// FailOver starts a site, causes a loss, and returns the longest time for which
+// a key that the loss concerned was not served.
+func FailOver(loss Loss, config Config) (time.Duration, error) {
+	config.HTTP = true
+	site, err := Start(config)
+	if err != nil {
+		return 0, err
+	}
+	defer site.Close()
+	const settle = 20 * time.Second
+	if err := site.Settle(settle); err != nil {
+		return 0, err
+	}
+	entry := site.entryFor()
+	if err := site.serveOnce(entry, settle); err != nil {
+		return 0, err
+	}
+	return site.measureLoss(loss, entry), nil
+}
+
+// measureLoss sends a request every few milliseconds and returns the longest
+// time between two that were done.
+func (s *Site) measureLoss(loss Loss, entry *entryHost) time.Duration {
+	const (
+		before = 300 * time.Millisecond
+		after  = 4 * time.Second
+		every  = 3 * time.Millisecond
+	)
+	began := time.Now()
+	last := began
+	longest := time.Duration(0)
+	caused := false
+	for time.Since(began) < before+after {
+		if !caused && time.Since(began) > before {
+			caused = true
+			s.cause(loss)
+		}
+		if s.ask(entry, 100*time.Millisecond) {
+			longest = max(longest, time.Since(last))
+			last = time.Now()
+		}
+		time.Sleep(every)
+	}
+	return max(longest, time.Since(last))
+}
+
+// cause makes the loss happen.
+func (s *Site) cause(loss Loss) {
+	page := s.testPage()
+	switch loss {
+	case LoseServer:
+		s.setFaults(page, standin.ServerFaults{Frozen: true})
+	case MoveShard:
+		s.setFaults(page, standin.ServerFaults{Draining: true})
+	case LoseController:
+		s.killController(s.host(page.Group[0]))
+	case LoseBoth:
+		s.setFaults(page, standin.ServerFaults{Frozen: true})
+		s.killController(s.host(page.Group[0]))
+	case LoseRouter:
+		s.killRouter(s.host(s.dispatcher(page)))
+	case LoseHost:
+		s.kill(s.host(s.dispatcher(page)))
+	case LoseStore:
+		s.store.down.Store(true)
+	case LoseStoreAndRoute:
+		s.store.down.Store(true)
+		s.killRouter(s.host(s.dispatcher(page)))
+	}
+}
+
+func (s *Site) setFaults(page record.Page, faults standin.ServerFaults) {
+	hash := record.KeyHash(serviceName, testKey)
+	owner := page.Shards[page.ShardAt(hash)].Owner
+	if server, ok := s.fleet.Server(owner); ok {
+		server.SetFaults(faults)
+	}
+}
+
+// testPage returns the page of the test key.
+func (s *Site) testPage() record.Page {
+	hash := record.KeyHash(serviceName, testKey)
+	for _, page := range s.pages() {
+		if page.Contains(hash) {
+			return page
+		}
+	}
+	return record.Page{}
+}
+
+func (s *Site) host(name string) *entryHost {
+	index := slices.IndexFunc(s.hosts, func(h *entryHost) bool { return h.name == name })
+	return s.hosts[index]
+}
+
+// dispatcher returns the host whose router holds the page's dispatch lease.
+func (s *Site) dispatcher(page record.Page) string {
+	for _, h := range s.hosts {
+		for _, held := range h.router.Status().Dispatches {
+			if held.Page == page.Name {
+				return h.name
+			}
+		}
+	}
+	return s.hosts[0].name
+}
+
+// entryFor returns a host that neither assigns nor dispatches the test page, if
+// there is one: it plays the entry host of the callers.
+func (s *Site) entryFor() *entryHost {
+	page := s.testPage()
+	const tries = 100
+	for range tries {
+		for _, h := range s.hosts {
+			if h.name != page.Group[0] && h.name != s.dispatcher(page) {
+				return h
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return s.hosts[len(s.hosts)-1]
+}
+
+// ask sends one idempotent request and reports whether it was done.
+func (s *Site) ask(entry *entryHost, deadline time.Duration) bool {
+	request := httptest.NewRequest(http.MethodGet, "/s/"+serviceName+"/item", nil)
+	request.Header.Set(caller.HeaderKey, testKey)
+	request.Header.Set(caller.HeaderDeadlineMs, strconv.FormatInt(deadline.Milliseconds(), 10))
+	recorder := httptest.NewRecorder()
+	entry.front.ServeHTTP(recorder, request)
+	return recorder.Header().Get(caller.HeaderOutcome) == string(caller.Done)
+}
+
+// NotServedError reports a site that serves nothing.
+type NotServedError struct{}
+
+// Error implements error.
+func (NotServedError) Error() string { return "the site serves nothing" }
+
+func (s *Site) serveOnce(entry *entryHost, limit time.Duration) error {
+	until := time.Now().Add(limit)
+	for time.Now().Before(until) {
+		if s.ask(entry, time.Second) {
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return NotServedError{}
+}
--- /dev/null
+++ b/bench/links.go
@@ -0,0 +1,216 @@
+package bench
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"cicadarouter/link/linkpb"
+)
+
+// frameBytes is what HTTP/2 and gRPC add to a message on an open connection:
+// two frame headers, the message prefix, and indexed headers.
+const frameBytes = 45
+
+// traffic counts messages and their bytes on all links.
+type traffic struct {
+	messages atomic.Int64
+	bytes    atomic.Int64
+}
+
+func (t *traffic) note(message proto.Message) {
+	t.messages.Add(1)
+	t.bytes.Add(int64(proto.Size(message) + frameBytes))
+}
+
+// network joins the processes of a site by direct calls.
+type network struct {
+	control traffic
+	relays  traffic
+	servers traffic
+
+	mu        sync.Mutex
+	controls  map[string]linkpb.ControlServer
+	dispatchs map[string]linkpb.DispatchServer
+}
+
+func newNetwork() *network {
+	return &network{controls: map[string]linkpb.ControlServer{}, dispatchs: map[string]linkpb.DispatchServer{}}
+}
+
+// remove makes an address unreachable.
+func (n *network) remove(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.controls, address)
+	delete(n.dispatchs, address)
+}
+
+// Control implements domain.Links and router.Links.
+func (n *network) Control(address string) linkpb.ControlClient {
+	return &controlClient{network: n, address: address}
+}
+
+// Dispatch implements domain.Links and router.Links.
+func (n *network) Dispatch(address string) linkpb.DispatchClient {
+	return &dispatchClient{network: n, address: address}
+}
+
+var errUnreachable = status.Error(codes.Unavailable, "process is gone")
+
+type controlClient struct {
+	network *network
+	address string
+}
+
+func (c *controlClient) server() (linkpb.ControlServer, error) {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	server, ok := c.network.controls[c.address]
+	if !ok {
+		return nil, errUnreachable
+	}
+	return server, nil
+}
+
+// exchange calls a handler and counts both messages.
+func exchange[I, O proto.Message](ctx context.Context, count *traffic, in I, handler func(context.Context, I) (O, error)) (O, error) {
+	count.note(in)
+	out, err := handler(ctx, in)
+	if err == nil {
+		count.note(out)
+	}
+	return out, err
+}
+
+// Agree implements linkpb.ControlClient.
+func (c *controlClient) Agree(ctx context.Context, in *linkpb.AgreeRequest, _ ...grpc.CallOption) (*linkpb.AgreeReply, error) {
+	server, err := c.server()
+	if err != nil {
+		return nil, err
+	}
+	return exchange(ctx, &c.network.control, in, server.Agree)
+}
+
+// Stop implements linkpb.ControlClient.
+func (c *controlClient) Stop(ctx context.Context, in *linkpb.StopRequest, _ ...grpc.CallOption) (*linkpb.StopReply, error) {
+	server, err := c.server()
+	if err != nil {
+		return nil, err
+	}
+	return exchange(ctx, &c.network.control, in, server.Stop)
+}
+
+// Probe implements linkpb.ControlClient.
+func (c *controlClient) Probe(ctx context.Context, in *linkpb.ProbeRequest, _ ...grpc.CallOption) (*linkpb.ProbeReply, error) {
+	server, err := c.server()
+	if err != nil {
+		return nil, err
+	}
+	return exchange(ctx, &c.network.control, in, server.Probe)
+}
+
+// Records implements linkpb.ControlClient.
+func (c *controlClient) Records(ctx context.Context, in *linkpb.RecordsRequest, _ ...grpc.CallOption) (grpc.ServerStreamingClient[linkpb.RecordsUpdate], error) {
+	server, err := c.server()
+	if err != nil {
+		return nil, err
+	}
+	const window = 16
+	s := &stream{ctx: ctx, updates: make(chan *linkpb.RecordsUpdate, window), network: c.network, address: c.address}
+	go func() {
+		defer close(s.updates)
+		_ = server.Records(in, s)
+	}()
+	return s, nil
+}
+
+// stream is both ends of a stream of records.
+type stream struct {
+	ctx     context.Context
+	updates chan *linkpb.RecordsUpdate
+	network *network
+	address string
+}
+
+// Send implements the server's end.
+func (s *stream) Send(update *linkpb.RecordsUpdate) error {
+	s.network.mu.Lock()
+	_, there := s.network.controls[s.address]
+	s.network.mu.Unlock()
+	if !there {
+		return errUnreachable
+	}
+	s.network.relays.note(update)
+	select {
+	case s.updates <- update:
+		return nil
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	}
+}
+
+// Recv implements the client's end.
+func (s *stream) Recv() (*linkpb.RecordsUpdate, error) {
+	select {
+	case update, ok := <-s.updates:
+		if !ok {
+			return nil, io.EOF
+		}
+		return update, nil
+	case <-s.ctx.Done():
+		return nil, s.ctx.Err()
+	}
+}
+
+// The rest of both ends' interfaces, which nothing here uses.
+
+func (s *stream) Context() context.Context     { return s.ctx }
+func (s *stream) SetHeader(metadata.MD) error  { return nil }
+func (s *stream) SendHeader(metadata.MD) error { return nil }
+func (s *stream) SetTrailer(metadata.MD)       {}
+func (s *stream) Header() (metadata.MD, error) { return nil, nil }
+func (s *stream) Trailer() metadata.MD         { return nil }
+func (s *stream) CloseSend() error             { return nil }
+func (s *stream) SendMsg(any) error            { return nil }
+func (s *stream) RecvMsg(any) error            { return nil }
+
+type dispatchClient struct {
+	network *network
+	address string
+}
+
+func (c *dispatchClient) server() (linkpb.DispatchServer, error) {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	server, ok := c.network.dispatchs[c.address]
+	if !ok {
+		return nil, errUnreachable
+	}
+	return server, nil
+}
+
+// Lease implements linkpb.DispatchClient.
+func (c *dispatchClient) Lease(ctx context.Context, in *linkpb.LeaseRequest, _ ...grpc.CallOption) (*linkpb.LeaseReply, error) {
+	server, err := c.server()
+	if err != nil {
+		return nil, err
+	}
+	return exchange(ctx, &c.network.control, in, server.Lease)
+}
+
+// Forward implements linkpb.DispatchClient. It is data, not control, and not counted.
+func (c *dispatchClient) Forward(ctx context.Context, in *linkpb.ForwardRequest, _ ...grpc.CallOption) (*linkpb.ForwardReply, error) {
+	server, err := c.server()
+	if err != nil {
+		return nil, err
+	}
+	return server.Forward(ctx, in)
+}
--- /dev/null
+++ b/bench/site.go
@@ -0,0 +1,289 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"cicadarouter/contract/backend"
+	"cicadarouter/contract/platform"
+	"cicadarouter/contract/platform/memstore"
+	"cicadarouter/directory"
+	"cicadarouter/domain"
+	"cicadarouter/host/clock"
+	"cicadarouter/host/logs"
+	"cicadarouter/ownership"
+	"cicadarouter/record"
+	"cicadarouter/router"
+	"cicadarouter/standin"
+)
+
+// Config is the size of a site: one failure domain with one keyed service.
+type Config struct {
+	Hosts   int
+	Pages   int
+	Servers int
+	// Shards is the number of shards for each server.
+	Shards int
+	// HTTP has the servers listen on loopback, for requests and for grants.
+	HTTP bool
+	// BasePort is the port of the first server.
+	BasePort int
+}
+
+// The names that a site uses.
+const (
+	domainName  = "a"
+	serviceName = "split"
+	slots       = 4
+	connections = 130
+)
+
+// entryHost is the two daemons of a host.
+type entryHost struct {
+	name       string
+	router     *router.Router
+	front      *router.Front
+	controller *domain.Controller
+	stop       context.CancelFunc
+}
+
+// Site runs one failure domain.
+type Site struct {
+	config  Config
+	store   *countedStore
+	network *network
+	hosts   []*entryHost
+	fleet   *standin.Fleet
+	servers map[string]*standin.Server
+	running sync.WaitGroup
+}
+
+// Start starts a site.
+func Start(config Config) (*Site, error) {
+	s := &Site{
+		config:  config,
+		store:   &countedStore{Store: memstore.New()},
+		network: newNetwork(),
+		servers: map[string]*standin.Server{},
+	}
+	if err := s.startServers(); err != nil {
+		return nil, err
+	}
+	if err := s.writeRecords(); err != nil {
+		return nil, err
+	}
+	s.store.Store.(*memstore.Store).SetHosts(s.hostList(""))
+	for i := range config.Hosts {
+		s.hosts = append(s.hosts, s.startHost(i))
+	}
+	return s, nil
+}
+
+func (s *Site) fleetConfig() standin.FleetConfig {
+	return standin.FleetConfig{
+		ServerConfig: standin.ServerConfig{Service: serviceName, Slots: slots, Checked: true, Work: time.Millisecond},
+		Domains:      []string{domainName},
+		Count:        s.config.Servers,
+		IP:           "127.0.0.1",
+		BasePort:     s.config.BasePort,
+		Connections:  connections,
+	}
+}
+
+func (s *Site) startServers() error {
+	config := s.fleetConfig()
+	if s.config.HTTP {
+		fleet, err := standin.StartFleet(config)
+		s.fleet = fleet
+		return err
+	}
+	for i := range config.Count {
+		single := config.ServerConfig
+		single.Name = config.ServerName(i)
+		s.servers[single.Name] = standin.NewServer(single, clock.System(), rand.Uint64()|1)
+	}
+	return nil
+}
+
+func (s *Site) writeRecords() error {
+	service := record.Service{
+		Name: serviceName, Keyed: true, Domains: []string{domainName},
+		PagesPerDomain: s.config.Pages, ShardsPerServer: s.config.Shards,
+		WhenCutOff: record.CutOffStay, Weigh: record.WeighUnavailability, Fencing: record.FencingChecked,
+		DeadlineMillis: 3000,
+		Objectives:     record.Objectives{Availability: 0.999, LatencyMillis: 15, LatencyShare: 0.99},
+	}
+	envelope, err := service.Encode(record.SchemaV2)
+	if err != nil {
+		return err
+	}
+	if _, err := s.store.Store.Update(context.Background(), envelope, 0); err != nil {
+		return err
+	}
+	for _, server := range s.fleetConfig().Records() {
+		envelope, err := server.Encode(record.SchemaV2)
+		if err != nil {
+			return err
+		}
+		if _, err := s.store.Store.Update(context.Background(), envelope, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func hostName(index int) string { return fmt.Sprintf("a-%03d", index) }
+
+// hostList is the platform's list without one host.
+func (s *Site) hostList(gone string) []platform.Host {
+	var hosts []platform.Host
+	for i := range s.config.Hosts {
+		name := hostName(i)
+		if name != gone {
+			hosts = append(hosts, platform.Host{Name: name, Domain: domainName, Link: name + "/c", RouterLink: name + "/r"})
+		}
+	}
+	return hosts
+}
+
+func (s *Site) startHost(index int) *entryHost {
+	name := hostName(index)
+	ctx, stop := context.WithCancel(context.Background())
+	h := &entryHost{name: name, stop: stop}
+	h.controller = domain.NewController(domain.Identity{Host: name, Domain: domainName}, ownership.DefaultTerms(),
+		domain.DefaultTiming(), s.store, directory.New(), s.network, s.dialer(), clock.System(), logs.Discard())
+	identity := router.Identity{Host: name, Domain: domainName}
+	dir := directory.New()
+	h.router = router.New(identity, router.DefaultLimits(), dir, s.network, clock.System(), time.Now, rand.Uint64()|1, logs.Discard())
+	h.front = router.NewFront(h.router)
+	s.network.mu.Lock()
+	s.network.controls[name+"/c"] = domain.NewLinkServer(h.controller)
+	s.network.dispatchs[name+"/r"] = router.NewLinkServer(h.router)
+	s.network.mu.Unlock()
+	s.running.Go(func() { h.controller.Run(ctx) })
+	s.running.Go(func() { router.Feed(ctx, dir, s.network, identity, []string{name + "/c"}) })
+	return h
+}
+
+// dialer returns the way to backend servers, which counts what a grant and its
+// answer take.
+func (s *Site) dialer() domain.ServerDialer {
+	if s.config.HTTP {
+		transport := &http.Transport{MaxIdleConnsPerHost: 2}
+		return func(server record.Server) backend.Control {
+			return backend.NewClient(server.Name, server.Address, transport)
+		}
+	}
+	return func(server record.Server) backend.Control {
+		return &countedControl{server: s.servers[server.Name], count: &s.network.servers}
+	}
+}
+
+// httpBytes is what HTTP/1.1 headers add to a grant and its answer.
+const httpBytes = 310
+
+// countedControl calls a server directly and counts what a wire would carry.
+type countedControl struct {
+	server *standin.Server
+	count  *traffic
+}
+
+// Grant implements backend.Control.
+func (c *countedControl) Grant(ctx context.Context, grant ownership.Grant) (backend.Report, error) {
+	report, err := c.server.Grant(ctx, grant)
+	c.note(grant, report)
+	return report, err
+}
+
+// Report implements backend.Control.
+func (c *countedControl) Report(ctx context.Context, page string) (backend.Report, error) {
+	report, err := c.server.Report(ctx, page)
+	c.note(page, report)
+	return report, err
+}
+
+func (c *countedControl) note(in, out any) {
+	sent, _ := json.Marshal(in)
+	got, _ := json.Marshal(out)
+	c.count.messages.Add(2)
+	c.count.bytes.Add(int64(len(sent) + len(got) + httpBytes))
+}
+
+// kill ends a host's daemons at once, as a lost host would.
+func (s *Site) kill(h *entryHost) {
+	s.network.remove(h.name + "/c")
+	s.network.remove(h.name + "/r")
+	h.stop()
+}
+
+// killController ends only a host's controller.
+func (s *Site) killController(h *entryHost) {
+	s.network.remove(h.name + "/c")
+	h.stop()
+}
+
+// killRouter makes only a host's router unreachable.
+func (s *Site) killRouter(h *entryHost) { s.network.remove(h.name + "/r") }
+
+// Close ends the site.
+func (s *Site) Close() {
+	for _, h := range s.hosts {
+		h.stop()
+	}
+	s.running.Wait()
+	if s.fleet != nil {
+		s.fleet.Close()
+	}
+}
+
+// pages returns the pages as the store has them.
+func (s *Site) pages() []record.Page {
+	snapshot, _ := s.store.Store.List(context.Background())
+	var pages []record.Page
+	for _, object := range snapshot.Objects {
+		if object.Kind != record.KindPage {
+			continue
+		}
+		if page, err := record.DecodePage(object.Envelope); err == nil {
+			pages = append(pages, page)
+		}
+	}
+	return pages
+}
+
+// SettleError reports a site that did not assign all its keys in time.
+type SettleError struct{ Pages, Unowned int }
+
+// Error implements error.
+func (e *SettleError) Error() string {
+	return fmt.Sprintf("site did not settle: %d pages, %d shards without owner", e.Pages, e.Unowned)
+}
+
+// Settle waits until every shard has an owner.
+func (s *Site) Settle(limit time.Duration) error {
+	const poll = 50 * time.Millisecond
+	until := time.Now().Add(limit)
+	for {
+		pages := s.pages()
+		unowned := 0
+		for _, page := range pages {
+			for _, shard := range page.Shards {
+				if !shard.Grantable() {
+					unowned++
+				}
+			}
+		}
+		if len(pages) == s.config.Pages && unowned == 0 {
+			return nil
+		}
+		if time.Now().After(until) {
+			return &SettleError{Pages: len(pages), Unowned: unowned}
+		}
+		time.Sleep(poll)
+	}
+}
--- /dev/null
+++ b/bench/slopes.go
@@ -0,0 +1,103 @@
+package bench
+
+import (
+	"encoding/json"
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// Sample is what one site costs, for each daemon (two to a host).
+type Sample struct {
+	Config
+	// CPU is in share of a core, Heap in bytes, Bytes and Messages per second.
+	CPU      float64
+	Heap     float64
+	Bytes    float64
+	Messages float64
+	// LinkBytes, RelayBytes and ServerBytes are the parts of Bytes.
+	LinkBytes, RelayBytes, ServerBytes float64
+	// Reads, Writes and Watches are the whole site's calls of the store per second.
+	Reads, Writes, Watches float64
+	// Waiting is the number of watches that wait at a time.
+	Waiting int64
+	// PageBytes is the size of the largest page record.
+	PageBytes int
+}
+
+// reading is the counters at a time.
+type reading struct {
+	at                     time.Time
+	cpu                    time.Duration
+	link, relay, servers   int64
+	messages               int64
+	reads, writes, watches int64
+}
+
+func (s *Site) read() reading {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return reading{
+		at:       time.Now(),
+		cpu:      time.Duration(usage.Utime.Nano() + usage.Stime.Nano()),
+		link:     s.network.control.bytes.Load(),
+		relay:    s.network.relays.bytes.Load(),
+		servers:  s.network.servers.bytes.Load(),
+		messages: s.network.control.messages.Load() + s.network.relays.messages.Load() + s.network.servers.messages.Load(),
+		reads:    s.store.reads.Load(),
+		writes:   s.store.writes.Load(),
+		watches:  s.store.watches.Load(),
+	}
+}
+
+// heap returns the live heap.
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// Measure starts a site, lets it settle and measures its idle cost for a time.
+func Measure(config Config, settle, measured time.Duration) (Sample, error) {
+	before := heap()
+	site, err := Start(config)
+	if err != nil {
+		return Sample{}, err
+	}
+	defer site.Close()
+	if err := site.Settle(settle); err != nil {
+		return Sample{}, err
+	}
+	const quiet = 2 * time.Second
+	time.Sleep(quiet)
+	from := site.read()
+	time.Sleep(measured)
+	to := site.read()
+	return site.sample(from, to, heap()-before), nil
+}
+
+func (s *Site) sample(from, to reading, heapBytes uint64) Sample {
+	seconds := to.at.Sub(from.at).Seconds()
+	daemons := float64(2 * s.config.Hosts)
+	rate := func(a, b int64) float64 { return float64(b-a) / seconds }
+	sample := Sample{
+		Config:      s.config,
+		CPU:         (to.cpu - from.cpu).Seconds() / seconds / daemons,
+		Heap:        float64(heapBytes) / daemons,
+		Messages:    rate(from.messages, to.messages) / daemons,
+		LinkBytes:   rate(from.link, to.link) / daemons,
+		RelayBytes:  rate(from.relay, to.relay) / daemons,
+		ServerBytes: rate(from.servers, to.servers) / daemons,
+		Reads:       rate(from.reads, to.reads),
+		Writes:      rate(from.writes, to.writes),
+		Watches:     rate(from.watches, to.watches),
+		Waiting:     s.store.waiting.Load(),
+	}
+	sample.Bytes = sample.LinkBytes + sample.RelayBytes + sample.ServerBytes
+	for _, page := range s.pages() {
+		encoded, _ := json.Marshal(page)
+		sample.PageBytes = max(sample.PageBytes, len(encoded))
+	}
+	return sample
+}
--- /dev/null
+++ b/cmd/cicada-bench/main.go
@@ -0,0 +1,133 @@
+// Command cicada-bench measures what control costs and how long losses are felt.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"cicadarouter/bench"
+	"cicadarouter/host/program"
+)
+
+func main() {
+	parser := flags.NewParser(&struct{}{}, flags.HelpFlag|flags.PassDoubleDash)
+	add := func(name, short string, data any) {
+		if _, err := parser.AddCommand(name, short, short, data); err != nil {
+			os.Exit(program.Fail(err))
+		}
+	}
+	add("slopes", "cost of control by number of hosts, pages, servers and shards", &slopesCommand{})
+	add("failover", "time to serve again after losses", &failoverCommand{})
+	_, err := parser.Parse()
+	var flagsErr *flags.Error
+	switch {
+	case err == nil:
+		os.Exit(program.ExitOK)
+	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
+		fmt.Println(err)
+		os.Exit(program.ExitOK)
+	case errors.As(err, &flagsErr):
+		os.Exit(program.Usage(err))
+	}
+	os.Exit(program.Fail(err))
+}
+
+type slopesCommand struct {
+	Seconds int  `long:"seconds" default:"5" description:"time to measure each size"`
+	Large   bool `long:"large" description:"also the size of one failure domain of the plan"`
+}
+
+// sizes vary one number at a time around a middle.
+func (c *slopesCommand) sizes() []bench.Config {
+	middle := bench.Config{Hosts: 10, Pages: 10, Servers: 50, Shards: 8}
+	sizes := []bench.Config{middle}
+	for _, hosts := range []int{5, 20, 40} {
+		size := middle
+		size.Hosts = hosts
+		sizes = append(sizes, size)
+	}
+	for _, pages := range []int{5, 20, 40} {
+		size := middle
+		size.Pages = pages
+		sizes = append(sizes, size)
+	}
+	for _, servers := range []int{25, 100, 200} {
+		size := middle
+		size.Servers = servers
+		sizes = append(sizes, size)
+	}
+	for _, shards := range []int{2, 32, 128} {
+		size := middle
+		size.Shards = shards
+		sizes = append(sizes, size)
+	}
+	if c.Large {
+		sizes = append(sizes, bench.Config{Hosts: 425, Pages: 425, Servers: 2000, Shards: 8})
+	}
+	return sizes
+}
+
+// Execute implements flags.Commander.
+func (c *slopesCommand) Execute([]string) error {
+	const settle = 60 * time.Second
+	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "hosts\tpages\tservers\tshards each\tcpu %\theap KB\tB/s\tlink B/s\trelay B/s\tserver B/s\tmsg/s\tstore reads/s\twrites/s\twatches/s\twaiting\tpage B\t")
+	for _, size := range c.sizes() {
+		sample, err := bench.Measure(size, settle, time.Duration(c.Seconds)*time.Second)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%.3f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.2f\t%.1f\t%d\t%d\t\n",
+			size.Hosts, size.Pages, size.Servers, size.Shards, 100*sample.CPU, sample.Heap/1024,
+			sample.Bytes, sample.LinkBytes, sample.RelayBytes, sample.ServerBytes, sample.Messages,
+			sample.Reads, sample.Writes, sample.Watches, sample.Waiting, sample.PageBytes)
+	}
+	return table.Flush()
+}
+
+type failoverCommand struct {
+	Runs  int    `long:"runs" default:"20" description:"runs of each loss"`
+	Hosts int    `long:"hosts" default:"3" description:"entry hosts of the failure domain"`
+	Only  string `long:"only" description:"one loss only"`
+	Port  int    `long:"base-port" default:"24000" description:"port of the first backend server"`
+}
+
+// Execute implements flags.Commander.
+func (c *failoverCommand) Execute([]string) error {
+	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "LOSS\tRUNS\tMEDIAN\tWORST")
+	for _, loss := range bench.Losses() {
+		if c.Only != "" && c.Only != string(loss) {
+			continue
+		}
+		times, err := c.repeat(loss)
+		if err != nil {
+			return err
+		}
+		slices.Sort(times)
+		fmt.Fprintf(table, "%s\t%d\t%d ms\t%d ms\n", loss, len(times),
+			times[len(times)/2].Milliseconds(), times[len(times)-1].Milliseconds())
+		if err := table.Flush(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *failoverCommand) repeat(loss bench.Loss) ([]time.Duration, error) {
+	var times []time.Duration
+	for range c.Runs {
+		took, err := bench.FailOver(loss, bench.Config{Hosts: c.Hosts, Pages: 1, Servers: 5, Shards: 8, BasePort: c.Port})
+		if err != nil {
+			return nil, err
+		}
+		times = append(times, took)
+	}
+	return times, nil
+}
--- a/domain/health.go
+++ b/domain/health.go
@@ -13,8 +13,13 @@
 	// silenceToGiveUp is how long others' word keeps a silent server trusted. A
 	// server that only this controller cannot reach gets no leases all the same.
 	silenceToGiveUp = 2 * time.Second
-	// signFreshness is how long another observer's word counts.
-	signFreshness = 450 * time.Millisecond
+	// signFreshness is how long another observer's word counts. It is shorter
+	// than the silence, since that word was on its way for up to a tick.
+	signFreshness = 300 * time.Millisecond
+	// silenceOfStranger is how long a server may be silent that has never
+	// answered this controller, which has just taken the page over from a
+	// silent member: two losses at once must not add up.
+	silenceOfStranger = 300 * time.Millisecond
 	// coldFor is how long a server that started is given less new load.
 	coldFor = 5 * time.Second
 )
@@ -77,7 +82,11 @@
 // suspected reports whether the server should lose its shards.
 func (h *serverHealth) suspected(now time.Duration) bool {
 	silent := h.silence(now)
-	if silent < silenceToSuspect {
+	patience := silenceToSuspect
+	if h.lastAnswer == h.firstAsked {
+		patience = silenceOfStranger
+	}
+	if silent < patience {
 		return false
 	}
 	contradicted := h.heardSign && now-h.lastSign < signFreshness
--- a/domain/view.go
+++ b/domain/view.go
@@ -11,7 +11,7 @@
 
 // Times after which a later member of a group takes over from a silent earlier one.
 const (
-	takeOverAfter = 450 * time.Millisecond
+	takeOverAfter = 300 * time.Millisecond
 	takeOverStep  = 150 * time.Millisecond
 )
 
