Operators see where configuration is in force and how fast budgets burn

Reports climb a tree over a domain's hosts (fan-in 32); its root writes one record of the revision in force and one of counts for each service. cicadactl status and report read these, one call however many daemons there are. A service keeps its availability exactly on the way through v1, which a percentage did not.

--- a/bench/links.go
+++ b/bench/links.go
@@ -117,6 +117,15 @@
 	return exchange(ctx, &c.network.control, in, server.Probe)
 }
 
+// Report implements linkpb.ControlClient.
+func (c *controlClient) Report(ctx context.Context, in *linkpb.DomainReport, _ ...grpc.CallOption) (*linkpb.ReportReply, error) {
+	server, err := c.server()
+	if err != nil {
+		return nil, err
+	}
+	return exchange(ctx, &c.network.control, in, server.Report)
+}
+
 // Records implements linkpb.ControlClient.
 func (c *controlClient) Records(ctx context.Context, in *linkpb.RecordsRequest, _ ...grpc.CallOption) (grpc.ServerStreamingClient[linkpb.RecordsUpdate], error) {
 	server, err := c.server()
@@ -206,6 +215,15 @@
 	return exchange(ctx, &c.network.control, in, server.Lease)
 }
 
+// Counts implements linkpb.DispatchClient.
+func (c *dispatchClient) Counts(ctx context.Context, in *linkpb.CountsRequest, _ ...grpc.CallOption) (*linkpb.CountsReply, error) {
+	server, err := c.server()
+	if err != nil {
+		return nil, err
+	}
+	return exchange(ctx, &c.network.control, in, server.Counts)
+}
+
 // Forward implements linkpb.DispatchClient. It is data, not control, and not counted.
 func (c *dispatchClient) Forward(ctx context.Context, in *linkpb.ForwardRequest, _ ...grpc.CallOption) (*linkpb.ForwardReply, error) {
 	server, err := c.server()
--- a/cmd/cicadactl/commands.go
+++ b/cmd/cicadactl/commands.go
@@ -28,6 +28,8 @@
 		{"get", "print one record", "Prints a record with its version, ready to edit and apply.", &getCommand{globals: shared}},
 		{"list", "list records", "Lists the records of a kind, or all.", &listCommand{globals: shared}},
 		{"delete", "delete a record", "Deletes a record, if it is still at the version given.", &deleteCommand{globals: shared}},
+		{"status", "where the configuration is in force", "Shows for each failure domain which configuration all its daemons have in force, and who lags.", &statusCommand{globals: shared}},
+		{"report", "service-level burn", "Shows how fast each service spends the budget of its objectives, by failure domain.", &reportCommand{globals: shared}},
 		{"watch", "print changes as they come", "Prints each change of a record until interrupted.", &watchCommand{globals: shared}},
 	}
 }
--- a/directory/delta.go
+++ b/directory/delta.go
@@ -48,11 +48,14 @@
 	return delta, d.changed
 }
 
-// EveryRecord passes all records.
-func EveryRecord(platform.Object) bool { return true }
+// ControllerRecords passes what a controller needs: all but the reports, which
+// change often and are read by operators only.
+func ControllerRecords(object platform.Object) bool {
+	return object.Kind != record.KindEnforced && object.Kind != record.KindBurn
+}
 
 // RouterRecords passes what a router needs: all services and what operators
-// declared lost, but only its own domain's servers. Pages reach a router with
+// declared lost, and its own domain's servers. Pages reach a router with
 // its dispatch leases, so that it holds no other assignment.
 func RouterRecords(domain string) Filter {
 	return func(object platform.Object) bool {
@@ -61,7 +64,7 @@
 			return true
 		case record.KindServer:
 			server, err := record.DecodeServer(object.Envelope)
-			return object.Deleted || err == nil && server.Domain == domain
+			return object.Deleted || err != nil || server.Domain == domain
 		}
 		return false
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -24,6 +24,8 @@
 	mu       sync.RWMutex
 	seq      uint64
 	revision uint64
+	// config is the newest version of an operator's record.
+	config   uint64
 	entries  map[record.Ref]entry
 	services map[string]record.Service
 	servers  map[string]record.Server
@@ -81,6 +83,9 @@
 	}
 	d.seq++
 	d.entries[ref] = entry{object: object, seq: d.seq}
+	if object.Kind.Operators() {
+		d.config = max(d.config, object.Version)
+	}
 	delete(d.rejected, ref)
 	if err := d.index(object); err != nil {
 		d.rejected[ref] = err
@@ -164,6 +169,13 @@
 	return d.revision
 }
 
+// Config returns the newest version of an operator's record that is in force here.
+func (d *Directory) Config() uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.config
+}
+
 // Changed returns a channel that is closed at the next change.
 func (d *Directory) Changed() <-chan struct{} {
 	d.mu.RLock()
--- a/domain/controller.go
+++ b/domain/controller.go
@@ -69,6 +69,7 @@
 	clock     clock.Clock
 	log       *log.Logger
 	meters    *meters
+	reporter  *reporter
 
 	events *ring.Ring[event]
 	voter  lockedVoter
@@ -102,10 +103,12 @@
 		clock:     clk,
 		log:       logger,
 		meters:    newMeters(),
+		reporter:  newReporter(),
 		events:    ring.New[event](eventRingSize),
 		calls:     map[string]int{},
 	}
 	c.voter.voter = ownership.NewVoter(terms, clk.Now())
+	c.meters.watchStoreMetric(c.storeAnswers.Load)
 	c.heard.at = map[heardKey]time.Duration{}
 	return c
 }
@@ -114,6 +117,7 @@
 func (c *Controller) Run(ctx context.Context) {
 	c.duty(func() { c.watchStore(ctx) })
 	c.duty(func() { c.watchHosts(ctx) })
+	c.duty(func() { c.reportOften(ctx) })
 	loop := newLoop(c)
 	loop.run(ctx)
 	c.working.Wait()
@@ -159,6 +163,14 @@
 	}
 }
 
+// post hands an event to the loop. One that finds the ring full is dropped, as a
+// message that the network lost; the next tick asks again.
+func (c *Controller) post(happened event) {
+	if !c.events.Offer(happened) {
+		c.meters.dropped.Inc()
+	}
+}
+
 // learn takes objects into the directory and tells voter and loop of new pages.
 func (c *Controller) learn(objects []platform.Object, revision uint64) {
 	for _, ref := range c.directory.Apply(objects, revision) {
@@ -170,7 +182,7 @@
 			continue
 		}
 		c.voter.learn(page.Name, page.Generation)
-		c.events.Offer(pageLearned{page: page})
+		c.post(pageLearned{page: page})
 	}
 	for ref, err := range c.directory.Rejected() {
 		c.log.Warn("record does not decode, its last good version stays in force", "record", ref.String(), "error", err)
--- a/domain/meters.go
+++ b/domain/meters.go
@@ -1,6 +1,11 @@
 package domain
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"cicadarouter/ownership"
+	"cicadarouter/record"
+)
 
 // meters are the controller's metrics.
 type meters struct {
@@ -21,3 +26,26 @@
 		suspect: set.NewCounter("cicada_servers_suspected_total"),
 	}
 }
+
+// noteWrite counts a write of a page, and the shards that it gave a new owner.
+func (m *meters) noteWrite(page record.Page, result ownership.WriteResult) {
+	m.writes.Inc()
+	if result != ownership.WriteDone {
+		return
+	}
+	for _, shard := range page.Shards {
+		if shard.Grantable() && shard.Token == page.Generation {
+			m.moves.Inc()
+		}
+	}
+}
+
+// watchStoreMetric shows whether the controller's own calls reach the store.
+func (m *meters) watchStoreMetric(up func() bool) {
+	m.set.NewGauge("cicada_store_up", func() float64 {
+		if up() {
+			return 1
+		}
+		return 0
+	})
+}
--- a/domain/outbox.go
+++ b/domain/outbox.go
@@ -85,7 +85,7 @@
 		if err != nil || len(reply.GetAnswers()) != len(asks) {
 			return
 		}
-		c.events.Offer(asksAnswered{host: host, asks: asks, answers: reply.GetAnswers()})
+		c.post(asksAnswered{host: host, asks: asks, answers: reply.GetAnswers()})
 	})
 }
 
@@ -122,7 +122,7 @@
 		if err != nil || len(reply.GetRemainingNanos()) != len(stops) {
 			return
 		}
-		c.events.Offer(stopsPromised{host: host, stops: stops, remaining: reply.GetRemainingNanos()})
+		c.post(stopsPromised{host: host, stops: stops, remaining: reply.GetRemainingNanos()})
 	})
 }
 
@@ -148,7 +148,7 @@
 		if err != nil {
 			return
 		}
-		l.c.events.Offer(leaseAnswered{host: host, sentAt: sentAt, reply: reply})
+		l.c.post(leaseAnswered{host: host, sentAt: sentAt, reply: reply})
 	})
 }
 
@@ -187,10 +187,10 @@
 			report, err = control.Grant(ctx, *out.Grant)
 		}
 		if err != nil {
-			c.events.Offer(serverFailed{server: name, refused: errors.Is(err, syscall.ECONNREFUSED)})
+			c.post(serverFailed{server: name, refused: errors.Is(err, syscall.ECONNREFUSED)})
 			return
 		}
-		c.events.Offer(serverAnswered{out: out, report: report})
+		c.post(serverAnswered{out: out, report: report})
 	})
 }
 
@@ -199,6 +199,7 @@
 		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 		defer cancel()
 		result := c.write(ctx, page)
+		c.meters.noteWrite(page, result)
 		c.log.Debug("page written", "page", page.Name, "generation", page.Generation, "result", int(result))
 		_ = c.events.Put(ctx, writeFinished{page: page.Name, attempt: page.Attempt, result: result})
 	})
@@ -253,7 +254,7 @@
 		defer cancel()
 		reply, err := c.links.Control(peer.Link).Probe(ctx, &linkpb.ProbeRequest{Server: probe.server})
 		if err == nil && reply.GetReached() {
-			c.events.Offer(peerReached{server: probe.server})
+			c.post(peerReached{server: probe.server})
 		}
 	})
 }
--- a/domain/serve.go
+++ b/domain/serve.go
@@ -85,7 +85,7 @@
 func (s *LinkServer) Records(request *linkpb.RecordsRequest, stream grpc.ServerStreamingServer[linkpb.RecordsUpdate]) error {
 	filter := directory.RouterRecords(request.GetDomain())
 	if request.GetRelay() {
-		filter = directory.EveryRecord
+		filter = directory.ControllerRecords
 	}
 	recheck := time.NewTicker(relayRecheck)
 	defer recheck.Stop()
--- a/domain/watch.go
+++ b/domain/watch.go
@@ -40,7 +40,9 @@
 		} else {
 			err = c.listOnce(ctx)
 		}
-		c.storeAnswers.Store(err == nil)
+		if answers := err == nil || errors.Is(err, platform.ErrCompacted); c.storeAnswers.Swap(answers) != answers {
+			c.log.Warn("contact to the store changed", "answers", answers)
+		}
 		switch {
 		case err == nil:
 			listed = true
--- a/operator/check.go
+++ b/operator/check.go
@@ -115,6 +115,7 @@
 func (f *findings) immutable(documents []Document, existing []platform.Object) {
 	before := worldAfter(nil, existing)
 	after := worldAfter(documents, existing)
+	f.stays(before, after)
 	for name, old := range before.services {
 		fresh := after.services[name]
 		ref := record.Ref{Kind: record.KindService, Name: name}
@@ -134,6 +135,23 @@
 	}
 }
 
+// stays refuses to take a server to another service or failure domain under its
+// name: routers of the old domain do not hear of other domains' servers, and
+// would go on believing in the old record.
+func (f *findings) stays(before, after world) {
+	for name, old := range before.servers {
+		fresh := after.servers[name]
+		ref := record.Ref{Kind: record.KindServer, Name: name}
+		const fix = "cannot change; delete the record and make one with a new name"
+		if old.Service != fresh.Service {
+			f.wrong(ref, "service", fresh.Service, fix)
+		}
+		if old.Domain != fresh.Domain {
+			f.wrong(ref, "domain", fresh.Domain, fix)
+		}
+	}
+}
+
 // warnings tells of services that nothing can serve.
 func (f *findings) warnings(after world) []string {
 	count := map[string]int{}
--- /dev/null
+++ b/operator/status.go
@@ -0,0 +1,90 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"cicadarouter/contract/platform"
+	"cicadarouter/record"
+	"cicadarouter/report"
+)
+
+// DomainStatus tells which configuration is in force in a failure domain.
+type DomainStatus struct {
+	record.Enforced
+	// InForce is set when every daemon of the domain has the newest configuration.
+	InForce bool `json:"inForce"`
+}
+
+// Status tells where the configuration is in force.
+type Status struct {
+	// Config is the newest version of an operator's record.
+	Config  uint64         `json:"config"`
+	Domains []DomainStatus `json:"domains"`
+}
+
+// Status reads the failure domains' reports: one read of the store, however many
+// daemons there are.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	snapshot, err := c.store.List(ctx)
+	if err != nil {
+		return Status{}, err
+	}
+	var status Status
+	for _, object := range snapshot.Objects {
+		if object.Kind.Operators() {
+			status.Config = max(status.Config, object.Version)
+		}
+	}
+	for _, object := range snapshot.Objects {
+		if object.Kind != record.KindEnforced {
+			continue
+		}
+		enforced, err := record.DecodeEnforced(object.Envelope)
+		if err != nil {
+			return Status{}, err
+		}
+		complete := enforced.Daemons >= enforced.Expected
+		status.Domains = append(status.Domains, DomainStatus{
+			Enforced: enforced,
+			InForce:  complete && enforced.Config >= status.Config,
+		})
+	}
+	slices.SortFunc(status.Domains, func(a, b DomainStatus) int { return strings.Compare(a.Domain, b.Domain) })
+	return status, nil
+}
+
+// Burn reads the burn report.
+func (c *Client) Burn(ctx context.Context, now time.Time) ([]report.Line, error) {
+	snapshot, err := c.store.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	services := worldAfter(nil, snapshot.Objects).services
+	var lines []report.Line
+	for _, object := range snapshot.Objects {
+		if object.Kind != record.KindBurn {
+			continue
+		}
+		line, err := burnLine(now, services, object)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, line)
+	}
+	slices.SortFunc(lines, func(a, b report.Line) int {
+		return strings.Compare(a.Service+a.Domain, b.Service+b.Domain)
+	})
+	return lines, nil
+}
+
+func burnLine(now time.Time, services map[string]record.Service, object platform.Object) (report.Line, error) {
+	var series report.Series
+	if err := json.Unmarshal(object.Spec, &series); err != nil {
+		return report.Line{}, &record.FieldError{Record: object.Ref(), Field: "spec", Fix: err.Error()}
+	}
+	return report.Burn(now, services[series.Service], series), nil
+}
--- /dev/null
+++ b/record/record_test.go
@@ -0,0 +1,160 @@
+package record_test
+
+import (
+	"encoding/json"
+	"errors"
+	"flag"
+	"math"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cicadarouter/record"
+)
+
+// TestMain fixes the seed of the stateful tests.
+func TestMain(m *testing.M) {
+	seeded := false
+	flag.Parse()
+	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
+	if !seeded {
+		_ = flag.Set("rapid.seed", "20261202")
+	}
+	os.Exit(m.Run())
+}
+
+func service(schema record.Schema, spec string) record.Envelope {
+	return record.Envelope{Kind: record.KindService, Name: "split", Schema: schema, Spec: json.RawMessage(spec)}
+}
+
+// TestSchemasConvertWithoutLoss: whatever v2 can say survives a round through
+// v1, and fields that this build does not know survive both.
+func TestSchemasConvertWithoutLoss(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first := map[string]any{
+			"keyed":           rapid.Bool().Draw(t, "keyed"),
+			"domains":         []string{"a", "b"},
+			"pagesPerDomain":  rapid.IntRange(1, 4096).Draw(t, "pages"),
+			"shardsPerServer": rapid.IntRange(1, 256).Draw(t, "shards"),
+			"whenCutOff":      rapid.SampledFrom([]string{"stay", "move"}).Draw(t, "whenCutOff"),
+			"weigh":           rapid.SampledFrom([]string{"churn", "unavailability"}).Draw(t, "weigh"),
+			"fencing":         rapid.SampledFrom([]string{"checked", "unchecked"}).Draw(t, "fencing"),
+			"waitForOperator": rapid.Bool().Draw(t, "wait"),
+			"deadlineMillis":  rapid.IntRange(1, 60000).Draw(t, "deadline"),
+			"objectives": map[string]any{
+				"availability":  rapid.SampledFrom([]float64{0.9, 0.99, 0.995, 0.999, 0.9995, 0.123457}).Draw(t, "availability"),
+				"latencyMillis": rapid.IntRange(1, 100).Draw(t, "latency"),
+				"latencyShare":  0.95,
+			},
+			"fromTheFuture": map[string]any{"x": rapid.Int().Draw(t, "unknown")},
+		}
+		spec, _ := json.Marshal(first)
+		decoded, err := record.DecodeService(service(record.SchemaV2, string(spec)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		old, err := decoded.Encode(record.SchemaV1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := record.DecodeService(old)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want, _ := decoded.Encode(record.SchemaV2)
+		got, _ := back.Encode(record.SchemaV2)
+		if string(want.Spec) != string(got.Spec) {
+			t.Fatalf("lost on the way through v1:\n%s\n%s", want.Spec, got.Spec)
+		}
+		if !strings.Contains(string(got.Spec), "fromTheFuture") {
+			t.Fatalf("unknown field lost: %s", got.Spec)
+		}
+	})
+}
+
+// TestBadRecords has one row for each thing that an operator can get wrong.
+func TestBadRecords(t *testing.T) {
+	rows := []struct {
+		name  string
+		spec  string
+		field string
+	}{
+		{"no domains", `{}`, "domains"},
+		{"a domain twice", `{"domains":["a","a"]}`, "domains"},
+		{"a domain's name", `{"domains":["A b"]}`, "domains"},
+		{"pages", `{"domains":["a"],"pagesPerDomain":-1}`, "pagesPerDomain"},
+		{"shards", `{"domains":["a"],"shardsPerServer":1000}`, "shardsPerServer"},
+		{"deadline", `{"domains":["a"],"deadlineMillis":100000}`, "deadlineMillis"},
+		{"when cut off", `{"domains":["a"],"whenCutOff":"panic"}`, "whenCutOff"},
+		{"weigh", `{"domains":["a"],"weigh":"both"}`, "weigh"},
+		{"fencing", `{"domains":["a"],"fencing":"maybe"}`, "fencing"},
+		{"availability", `{"domains":["a"],"objectives":{"availability":1}}`, "objectives.availability"},
+		{"type", `{"domains":"a"}`, "domains"},
+		{"no JSON", `{`, "spec"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			_, err := record.DecodeService(service(record.SchemaV2, row.spec))
+			var check *record.CheckError
+			var field *record.FieldError
+			if errors.As(err, &check) {
+				field = check.Fields[0]
+			} else {
+				assert.Assert(t, errors.As(err, &field), "got %v", err)
+			}
+			assert.Equal(t, field.Field, row.field)
+			assert.Assert(t, field.Fix != "")
+		})
+	}
+}
+
+// TestPagesCoverTheHashSpace: every hash has exactly one page and one shard.
+func TestPagesCoverTheHashSpace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := record.Service{Domains: []string{"a", "b", "c"}, PagesPerDomain: rapid.IntRange(1, 200).Draw(t, "pages")}
+		hash := rapid.OneOf(rapid.Uint64(), rapid.SampledFrom([]uint64{0, math.MaxUint64})).Draw(t, "hash")
+		index := s.PageOf(hash)
+		low, high := record.PageRange(index, s.PageCount())
+		if hash < low || hash > high {
+			t.Fatalf("hash %d is not in page %d [%d, %d]", hash, index, low, high)
+		}
+		if index > 0 {
+			_, before := record.PageRange(index-1, s.PageCount())
+			if before+1 != low {
+				t.Fatalf("gap before page %d", index)
+			}
+		}
+	})
+}
+
+// FuzzDecode: no record makes a decoder crash, and what is refused is refused
+// with a typed error.
+func FuzzDecode(f *testing.F) {
+	f.Add("service", "v1", `{"domains":["a"]}`)
+	f.Add("service", "v2", `{"domains":["a"]}`)
+	f.Add("server", "v2", `{"service":"s"}`)
+	f.Add("page", "v2", `{"shards":[{"low":0}]}`)
+	f.Add("lost", "v2", `{"scope":"host"}`)
+	f.Fuzz(func(t *testing.T, kind, schema, spec string) {
+		e := record.Envelope{Kind: record.Kind(kind), Name: "x", Schema: record.Schema(schema), Spec: json.RawMessage(spec)}
+		var errs []error
+		_, err := record.DecodeService(e)
+		errs = append(errs, err)
+		_, err = record.DecodeServer(e)
+		errs = append(errs, err)
+		_, err = record.DecodePage(e)
+		errs = append(errs, err)
+		_, err = record.DecodeLost(e)
+		errs = append(errs, err)
+		for _, err := range errs {
+			var check *record.CheckError
+			var field *record.FieldError
+			if err != nil && !errors.As(err, &check) && !errors.As(err, &field) {
+				t.Fatalf("error without a type: %T %v", err, err)
+			}
+		}
+	})
+}
--- a/record/service.go
+++ b/record/service.go
@@ -98,6 +98,8 @@
 	WaitForOperator bool    `json:"waitForOperator"`
 	LatencyMillis   int     `json:"latencyMillis"`
 	LatencyShare    float64 `json:"latencyShare"`
+	// Availability is the exact share that the percentage was made from.
+	Availability float64 `json:"availability"`
 }
 
 // Defaults of fields that a service record may leave out.
@@ -169,6 +171,9 @@
 	service.Fencing = pick(old.ChecksTokens, FencingChecked, FencingUnchecked)
 	service.DeadlineMillis = int(old.DeadlineSeconds * float64(time.Second/time.Millisecond))
 	service.Objectives.Availability = old.Availability / 100
+	if newer.Availability*100 == old.Availability {
+		service.Objectives.Availability = newer.Availability
+	}
 	service.WaitForOperator = newer.WaitForOperator
 	service.Objectives.LatencyMillis = newer.LatencyMillis
 	service.Objectives.LatencyShare = newer.LatencyShare
@@ -207,6 +212,7 @@
 		WaitForOperator: s.WaitForOperator,
 		LatencyMillis:   s.Objectives.LatencyMillis,
 		LatencyShare:    s.Objectives.LatencyShare,
+		Availability:    s.Objectives.Availability,
 	})
 	if err != nil {
 		return nil, err
--- a/router/front.go
+++ b/router/front.go
@@ -36,7 +36,9 @@
 	}
 	reply := f.serve(in.Context(), req)
 	objective := time.Duration(req.service.Objectives.LatencyMillis) * time.Millisecond
-	f.r.meters.request(req.service.Name, reply, f.r.clock.Now()-began, objective)
+	took := f.r.clock.Now() - began
+	f.r.meters.request(req.service.Name, reply, took, objective)
+	f.r.counts.note(req.service.Name, reply, took, objective)
 	write(out, req, reply)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -67,6 +67,7 @@
 	wall      func() time.Time
 	log       *log.Logger
 	meters    *meters
+	counts    counts
 
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -97,6 +98,7 @@
 		wall:      wall,
 		log:       logger,
 		meters:    newMeters(),
+		counts:    counts{services: map[string]*serviceCount{}},
 		holder:    ownership.NewHolder(incarnation),
 		pages:     map[string]*page{},
 		budget:    dispatch.NewBudget(limits.RetryShare, retryReserve),
