--- a/cmd/cicada-standin/main.go
+++ b/cmd/cicada-standin/main.go
@@ -31,6 +31,7 @@
 	}
 	add("platform", "the platform's store and host list", &platformCommand{})
 	add("servers", "backend servers of one service", &serversCommand{})
+	add("passthrough", "the baseline: a bare pass-through to backend servers", &passthroughCommand{})
 	add("records", "print the records of backend servers", &recordsCommand{})
 	_, err := parser.Parse()
 	var flagsErr *flags.Error
@@ -158,6 +159,23 @@
 	return nil
 }
 
+type passthroughCommand struct {
+	fleetOptions
+	Listen  string `long:"listen" required:"yes" value-name:"IP:PORT" description:"address for callers"`
+	Balance string `long:"balance" choice:"hash" choice:"turn" default:"hash" description:"consistent hashing, or each in turn"`
+}
+
+// Execute implements flags.Commander.
+func (c *passthroughCommand) Execute([]string) error {
+	var addresses []string
+	for _, server := range c.config().Records() {
+		addresses = append(addresses, server.Address)
+	}
+	ctx, stop := program.Signals()
+	defer stop()
+	return serve(ctx, c.Listen, standin.NewPassthrough(addresses, standin.Balance(c.Balance)))
+}
+
 func serve(ctx context.Context, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
