A caller's burst does not keep the others out; HTBS weighed

Cause: the gate fell back to whoever came when its queue was full, and estimated a newcomer's wait by the whole queue, so that fairness between those who wait did not reach those who were turned away. Change: the order says how many would go ahead of a caller and whom a full queue should shed. Conclusion: round robin stays, the tags are kept as a baseline in the bench. Also: the look-ups of a request no longer sort the hosts or format metric names.

--- /dev/null
+++ b/bench/orders.go
@@ -0,0 +1,156 @@
+package bench
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cicadarouter/dispatch"
+)
+
+// OrderResult is what an order does to calm callers while another one bursts.
+type OrderResult struct {
+	Order string
+	// Goodput is the share of the server's capacity that went to requests
+	// answered in time, CalmDone the share of calm callers' requests that were.
+	Goodput, CalmDone, BurstDone float64
+	// CalmP50 and CalmP99 are the waiting and service times of calm callers.
+	CalmP50, CalmP99 time.Duration
+}
+
+// The load that orders are compared under: one gate, in virtual time.
+const (
+	orderSlots    = 4
+	orderService  = 2 * time.Millisecond
+	orderDeadline = 100 * time.Millisecond
+	orderLength   = 60 * time.Second
+	calmCallers   = 20
+	calmRate      = 50.0 // requests per second, each
+	burstRate     = 3000.0
+)
+
+// arrival is a request of the comparison.
+type arrival struct {
+	at     time.Duration
+	caller string
+	calm   bool
+}
+
+// running is a request that holds a slot.
+type running struct {
+	ends    time.Duration
+	arrived time.Duration
+	calm    bool
+}
+
+// CompareOrders puts the same arrivals through a gate with each order. The calm
+// callers need half of the server; the burst needs one and a half.
+func CompareOrders(seed uint64) []OrderResult {
+	arrivals := orderArrivals(seed)
+	fair := float64(orderSlots) / orderService.Seconds() / (calmCallers + 1)
+	orders := []struct {
+		name  string
+		order dispatch.Order
+	}{
+		{"first in, first out", &dispatch.FIFO{}},
+		{"round robin between callers", dispatch.NewRoundRobin()},
+		{"HTBS tags", NewTagged(fair, fair/10, 10*time.Millisecond)},
+	}
+	var results []OrderResult
+	for _, entry := range orders {
+		result := simulate(arrivals, entry.order)
+		result.Order = entry.name
+		results = append(results, result)
+	}
+	return results
+}
+
+func orderArrivals(seed uint64) []arrival {
+	var arrivals []arrival
+	add := func(stream uint64, rate float64, caller string, calm bool) {
+		random := rand.New(rand.NewPCG(seed, stream))
+		for at := time.Duration(0); at < orderLength; {
+			at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+			arrivals = append(arrivals, arrival{at: at, caller: caller, calm: calm})
+		}
+	}
+	for i := range calmCallers {
+		add(uint64(i), calmRate, fmt.Sprintf("calm-%d", i), true)
+	}
+	add(calmCallers, burstRate, "burst", false)
+	slices.SortFunc(arrivals, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	return arrivals
+}
+
+// waiting pairs a waiter with its arrival.
+type waiting struct {
+	waiter  *dispatch.Waiter
+	arrival arrival
+}
+
+// simulate runs the gate in virtual time.
+func simulate(arrivals []arrival, order dispatch.Order) OrderResult {
+	gate := dispatch.NewGate(dispatch.DefaultGatePolicy(), orderSlots, order)
+	var inside []running
+	var queue []waiting
+	var calm []time.Duration
+	done := map[bool]int{}
+	admit := func(now time.Duration) {
+		kept := queue[:0]
+		for _, w := range queue {
+			select {
+			case <-w.waiter.Admitted:
+				if !w.waiter.Shed {
+					inside = append(inside, running{ends: now + orderService, arrived: w.arrival.at, calm: w.arrival.calm})
+				}
+			default:
+				kept = append(kept, w)
+			}
+		}
+		queue = kept
+	}
+	finishUntil := func(until time.Duration) {
+		for {
+			next := -1
+			for i, r := range inside {
+				if r.ends <= until && (next < 0 || r.ends < inside[next].ends) {
+					next = i
+				}
+			}
+			if next < 0 {
+				return
+			}
+			ended := inside[next]
+			inside = slices.Delete(inside, next, next+1)
+			if took := ended.ends - ended.arrived; took <= orderDeadline {
+				done[ended.calm]++
+				if ended.calm {
+					calm = append(calm, took)
+				}
+			}
+			gate.Exit(ended.ends, orderService)
+			admit(ended.ends)
+		}
+	}
+	asked := map[bool]int{}
+	for _, a := range arrivals {
+		finishUntil(a.at)
+		asked[a.calm]++
+		w := &dispatch.Waiter{Caller: a.caller, Deadline: a.at + orderDeadline, Admitted: make(chan struct{})}
+		if ok, _ := gate.Enter(a.at, w); ok {
+			queue = append(queue, waiting{waiter: w, arrival: a})
+			admit(a.at)
+		}
+	}
+	slices.Sort(calm)
+	capacity := float64(orderSlots) * orderLength.Seconds() / orderService.Seconds()
+	return OrderResult{
+		Goodput:   float64(done[true]+done[false]) / capacity,
+		CalmDone:  float64(done[true]) / float64(asked[true]),
+		BurstDone: float64(done[false]) / float64(asked[false]),
+		CalmP50:   calm[len(calm)/2],
+		CalmP99:   calm[len(calm)*99/100],
+	}
+}
--- a/cmd/cicada-bench/main.go
+++ b/cmd/cicada-bench/main.go
@@ -24,6 +24,7 @@
 	}
 	add("slopes", "cost of control by number of hosts, pages, servers and shards", &slopesCommand{})
 	add("failover", "time to serve again after losses", &failoverCommand{})
+	add("orders", "orders of a server's queue, with one caller that bursts", &ordersCommand{})
 	_, err := parser.Parse()
 	var flagsErr *flags.Error
 	switch {
@@ -91,6 +92,21 @@
 	return table.Flush()
 }
 
+type ordersCommand struct {
+	Seed uint64 `long:"seed" default:"1" description:"seed of the arrivals"`
+}
+
+// Execute implements flags.Commander.
+func (c *ordersCommand) Execute([]string) error {
+	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "ORDER\tGOODPUT\tCALM DONE\tBURST DONE\tCALM P50\tCALM P99")
+	for _, result := range bench.CompareOrders(c.Seed) {
+		fmt.Fprintf(table, "%s\t%.1f%%\t%.1f%%\t%.1f%%\t%s\t%s\n", result.Order, 100*result.Goodput,
+			100*result.CalmDone, 100*result.BurstDone, result.CalmP50.Round(10*time.Microsecond), result.CalmP99.Round(10*time.Microsecond))
+	}
+	return table.Flush()
+}
+
 type failoverCommand struct {
 	Runs  int    `long:"runs" default:"20" description:"runs of each loss"`
 	Hosts int    `long:"hosts" default:"3" description:"entry hosts of the failure domain"`
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -35,8 +35,9 @@
 	spread   map[spreadKey]map[int][]record.Server
 	rejected map[record.Ref]error
 
-	hosts    []platform.Host
-	hostsSeq uint64
+	hosts       []platform.Host
+	hostsByName map[string]platform.Host
+	hostsSeq    uint64
 
 	dispatchers    map[string]string
 	dispatchersSeq map[string]uint64
@@ -143,6 +144,10 @@
 	}
 	d.seq++
 	d.hosts = slices.Clone(hosts)
+	d.hostsByName = make(map[string]platform.Host, len(hosts))
+	for _, host := range hosts {
+		d.hostsByName[host.Name] = host
+	}
 	d.hostsSeq = d.seq
 	d.wake()
 	return true
@@ -232,9 +237,6 @@
 // PageServers returns the backend servers that belong to a page: those of its
 // service in its home domain that fall to it.
 func (d *Directory) PageServers(service record.Service, home string, index int) []record.Server {
-	if service.PagesPerDomain <= 1 {
-		return d.Servers(service.Name, home)
-	}
 	key := spreadKey{service.Name, home}
 	slot := index / max(len(service.Domains), 1)
 	d.mu.RLock()
@@ -245,7 +247,7 @@
 	}
 	servers := d.Servers(service.Name, home)
 	divided := map[int][]record.Server{}
-	placed := record.Spread(servers, service.PagesPerDomain)
+	placed := record.Spread(servers, max(service.PagesPerDomain, 1))
 	for _, server := range servers {
 		divided[placed[server.Name]] = append(divided[placed[server.Name]], server)
 	}
@@ -295,12 +297,8 @@
 func (d *Directory) Host(name string) (platform.Host, bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	for _, host := range d.hosts {
-		if host.Name == name {
-			return host, true
-		}
-	}
-	return platform.Host{}, false
+	host, ok := d.hostsByName[name]
+	return host, ok
 }
 
 // Rejected returns the records that do not decode, with the reason. The last
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -16,7 +16,6 @@
 	// while it waited.
 	Shed bool
 
-	arrived  time.Duration
 	admitted bool
 	left     bool
 }
@@ -30,6 +29,11 @@
 	Pop(now time.Duration) *Waiter
 	// Len returns the number of waiters, those that left included.
 	Len() int
+	// Ahead returns how many waiters would go before a new one of the caller.
+	Ahead(now time.Duration, caller string) int
+	// Evict removes and returns the waiter that should make room for a new one
+	// of the caller, or nil if the newcomer has no better right than any.
+	Evict(now time.Duration, caller string) *Waiter
 }
 
 // GatePolicy bounds a Gate.
@@ -79,12 +83,13 @@
 	return float64(g.inFlight+g.order.Len()) / float64(max(g.slots, 1))
 }
 
-// Wait estimates how long a request that arrives now would wait for a slot.
-func (g *Gate) Wait() time.Duration {
+// Wait estimates how long a request of the caller that arrives now would wait
+// for a slot.
+func (g *Gate) Wait(now time.Duration, caller string) time.Duration {
 	if g.inFlight < g.slots {
 		return 0
 	}
-	ahead := time.Duration(g.order.Len() + 1)
+	ahead := time.Duration(g.order.Ahead(now, caller) + 1)
 	return g.service * ahead / time.Duration(max(g.slots, 1))
 }
 
@@ -92,20 +97,42 @@
 // how long to stay away if the wait cannot fit the deadline: a request that
 // will be given up is refused at once, not when its time is over.
 func (g *Gate) Enter(now time.Duration, waiter *Waiter) (admittedOrQueued bool, comeBack time.Duration) {
-	waiter.arrived = now
 	if g.inFlight < g.slots && g.order.Len() == 0 {
 		g.admit(waiter)
 		return true, 0
 	}
-	wait := g.Wait()
-	full := g.order.Len() >= g.policy.Queue*g.slots
-	if full || now+wait+g.service > waiter.Deadline {
+	wait := g.Wait(now, waiter.Caller)
+	if now+wait+g.service > waiter.Deadline || !g.makeRoom(now, waiter.Caller) {
 		return false, max(wait, g.service)
 	}
 	g.order.Push(now, waiter)
 	return true, 0
 }
 
+// makeRoom reports whether the queue has room for a waiter of the caller. A full
+// queue sheds a waiter of whoever has most of it, so that a caller's burst does
+// not keep the others out.
+func (g *Gate) makeRoom(now time.Duration, caller string) bool {
+	if g.order.Len() < g.policy.Queue*g.slots {
+		return true
+	}
+	victim := g.order.Evict(now, caller)
+	if victim == nil {
+		return false
+	}
+	g.shed(victim)
+	return true
+}
+
+// shed tells a waiter that it will not be admitted.
+func (g *Gate) shed(waiter *Waiter) {
+	if waiter.left {
+		return
+	}
+	waiter.Shed = true
+	close(waiter.Admitted)
+}
+
 func (g *Gate) admit(waiter *Waiter) {
 	g.inFlight++
 	waiter.admitted = true
@@ -141,8 +168,7 @@
 			continue
 		}
 		if now+g.service > waiter.Deadline {
-			waiter.Shed = true
-			close(waiter.Admitted)
+			g.shed(waiter)
 			continue
 		}
 		g.admit(waiter)
@@ -152,9 +178,6 @@
 // Expel sheds everyone who waits, for a server that lost what they came for.
 func (g *Gate) Expel(now time.Duration) {
 	for waiter := g.order.Pop(now); waiter != nil; waiter = g.order.Pop(now) {
-		if !waiter.left {
-			waiter.Shed = true
-			close(waiter.Admitted)
-		}
+		g.shed(waiter)
 	}
 }
--- a/dispatch/gate_test.go
+++ b/dispatch/gate_test.go
@@ -50,6 +50,7 @@
 				case !settled(w):
 					still = append(still, w)
 				}
+				// Shed waiters are gone.
 			}
 			waiting = still
 		}
@@ -121,6 +122,26 @@
 	assert.Equal(t, taken, slots+slots*queue)
 }
 
+// Symptom: calm callers are refused while one caller bursts.
+// Sequence: the burst fills the queue; a calm caller's request comes.
+// Cause: a full queue turned away whoever came, not who filled it.
+func TestBurstDoesNotKeepOthersOut(t *testing.T) {
+	gate := dispatch.NewGate(dispatch.GatePolicy{Queue: 3, FirstService: time.Millisecond}, 1, dispatch.NewRoundRobin())
+	var burst []*dispatch.Waiter
+	for range 4 {
+		w := waiter("burst", time.Second)
+		ok, _ := gate.Enter(0, w)
+		assert.Assert(t, ok)
+		burst = append(burst, w)
+	}
+	ok, _ := gate.Enter(0, waiter("burst", time.Second))
+	assert.Assert(t, !ok, "the burst makes no room for itself")
+	ok, _ = gate.Enter(0, waiter("calm", time.Second))
+	assert.Assert(t, ok)
+	assert.Assert(t, burst[3].Shed, "the burst's newest waiter made room")
+	assert.Equal(t, gate.Waiting(), 3)
+}
+
 // TestRoundRobinIsFair: a caller's burst does not delay another caller.
 func TestRoundRobinIsFair(t *testing.T) {
 	order := dispatch.NewRoundRobin()
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -22,6 +22,20 @@
 // Len implements Order.
 func (f *FIFO) Len() int { return len(f.queue) }
 
+// Ahead implements Order.
+func (f *FIFO) Ahead(time.Duration, string) int { return len(f.queue) }
+
+// Evict implements Order: the newcomer is last and has no better right.
+func (f *FIFO) Evict(time.Duration, string) *Waiter { return nil }
+
+// popLast removes the newest waiter.
+func (f *FIFO) popLast() *Waiter {
+	last := len(f.queue) - 1
+	waiter := f.queue[last]
+	f.queue = f.queue[:last]
+	return waiter
+}
+
 // RoundRobin serves callers in turn, and each caller's waiters in the order in
 // which they came, so that one caller's burst does not delay the others.
 type RoundRobin struct {
@@ -65,3 +79,37 @@
 
 // Len implements Order.
 func (r *RoundRobin) Len() int { return r.length }
+
+// Ahead implements Order. In the rounds until a new waiter's turn, each other
+// caller gets as many turns as the newcomer's caller.
+func (r *RoundRobin) Ahead(_ time.Duration, caller string) int {
+	own := r.waitingOf(caller)
+	ahead := 0
+	for _, queue := range r.queues {
+		ahead += min(queue.Len(), own+1)
+	}
+	return ahead
+}
+
+func (r *RoundRobin) waitingOf(caller string) int {
+	if queue, known := r.queues[caller]; known {
+		return queue.Len()
+	}
+	return 0
+}
+
+// Evict implements Order: the newest waiter of the caller with the most goes,
+// if the newcomer's caller has fewer.
+func (r *RoundRobin) Evict(_ time.Duration, caller string) *Waiter {
+	longest := ""
+	for name, queue := range r.queues {
+		if longest == "" || queue.Len() > r.queues[longest].Len() || queue.Len() == r.queues[longest].Len() && name < longest {
+			longest = name
+		}
+	}
+	if longest == "" || r.queues[longest].Len() <= r.waitingOf(caller)+1 {
+		return nil
+	}
+	r.length--
+	return r.queues[longest].popLast()
+}
--- a/load/runner.go
+++ b/load/runner.go
@@ -28,7 +28,7 @@
 }
 
 // mostConnections bounds the connections to each entry host.
-const mostConnections = 256
+const mostConnections = 4096
 
 // NewRunner returns a runner.
 func NewRunner(experiment Experiment) *Runner {
--- a/router/deliver.go
+++ b/router/deliver.go
@@ -77,18 +77,20 @@
 }
 
 // candidate returns the host to try in this turn: first the one that was last
-// known to dispatch the page, then the others of the page's failure domain in
-// the order of preference.
+// known to dispatch the page, which costs a look-up only, then the others of the
+// page's failure domain in the order of preference.
 func (r *Router) candidate(req *request, turn int) string {
-	home := r.homeOf(req)
-	order := domain.DispatchOrder(req.page, r.directory.Hosts(), home)
 	hint := r.directory.Dispatcher(req.page)
-	if hint != "" {
-		order = append([]string{hint}, slices.DeleteFunc(order, func(host string) bool { return host == hint })...)
+	if hint != "" && hint != r.identity.Host {
+		if turn == 0 {
+			return hint
+		}
+		turn--
 	}
-	order = slices.DeleteFunc(order, func(host string) bool { return host == r.identity.Host })
+	order := domain.DispatchOrder(req.page, r.directory.Hosts(), r.homeOf(req))
+	order = slices.DeleteFunc(order, func(host string) bool { return host == r.identity.Host || host == hint })
 	if len(order) == 0 {
-		return ""
+		return hint
 	}
 	return order[turn%len(order)]
 }
--- a/router/meters.go
+++ b/router/meters.go
@@ -3,18 +3,41 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cicadarouter/contract/caller"
 	"cicadarouter/dispatch"
 )
 
 // meters are the router's metrics, in a set of their own so that tests can have
 // several routers in one process.
-type meters struct{ set *metrics.Set }
+type meters struct {
+	set      *metrics.Set
+	forwards *metrics.Counter
+	// requests caches what the labels of a request lead to: finding a metric by
+	// its full name costs more than the rest of the counting.
+	requests sync.Map // requestLabels -> *requestMeters
+}
+
+type requestLabels struct {
+	service string
+	outcome caller.Outcome
+	reason  caller.Reason
+}
+
+type requestMeters struct {
+	count   *metrics.Counter
+	seconds *metrics.Histogram
+	slow    *metrics.Counter
+}
 
-func newMeters() *meters { return &meters{set: metrics.NewSet()} }
+func newMeters() *meters {
+	set := metrics.NewSet()
+	return &meters{set: set, forwards: set.NewCounter("cicada_forwards_total")}
+}
 
 // Names of the metrics that the burn report reads.
 const (
@@ -24,19 +47,34 @@
 )
 
 func (m *meters) request(service string, reply dispatch.Reply, took, objective time.Duration) {
-	labels := fmt.Sprintf(`{service=%q,outcome=%q,reason=%q}`, service, reply.Outcome, reply.Reason)
-	m.set.GetOrCreateCounter(MetricRequests + labels).Inc()
-	m.set.GetOrCreateHistogram(fmt.Sprintf(`%s{service=%q}`, MetricSeconds, service)).Update(took.Seconds())
+	found := m.find(requestLabels{service: service, outcome: reply.Outcome, reason: reply.Reason})
+	found.count.Inc()
+	found.seconds.Update(took.Seconds())
 	if took > objective {
-		m.set.GetOrCreateCounter(fmt.Sprintf(`%s{service=%q}`, MetricSlow, service)).Inc()
+		found.slow.Inc()
+	}
+}
+
+func (m *meters) find(labels requestLabels) *requestMeters {
+	if known, ok := m.requests.Load(labels); ok {
+		return known.(*requestMeters)
+	}
+	all := fmt.Sprintf(`{service=%q,outcome=%q,reason=%q}`, labels.service, labels.outcome, labels.reason)
+	byService := fmt.Sprintf(`{service=%q}`, labels.service)
+	found := &requestMeters{
+		count:   m.set.GetOrCreateCounter(MetricRequests + all),
+		seconds: m.set.GetOrCreateHistogram(MetricSeconds + byService),
+		slow:    m.set.GetOrCreateCounter(MetricSlow + byService),
 	}
+	m.requests.Store(labels, found)
+	return found
 }
 
 func (m *meters) retry(cause string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cicada_retries_total{cause=%q}`, cause)).Inc()
 }
 
-func (m *meters) forwarded() { m.set.GetOrCreateCounter(`cicada_forwards_total`).Inc() }
+func (m *meters) forwarded() { m.forwards.Inc() }
 
 // WriteMetrics writes the metrics in the exposition format.
 func (r *Router) WriteMetrics(out io.Writer) { r.meters.set.WritePrometheus(out) }
--- a/router/try.go
+++ b/router/try.go
@@ -24,7 +24,7 @@
 	}
 	if !p.admitted(known, waiter) {
 		if ctx.Err() != nil {
-			return notRun(caller.ReasonDeadline, known.gate.Wait()), final
+			return notRun(caller.ReasonDeadline, time.Second), final
 		}
 		return p.afterShed(req, chosen)
 	}
