--- a/cmd/cicada-load/main.go
+++ b/cmd/cicada-load/main.go
@@ -12,9 +12,10 @@
 )
 
 type options struct {
-	Quiet bool `short:"q" long:"quiet" description:"no live progress"`
+	Quiet bool   `short:"q" long:"quiet" description:"no live progress"`
+	Plot  string `long:"plot" value-name:"HTML" description:"do not run: plot the results named, side by side, into this page"`
 	Args  struct {
-		Experiment string `positional-arg-name:"FILE" required:"yes" description:"INI file of the experiment"`
+		Files []string `positional-arg-name:"FILE" required:"1" description:"INI file of the experiment, or JSON results to plot"`
 	} `positional-args:"yes"`
 }
 
@@ -25,7 +26,13 @@
 	if code, done := program.Parse(&given); done {
 		return code
 	}
-	experiment, err := load.ReadExperiment(given.Args.Experiment)
+	if given.Plot != "" {
+		if err := load.PlotFiles(given.Plot, given.Args.Files); err != nil {
+			return program.Fail(err)
+		}
+		return program.ExitOK
+	}
+	experiment, err := load.ReadExperiment(given.Args.Files[0])
 	if err != nil {
 		return program.Usage(err)
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"cicadarouter/standin"
 )
 
 // Report is the result of a run.
@@ -24,11 +22,12 @@
 	Splits     int            `json:"splits"`
 	Runs       int            `json:"runs"`
 	Violations []Violation    `json:"violations"`
+	// Timeline tells of each second of the run.
+	Timeline []Second `json:"timeline"`
+	// Served counts the requests that each server ran.
+	Served map[string]int `json:"served"`
 	// Problem is why the run could not be judged, if it could not.
 	Problem string `json:"problem,omitempty"`
-	results []Result
-	runs    []standin.Run
-	began   time.Time
 }
 
 // StreamReport is the part of one stream.
@@ -48,7 +47,7 @@
 }
 
 func (r *Runner) report() Report {
-	report := Report{Duration: time.Since(r.began), began: r.began, results: r.results}
+	report := Report{Duration: time.Since(r.began), Served: map[string]int{}}
 	report.Moves, report.Splits = r.moves.counts()
 	for _, result := range r.results {
 		report.Requests++
@@ -64,7 +63,10 @@
 		report.Problem = "the servers' logs could not be read: " + err.Error()
 	}
 	report.Runs = len(runs)
-	report.runs = runs
+	for _, run := range runs {
+		report.Served[run.Server]++
+	}
+	report.Timeline = timeline(r.results, r.moves.times(), r.began)
 	report.Violations = Judge(r.results, runs)
 	for _, stream := range r.experiment.Streams {
 		report.Streams = append(report.Streams, streamReport(stream, r.results))
--- a/load/runner.go
+++ b/load/runner.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -155,10 +156,11 @@
 
 // moveCounter counts changes of owner in the store's pages.
 type moveCounter struct {
-	mu     sync.Mutex
-	owners map[string]map[uint64]string
-	moves  int
-	splits int
+	mu      sync.Mutex
+	owners  map[string]map[uint64]string
+	moves   int
+	splits  int
+	movedAt []time.Time
 }
 
 // follow watches the store and counts.
@@ -202,6 +204,7 @@
 			m.splits++
 		case had && before != "" && before != owner:
 			m.moves++
+			m.movedAt = append(m.movedAt, time.Now())
 		}
 	}
 	m.owners[page.Name] = fresh
@@ -212,3 +215,10 @@
 	defer m.mu.Unlock()
 	return m.moves, m.splits
 }
+
+// times returns when each shard moved.
+func (m *moveCounter) times() []time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.movedAt)
+}
--- /dev/null
+++ b/load/timeline.go
@@ -0,0 +1,64 @@
+package load
+
+import (
+	"slices"
+	"time"
+
+	"cicadarouter/contract/caller"
+)
+
+// Second is one second of a run.
+type Second struct {
+	Done    int `json:"done"`
+	NotRun  int `json:"notRun"`
+	Unknown int `json:"unknown"`
+	// P50 and P99 are in milliseconds, of calls that were due in this second
+	// and done.
+	P50   float64 `json:"p50"`
+	P99   float64 `json:"p99"`
+	Moves int     `json:"moves"`
+}
+
+// timeline sorts results into seconds.
+func timeline(results []Result, moves []time.Time, began time.Time) []Second {
+	var seconds []Second
+	var took [][]time.Duration
+	at := func(when time.Time) int {
+		index := max(0, int(when.Sub(began)/time.Second))
+		for len(seconds) <= index {
+			seconds = append(seconds, Second{})
+			took = append(took, nil)
+		}
+		return index
+	}
+	for _, result := range results {
+		index := at(result.Due)
+		switch result.Final() {
+		case caller.Done:
+			seconds[index].Done++
+			took[index] = append(took[index], result.Took)
+		case caller.NotRun:
+			seconds[index].NotRun++
+		default:
+			seconds[index].Unknown++
+		}
+	}
+	for _, moved := range moves {
+		if moved.After(began) {
+			seconds[at(moved)].Moves++
+		}
+	}
+	for i := range seconds {
+		seconds[i].P50 = millisAt(took[i], 0.5)
+		seconds[i].P99 = millisAt(took[i], 0.99)
+	}
+	return seconds
+}
+
+func millisAt(times []time.Duration, share float64) float64 {
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return float64(times[int(share*float64(len(times)-1))].Microseconds()) / 1000
+}
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -147,14 +147,16 @@
 	return l.perSlot(l.heaviest()) / mean
 }
 
-// spreadCount gives a server without any shard its share by number, taken from
-// the servers with the most. It serves servers that join, before their load
-// says anything.
+// idleShare is the part of the mean load below which a server counts as idle.
+const idleShare = 0.5
+
+// spreadCount gives idle servers their share by number, taken from the servers
+// with the most. It serves servers that join, before their load says anything.
 func (l *ledger) spreadCount(most int) []Move {
 	var moves []Move
 	share := len(l.items) / len(l.servers)
 	for _, server := range l.servers {
-		if l.count[server.Name] > 0 {
+		if l.perSlot(server.Name) > l.meanPerSlot()*idleShare {
 			continue
 		}
 		for l.count[server.Name] < share && len(moves) < most {
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,180 @@
+package placement_test
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/placement"
+	"cicadarouter/record"
+)
+
+// scene is a page whose keys have loads, and a planner that is told of them.
+type scene struct {
+	planner *placement.Planner
+	page    record.Page
+	servers []placement.Server
+	weigh   record.Weigh
+	now     time.Duration
+	loads   map[uint64]float64 // by hash
+	moved   int
+}
+
+func newScene(servers, shards int) *scene {
+	s := &scene{
+		planner: placement.NewPlanner(placement.DefaultPolicy()),
+		weigh:   record.WeighUnavailability,
+		now:     time.Hour,
+		loads:   map[uint64]float64{},
+	}
+	s.page = record.Page{High: uint64(shards)*100 - 1}
+	for i := range servers {
+		s.servers = append(s.servers, placement.Server{Name: fmt.Sprintf("s%d", i), Slots: 4})
+	}
+	for i := range shards {
+		owner := s.servers[i%servers].Name
+		s.page.Shards = append(s.page.Shards, record.Shard{Low: uint64(i) * 100, Owner: owner, State: record.ShardOwned})
+	}
+	return s
+}
+
+// tick reports loads, takes a plan and carries it out at once.
+func (s *scene) tick() placement.Plan {
+	s.now += 150 * time.Millisecond
+	s.planner.Observe(s.now, s.shardLoads())
+	plan := s.planner.Plan(placement.World{Now: s.now, Page: s.page, Weigh: s.weigh, Servers: s.servers})
+	for _, at := range plan.Splits {
+		index := s.page.ShardAt(at)
+		fresh := s.page.Shards[index]
+		fresh.Low = at
+		s.page.Shards = append(s.page.Shards[:index+1], append([]record.Shard{fresh}, s.page.Shards[index+1:]...)...)
+	}
+	for _, move := range plan.Moves {
+		s.page.Shards[s.page.ShardAt(move.Low)].Owner = move.To
+		s.moved++
+	}
+	return plan
+}
+
+func (s *scene) shardLoads() []placement.ShardLoad {
+	loads := make([]placement.ShardLoad, len(s.page.Shards))
+	for i, shard := range s.page.Shards {
+		loads[i].Low = shard.Low
+	}
+	for _, hash := range slices.Sorted(maps.Keys(s.loads)) {
+		load := &loads[s.page.ShardAt(hash)]
+		load.Rate += s.loads[hash]
+		load.Hot = append(load.Hot, placement.HotHash{Hash: hash, Rate: s.loads[hash]})
+	}
+	for i := range loads {
+		slices.SortStableFunc(loads[i].Hot, func(a, b placement.HotHash) int { return cmp.Compare(b.Rate, a.Rate) })
+	}
+	return loads
+}
+
+// imbalance is the most loaded server over the mean.
+func (s *scene) imbalance() float64 {
+	byServer := map[string]float64{}
+	total := 0.0
+	for hash, rate := range s.loads {
+		byServer[s.page.Shards[s.page.ShardAt(hash)].Owner] += rate
+		total += rate
+	}
+	most := 0.0
+	for _, load := range byServer {
+		most = max(most, load)
+	}
+	return most * float64(len(s.servers)) / total
+}
+
+func (s *scene) run(d time.Duration) {
+	for range int(d / (150 * time.Millisecond)) {
+		s.tick()
+	}
+}
+
+// TestLoadEvensOut: an uneven load is even within 10 s, without a hot key.
+func TestLoadEvensOut(t *testing.T) {
+	s := newScene(5, 40)
+	for i := range 40 {
+		s.loads[uint64(i)*100+50] = 0.02 + 0.1*float64(i%7)*float64(i%5)
+	}
+	before := s.imbalance()
+	s.run(10 * time.Second)
+	assert.Assert(t, s.imbalance() <= 1.25, "%.2f before, %.2f after", before, s.imbalance())
+	assert.Assert(t, s.moved < 40)
+}
+
+// TestHotKeyStays: the neighbours of a hot key move away from it; the key
+// itself does not move.
+func TestHotKeyStays(t *testing.T) {
+	s := newScene(5, 40)
+	for i := range 400 {
+		s.loads[uint64(i)*10+5] = 0.01
+	}
+	const hot = 1234
+	s.loads[hot] = 1.2
+	owner := s.page.Shards[s.page.ShardAt(hot)].Owner
+	s.run(10 * time.Second)
+	assert.Equal(t, s.page.Shards[s.page.ShardAt(hot)].Owner, owner)
+	total := 0.01*400 + 1.2
+	best := 1.2 / (total / 5) // the hot key alone on its server
+	assert.Assert(t, s.imbalance() <= max(best, 1)*1.15, "%.2f, at best %.2f", s.imbalance(), best)
+}
+
+// TestOneSampleMovesNothing: a single misleading report is not acted on.
+func TestOneSampleMovesNothing(t *testing.T) {
+	s := newScene(5, 40)
+	for i := range 40 {
+		s.loads[uint64(i)*100+50] = 0.2
+	}
+	s.run(3 * time.Second)
+	s.moved = 0
+	s.loads[50] = 2
+	s.tick()
+	s.loads[50] = 0.2
+	s.run(3 * time.Second)
+	assert.Equal(t, s.moved, 0)
+}
+
+// TestChurnIsWeighed: a service that weighs churn moves less for the same load.
+func TestChurnIsWeighed(t *testing.T) {
+	moves := map[record.Weigh]int{}
+	for _, weigh := range []record.Weigh{record.WeighUnavailability, record.WeighChurn} {
+		s := newScene(5, 40)
+		s.weigh = weigh
+		for i := range 40 {
+			s.loads[uint64(i)*100+50] = 0.02 + 0.1*float64(i%7)*float64(i%5)
+		}
+		s.run(10 * time.Second)
+		moves[weigh] = s.moved
+	}
+	assert.Assert(t, moves[record.WeighChurn] < moves[record.WeighUnavailability], "%v", moves)
+}
+
+// TestServerLeavesAndJoins: a server that may own nothing loses all its shards
+// at once, spread over the others; one that joins gets its share.
+func TestServerLeavesAndJoins(t *testing.T) {
+	s := newScene(5, 40)
+	all := s.servers
+	s.servers = all[1:]
+	plan := s.tick()
+	assert.Equal(t, len(plan.Moves), 8)
+	for _, shard := range s.page.Shards {
+		assert.Assert(t, shard.Owner != "s0")
+	}
+	s.servers = all
+	s.run(10 * time.Second)
+	owned := 0
+	for _, shard := range s.page.Shards {
+		if shard.Owner == "s0" {
+			owned++
+		}
+	}
+	assert.Equal(t, owned, 8)
+}
