--- a/bench/failover.go
+++ b/bench/failover.go
@@ -24,12 +24,13 @@
 	LoseHost          Loss = "host of assigner or dispatcher lost"
 	LoseStore         Loss = "store down throughout"
 	LoseStoreAndRoute Loss = "store down, dispatch router lost"
+	LoseAndReplace    Loss = "store down, assigner's host replaced"
 	MoveShard         Loss = "server drains (planned move)"
 )
 
 // Losses lists all kinds.
 func Losses() []Loss {
-	return []Loss{LoseServer, LoseController, LoseBoth, LoseRouter, LoseHost, LoseStore, LoseStoreAndRoute, MoveShard}
+	return []Loss{LoseServer, LoseController, LoseBoth, LoseRouter, LoseHost, LoseStore, LoseStoreAndRoute, LoseAndReplace, MoveShard}
 }
 
 // testKey is the key whose unavailability is measured.
@@ -100,6 +101,11 @@
 		s.kill(s.host(s.dispatcher(page)))
 	case LoseStore:
 		s.store.down.Store(true)
+	case LoseAndReplace:
+		s.store.down.Store(true)
+		lost := s.host(page.Group[0])
+		s.kill(lost)
+		s.replace(lost)
 	case LoseStoreAndRoute:
 		s.store.down.Store(true)
 		s.killRouter(s.host(s.dispatcher(page)))
--- a/bench/site.go
+++ b/bench/site.go
@@ -156,7 +156,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	h := &entryHost{name: name, stop: stop}
 	h.controller = domain.NewController(domain.Identity{Host: name, Domain: domainName}, ownership.DefaultTerms(),
-		domain.DefaultTiming(), s.store, directory.New(), s.network, s.dialer(), clock.System(), logs.Discard())
+		domain.DefaultTiming(), s.store, directory.New(), s.network, s.dialer(), s.seeds(), clock.System(), logs.Discard())
 	identity := router.Identity{Host: name, Domain: domainName}
 	dir := directory.New()
 	h.router = router.New(identity, router.DefaultLimits(), dir, s.network, clock.System(), time.Now, rand.Uint64()|1, logs.Discard())
@@ -170,6 +170,15 @@
 	return h
 }
 
+// seeds are the links of the first hosts, as the settings of a host would name them.
+func (s *Site) seeds() domain.Seeds {
+	var seeds domain.Seeds
+	for i := range min(s.config.Hosts, 3) {
+		seeds = append(seeds, hostName(i)+"/c")
+	}
+	return seeds
+}
+
 // dialer returns the way to backend servers, which counts what a grant and its
 // answer take.
 func (s *Site) dialer() domain.ServerDialer {
@@ -230,6 +239,15 @@
 // killRouter makes only a host's router unreachable.
 func (s *Site) killRouter(h *entryHost) { s.network.remove(h.name + "/r") }
 
+// replace starts empty daemons at a lost host's name and addresses.
+func (s *Site) replace(lost *entryHost) {
+	for i, h := range s.hosts {
+		if h == lost {
+			s.hosts[i] = s.startHost(i)
+		}
+	}
+}
+
 // Close ends the site.
 func (s *Site) Close() {
 	for _, h := range s.hosts {
--- a/domain/controller.go
+++ b/domain/controller.go
@@ -33,6 +33,10 @@
 	Dispatch(address string) linkpb.DispatchClient
 }
 
+// Seeds are the link addresses of controllers that records may be learned from
+// when the store does not answer at start.
+type Seeds []string
+
 // ServerDialer returns the control interface of a backend server.
 type ServerDialer func(server record.Server) backend.Control
 
@@ -66,6 +70,7 @@
 	directory *directory.Directory
 	links     Links
 	dial      ServerDialer
+	seeds     Seeds
 	clock     clock.Clock
 	log       *log.Logger
 	meters    *meters
@@ -91,7 +96,7 @@
 
 // NewController returns a controller that has not started.
 func NewController(identity Identity, terms ownership.Terms, timing Timing, store platform.Store,
-	dir *directory.Directory, links Links, dial ServerDialer, clk clock.Clock, logger *log.Logger) *Controller {
+	dir *directory.Directory, links Links, dial ServerDialer, seeds Seeds, clk clock.Clock, logger *log.Logger) *Controller {
 	c := &Controller{
 		identity:  identity,
 		terms:     terms,
@@ -100,6 +105,7 @@
 		directory: dir,
 		links:     links,
 		dial:      dial,
+		seeds:     seeds,
 		clock:     clk,
 		log:       logger,
 		meters:    newMeters(),
--- a/domain/serve.go
+++ b/domain/serve.go
@@ -92,7 +92,7 @@
 	var seq uint64
 	var sentAt time.Time
 	for {
-		if request.GetRelay() && !s.c.storeAnswers.Load() {
+		if request.GetRelay() && !request.GetCached() && !s.c.storeAnswers.Load() {
 			return errStoreAway
 		}
 		delta, changed := s.c.directory.Since(seq, filter)
--- a/domain/watch.go
+++ b/domain/watch.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
 	"cicadarouter/contract/platform"
+	"cicadarouter/directory"
+	"cicadarouter/link/linkpb"
 )
 
 // Delays between attempts to reach the store.
@@ -51,11 +54,44 @@
 			listed = false
 		default:
 			c.log.Debug("store does not answer", "error", err)
-			sleep(ctx, retry.NextBackOff())
+			c.bridgeOutage(ctx, listed, turn, retry.NextBackOff())
 		}
 	}
 }
 
+// bridgeOutage spends the wait until the store is tried again. A controller that
+// started during the outage spends it learning what its peers know: it then can
+// renew their pages with them, although its own voice counts only once it has
+// read the store.
+func (c *Controller) bridgeOutage(ctx context.Context, listed bool, turn int, wait time.Duration) {
+	peers := c.knownPeers()
+	if listed || len(peers) == 0 {
+		sleep(ctx, wait)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, max(wait, bridgeFor))
+	defer cancel()
+	request := &linkpb.RecordsRequest{From: c.identity.Host, Domain: c.identity.Domain, Relay: true, Cached: true}
+	err := directory.Follow(ctx, c.links.Control(peers[turn%len(peers)]), request, c.takeRelayed)
+	c.log.Debug("learning from a peer ended", "error", err)
+	sleep(ctx, storeRetryFirst)
+}
+
+// bridgeFor is how long a peer is followed before the store is tried again.
+const bridgeFor = 2 * time.Second
+
+// knownPeers lists other controllers' links: those of the settings and those of
+// this domain's hosts.
+func (c *Controller) knownPeers() []string {
+	peers := slices.Clone([]string(c.seeds))
+	for _, host := range c.directory.Hosts() {
+		if host.Domain == c.identity.Domain && host.Name != c.identity.Host && !slices.Contains(peers, host.Link) {
+			peers = append(peers, host.Link)
+		}
+	}
+	return peers
+}
+
 func (c *Controller) listOnce(ctx context.Context) error {
 	began := c.clock.Now()
 	snapshot, err := c.store.List(ctx)
--- a/host/controller.go
+++ b/host/controller.go
@@ -46,6 +46,8 @@
 	return httpstore.New(s.Store, s.Domain)
 }
 
+func controllerSeeds(s ControllerSettings) domain.Seeds { return s.Peers }
+
 func newLinks(creds LinkCredentials) *link.Pool { return link.NewPool(creds) }
 
 // serverIdleConnections is what a controller keeps open to one backend server.
--- a/host/wire.go
+++ b/host/wire.go
@@ -23,6 +23,7 @@
 	controllerIdentity,
 	controllerLog,
 	controllerStore,
+	controllerSeeds,
 	newLinks,
 	newServerDialer,
 	domain.NewController,
--- a/host/wire_gen.go
+++ b/host/wire_gen.go
@@ -31,9 +31,10 @@
 	directoryDirectory := directory.New()
 	pool := newLinks(linkCredentials)
 	serverDialer := newServerDialer()
+	seeds := controllerSeeds(s)
 	clockClock := clock.System()
 	logger := controllerLog(s)
-	controller := domain.NewController(identity, terms, timing, store, directoryDirectory, pool, serverDialer, clockClock, logger)
+	controller := domain.NewController(identity, terms, timing, store, directoryDirectory, pool, serverDialer, seeds, clockClock, logger)
 	controllerDaemon := &ControllerDaemon{
 		settings:   s,
 		creds:      linkCredentials,
@@ -79,6 +80,7 @@
 	controllerIdentity,
 	controllerLog,
 	controllerStore,
+	controllerSeeds,
 	newLinks,
 	newServerDialer, domain.NewController, wire.Bind(new(domain.Links), new(*link.Pool)), wire.Struct(new(ControllerDaemon), "*"),
 )
