Controllers hold and hear of their own pages only; a lookup retries its hint

Cause 1: a site of 425 hosts and 425 pages did not settle in 60 s: every controller ranked every host for every missing page at every tick, and looked through all pages. Change: the domain's three watchers make and take over pages; a controller keeps its domain's pages and is sent those of whose groups it is a member; the loop ticks its own pages only. Change: every other turn goes to the hint, which may have changed.

--- a/cmd/cicada-bench/main.go
+++ b/cmd/cicada-bench/main.go
@@ -82,6 +82,7 @@
 	for _, size := range c.sizes() {
 		sample, err := bench.Measure(size, settle, time.Duration(c.Seconds)*time.Second)
 		if err != nil {
+			_ = table.Flush()
 			return err
 		}
 		fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%.3f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.2f\t%.1f\t%d\t%d\t\n",
--- a/directory/delta.go
+++ b/directory/delta.go
@@ -19,8 +19,9 @@
 	Seq uint64
 }
 
-// Filter says which records a consumer needs.
-type Filter func(object platform.Object) bool
+// Filter says which records a consumer needs. page is the decoded record of a
+// page, and empty for other kinds.
+type Filter func(object platform.Object, page record.Page) bool
 
 // Since returns what changed after seq and passes the filter, and a channel
 // that is closed at the next change.
@@ -29,7 +30,7 @@
 	defer d.mu.RUnlock()
 	delta := Delta{Seq: d.seq, Revision: d.revision, Dispatchers: map[string]string{}}
 	for _, known := range d.entries {
-		if known.seq > seq && filter(known.object) {
+		if known.seq > seq && filter(known.object, d.pageOf(known.object)) {
 			delta.Objects = append(delta.Objects, known.object)
 		}
 	}
@@ -48,23 +49,38 @@
 	return delta, d.changed
 }
 
-// ControllerRecords passes what a controller needs: all but the reports, which
-// change often and are read by operators only.
-func ControllerRecords(object platform.Object) bool {
-	return object.Kind != record.KindEnforced && object.Kind != record.KindBurn
+// pageOf returns the decoded page of an object. The caller holds d.mu.
+func (d *Directory) pageOf(object platform.Object) record.Page {
+	if object.Kind != record.KindPage {
+		return record.Page{}
+	}
+	return d.pages[object.Name]
+}
+
+// ControllerRecords passes what a controller needs: operators' records, and the
+// pages of whose groups its host is a member. A page changes with every move of
+// a shard; sending it to all hosts of a domain would cost each of them more than
+// its share of control.
+func ControllerRecords(host string) Filter {
+	return func(object platform.Object, page record.Page) bool {
+		if object.Kind == record.KindPage {
+			return slices.Contains(page.Voters(), host)
+		}
+		return object.Kind.Operators()
+	}
 }
 
 // RouterRecords passes what a router needs: all services and what operators
-// declared lost, and its own domain's servers. Pages reach a router with
-// its dispatch leases, so that it holds no other assignment.
+// declared lost, and its own domain's servers. Pages reach a router with its
+// dispatch leases, so that it holds no other assignment.
 func RouterRecords(domain string) Filter {
-	return func(object platform.Object) bool {
+	return func(object platform.Object, _ record.Page) bool {
 		switch object.Kind {
 		case record.KindService, record.KindLost:
 			return true
 		case record.KindServer:
 			server, err := record.DecodeServer(object.Envelope)
-			return object.Deleted || err != nil || server.Domain == domain
+			return object.Deleted || err == nil && server.Domain == domain
 		}
 		return false
 	}
--- a/domain/controller.go
+++ b/domain/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -179,7 +180,11 @@
 
 // learn takes objects into the directory and tells voter and loop of new pages.
 func (c *Controller) learn(objects []platform.Object, revision uint64) {
-	for _, ref := range c.directory.Apply(objects, revision) {
+	wanted := slices.DeleteFunc(slices.Clone(objects), func(object platform.Object) bool {
+		return !c.concerns(object)
+	})
+	accepted := c.directory.Apply(wanted, revision)
+	for _, ref := range accepted {
 		if ref.Kind != record.KindPage {
 			continue
 		}
@@ -190,11 +195,34 @@
 		c.voter.learn(page.Name, page.Generation)
 		c.post(pageLearned{page: page})
 	}
+	if len(accepted) > 0 {
+		c.tellRejected()
+	}
+}
+
+func (c *Controller) tellRejected() {
 	for ref, err := range c.directory.Rejected() {
 		c.log.Warn("record does not decode, its last good version stays in force", "record", ref.String(), "error", err)
 	}
 }
 
+// concerns reports whether an object is worth keeping: not the reports, which
+// only operators read, and of the pages only those of this failure domain, or
+// those that were. All domains' pages together would not fit a small host.
+func (c *Controller) concerns(object platform.Object) bool {
+	switch object.Kind {
+	case record.KindPage:
+		if _, _, known := c.directory.Page(object.Name); known {
+			return true
+		}
+		page, err := record.DecodePage(object.Envelope)
+		return err != nil || page.Home == c.identity.Domain
+	case record.KindEnforced, record.KindBurn:
+		return false
+	}
+	return true
+}
+
 // newAttempt mints the id of a write.
 func newAttempt() string { return uuid.Must(uuid.NewV7()).String() }
 
--- a/domain/create.go
+++ b/domain/create.go
@@ -11,41 +11,78 @@
 	"cicadarouter/record"
 )
 
-// createRetry is how long a controller waits before it tries again to make a page.
-const createRetry = time.Second
+// Pages are made and taken over by the domain's watchers, which know all of its
+// pages. The first acts at once; each other one waits longer, in case that those
+// before it are gone. The conditional update settles races.
+const (
+	createRetry   = time.Second
+	watcherStep   = 3 * time.Second
+	notAWatcher   = -1
+	pagesPerRound = 64
+)
+
+// watcherRank returns this controller's place among its domain's watchers.
+func (l *loop) watcherRank() int {
+	return slices.Index(l.c.watchers(), l.c.identity.Host)
+}
+
+// myTurn reports whether this controller should act on something that waits for
+// the domain's watchers.
+func (l *loop) myTurn(now time.Duration, what string) bool {
+	rank := l.watcherRank()
+	if rank == notAWatcher {
+		return false
+	}
+	since, known := l.noticed[what]
+	if !known {
+		l.noticed[what] = now
+		since = now
+	}
+	if now-since < time.Duration(rank)*watcherStep {
+		return false
+	}
+	if tried, ok := l.created[what]; ok && now-tried < createRetry {
+		return false
+	}
+	l.created[what] = now
+	return true
+}
 
-// createPages makes the pages of this domain that do not exist yet. Only the
-// first member of the group that a page will have tries; the conditional update
-// settles races.
+// createPages makes the pages of this domain that do not exist yet.
 func (l *loop) createPages(now time.Duration) {
-	if !l.c.voter.established() {
+	if !l.c.voter.established() || l.watcherRank() == notAWatcher {
 		return // pages may exist that this process has not seen
 	}
+	made := 0
 	for _, service := range l.c.directory.Services() {
 		for index := range service.PageCount() {
-			if service.PageHome(index) == l.c.identity.Domain {
-				l.createPage(now, service, index)
+			if service.PageHome(index) == l.c.identity.Domain && made < pagesPerRound && l.createPage(now, service, index) {
+				made++
 			}
 		}
 	}
+	if made == pagesPerRound {
+		l.rescanDue = now // more wait
+	}
 }
 
-func (l *loop) createPage(now time.Duration, service record.Service, index int) {
+// createPage makes a page if it is missing, and reports whether it tried.
+func (l *loop) createPage(now time.Duration, service record.Service, index int) bool {
 	name := record.PageName(service.Name, index)
 	if _, _, exists := l.c.directory.Page(name); exists {
-		return
+		delete(l.noticed, name)
+		return false
 	}
-	group := groupFor(name, l.c.directory.Hosts(), l.c.identity.Domain)
-	if len(group) == 0 || group[0] != l.c.identity.Host {
-		return
+	if !l.myTurn(now, name) {
+		return false
 	}
-	if tried, ok := l.created[name]; ok && now-tried < createRetry {
-		return
+	group := groupFor(name, l.c.directory.Hosts(), l.c.identity.Domain)
+	if len(group) == 0 {
+		return false
 	}
-	l.created[name] = now
-	servers := len(l.c.directory.Servers(service.Name, l.c.identity.Domain)) / service.PagesPerDomain
-	page := newPage(service, index, group, max(servers, 1))
-	l.c.createPage(page)
+	servers := len(l.c.directory.PageServers(service, l.c.identity.Domain, index))
+	l.c.createPage(newPage(service, index, group, max(servers, 1)))
+	return true
 }
 
 // newPage lays a page out in shards of equal width.
@@ -96,37 +133,47 @@
 // takeOverLost takes pages of domains that operators declared lost.
 func (l *loop) takeOverLost(now time.Duration) {
 	lost := l.c.directory.Lost(record.LostDomain)
-	if len(lost) == 0 {
+	if len(lost) == 0 || !l.myTurn(now, "lost domains") {
 		return
 	}
-	for _, page := range l.c.directory.Pages() {
-		if slices.Contains(lost, page.Home) {
-			l.takeOver(now, page, lost)
-		}
-	}
+	hosts := l.c.directory.Hosts()
+	l.c.duty(func() { l.c.takeOver(lost, hosts) })
 }
 
-// takeOver writes the page to this domain, if this domain is the one that
-// should have it and this controller would be its assigner.
-func (l *loop) takeOver(now time.Duration, page record.Page, lost []string) {
-	service, ok := l.c.directory.Service(page.Service)
-	if !ok {
+// takeOver reads all pages from the store, since only the own domain's are kept,
+// and writes those that this domain inherits.
+func (c *Controller) takeOver(lost []string, hosts []platform.Host) {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	snapshot, err := c.store.List(ctx)
+	if err != nil {
 		return
 	}
-	if Heir(page.Name, service, lost) != l.c.identity.Domain {
-		return
+	for _, object := range snapshot.Objects {
+		page, err := record.DecodePage(object.Envelope)
+		if object.Kind != record.KindPage || err != nil || !slices.Contains(lost, page.Home) {
+			continue
+		}
+		service, ok := c.directory.Service(page.Service)
+		if !ok || Heir(page.Name, service, lost) != c.identity.Domain {
+			continue
+		}
+		c.takeOverPage(ctx, object, page, hosts)
 	}
-	group := groupFor(page.Name, l.c.directory.Hosts(), l.c.identity.Domain)
-	if len(group) == 0 || group[0] != l.c.identity.Host {
+}
+
+func (c *Controller) takeOverPage(ctx context.Context, object platform.Object, page record.Page, hosts []platform.Host) {
+	group := groupFor(page.Name, hosts, c.identity.Domain)
+	next := ownership.TakeOver(page, c.identity.Domain, group, newAttempt())
+	envelope, err := next.Encode()
+	if err != nil || len(group) == 0 {
 		return
 	}
-	if tried, ok := l.created[page.Name]; ok && now-tried < createRetry {
-		return
+	version, err := c.store.Update(ctx, envelope, object.Version)
+	c.log.Warn("taking a page over from a lost domain", "page", page.Name, "from", page.Home, "error", err)
+	if err == nil {
+		c.learn([]platform.Object{{Envelope: envelope, Version: version}}, 0)
 	}
-	l.created[page.Name] = now
-	next := ownership.TakeOver(page, l.c.identity.Domain, group, newAttempt())
-	l.c.log.Warn("taking a page over from a lost domain", "page", page.Name, "from", page.Home)
-	l.out.writes = append(l.out.writes, next)
 }
 
 // Heir returns the failure domain that takes a page whose home is lost, or ""
--- a/domain/events.go
+++ b/domain/events.go
@@ -12,14 +12,7 @@
 
 type pageLearned struct{ page record.Page }
 
-func (e pageLearned) apply(l *loop, now time.Duration) {
-	state, known := l.pages[e.page.Name]
-	if !known {
-		return
-	}
-	state.machine.Learn(now, e.page)
-	l.pump(now, state)
-}
+func (e pageLearned) apply(l *loop, now time.Duration) { l.takePage(now, e.page) }
 
 type asksAnswered struct {
 	host    string
--- a/domain/loop.go
+++ b/domain/loop.go
@@ -33,6 +33,11 @@
 	out     outbox
 	started time.Duration
 	created map[string]time.Duration
+	// rescanDue is when all known pages are looked through again.
+	rescanDue time.Duration
+	// noticed is when this controller first saw that something waits for the
+	// watchers of its domain.
+	noticed map[string]time.Duration
 }
 
 func newLoop(c *Controller) *loop {
@@ -42,6 +47,7 @@
 		servers: map[string]*serverHealth{},
 		routers: map[string]*routerHealth{},
 		created: map[string]time.Duration{},
+		noticed: map[string]time.Duration{},
 		started: c.clock.Now(),
 		out:     newOutbox(),
 	}
@@ -81,16 +87,33 @@
 	}
 }
 
+// rescanEvery is how often all known pages are looked through, in case that the
+// ring was full when one was learned.
+const rescanEvery = 2 * time.Second
+
 func (l *loop) tick(now time.Duration) {
-	l.createPages(now)
-	for _, page := range l.c.directory.Pages() {
-		if !slices.Contains(page.Voters(), l.c.identity.Host) {
-			delete(l.pages, page.Name)
-			continue
+	if now >= l.rescanDue {
+		l.rescanDue = now + rescanEvery
+		for _, page := range l.c.directory.Pages() {
+			l.takePage(now, page)
 		}
-		l.tickPage(now, l.page(now, page))
+		l.createPages(now)
+		l.takeOverLost(now)
+	}
+	for _, state := range l.pages {
+		l.tickPage(now, state)
+	}
+}
+
+// takePage begins or ends this controller's part in a page, as its group says.
+func (l *loop) takePage(now time.Duration, page record.Page) {
+	if !slices.Contains(page.Voters(), l.c.identity.Host) {
+		delete(l.pages, page.Name)
+		return
 	}
-	l.takeOverLost(now)
+	state := l.page(now, page)
+	state.machine.Learn(now, page)
+	l.pump(now, state)
 }
 
 // page returns the state of a page of whose group this controller is a member.
@@ -102,7 +125,6 @@
 			planner: placement.NewPlanner(placement.DefaultPolicy()),
 		}
 		l.pages[page.Name] = state
-		state.machine.Learn(now, page)
 	}
 	return state
 }
--- a/router/deliver.go
+++ b/router/deliver.go
@@ -76,23 +76,24 @@
 	return r.forward(ctx, req, host)
 }
 
-// candidate returns the host to try in this turn: first the one that was last
-// known to dispatch the page, which costs a look-up only, then the others of the
-// page's failure domain in the order of preference.
+// candidate returns the host to try in this turn. Every other turn it is the one
+// that was last known to dispatch the page, which costs a look-up only and may
+// have changed since the last turn; between those, the others of the page's
+// failure domain are tried in the order of preference.
 func (r *Router) candidate(req *request, turn int) string {
 	hint := r.directory.Dispatcher(req.page)
-	if hint != "" && hint != r.identity.Host {
-		if turn == 0 {
-			return hint
-		}
-		turn--
+	if hint == r.identity.Host {
+		hint = ""
+	}
+	if hint != "" && turn%2 == 0 {
+		return hint
 	}
 	order := domain.DispatchOrder(req.page, r.directory.Hosts(), r.homeOf(req))
 	order = slices.DeleteFunc(order, func(host string) bool { return host == r.identity.Host || host == hint })
 	if len(order) == 0 {
 		return hint
 	}
-	return order[turn%len(order)]
+	return order[(turn/2)%len(order)]
 }
 
 // homeOf returns the failure domain whose hosts dispatch the page. A page that
