Loads are told once a second and without idle shards; changes measured

Cause: the slopes showed 4.5 B/s of link traffic for each shard, since routers told every shard's load with each renewal.

--- /dev/null
+++ b/bench/changes.go
@@ -0,0 +1,101 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"cicadarouter/record"
+)
+
+// Changes starts a site, changes a record again and again, and returns how long
+// each change took until every daemon had it in force. Half-way a controller is
+// lost, with the streams that hung on it.
+func Changes(config Config, count int) ([]time.Duration, error) {
+	site, err := Start(config)
+	if err != nil {
+		return nil, err
+	}
+	defer site.Close()
+	const settle = 20 * time.Second
+	if err := site.Settle(settle); err != nil {
+		return nil, err
+	}
+	lost := -1
+	var times []time.Duration
+	for i := range count {
+		if i == count/2 {
+			lost = config.Hosts - 1
+			site.killController(site.hosts[lost])
+		}
+		took, err := site.change(i, lost)
+		if err != nil {
+			return times, err
+		}
+		times = append(times, took)
+	}
+	return times, nil
+}
+
+// change writes a new number of slots for a server and waits until it is in
+// force.
+func (s *Site) change(number, lost int) (time.Duration, error) {
+	ctx := context.Background()
+	ref := record.Ref{Kind: record.KindServer, Name: s.fleetConfig().ServerName(0)}
+	object, err := s.store.Store.Get(ctx, ref)
+	if err != nil {
+		return 0, err
+	}
+	server, err := record.DecodeServer(object.Envelope)
+	if err != nil {
+		return 0, err
+	}
+	server.Slots = slots + 1 + number%10
+	envelope, err := server.Encode(record.SchemaV2)
+	if err != nil {
+		return 0, err
+	}
+	began := time.Now()
+	if _, err := s.store.Store.Update(ctx, envelope, object.Version); err != nil {
+		return 0, err
+	}
+	return s.waitInForce(ref.Name, server.Slots, lost, began)
+}
+
+// NotInForceError reports a change that did not reach every daemon in time.
+type NotInForceError struct{}
+
+// Error implements error.
+func (e *NotInForceError) Error() string { return "a change is not in force after 30 s" }
+
+func (s *Site) waitInForce(server string, wanted, lost int, began time.Time) (time.Duration, error) {
+	const (
+		poll  = time.Millisecond
+		limit = 30 * time.Second
+	)
+	for time.Since(began) < limit {
+		missing := 0
+		for i, h := range s.hosts {
+			if !h.hasSlots(server, wanted, i != lost) {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return time.Since(began), nil
+		}
+		time.Sleep(poll)
+	}
+	return 0, &NotInForceError{}
+}
+
+// hasSlots reports whether the host's daemons have the server's new record.
+func (h *entryHost) hasSlots(server string, wanted int, controllerToo bool) bool {
+	found, ok := h.routerDirectory.Server(server)
+	if !ok || found.Slots != wanted {
+		return false
+	}
+	if !controllerToo {
+		return true
+	}
+	found, ok = h.controllerDirectory.Server(server)
+	return ok && found.Slots == wanted
+}
--- a/bench/site.go
+++ b/bench/site.go
@@ -49,7 +49,10 @@
 	router     *router.Router
 	front      *router.Front
 	controller *domain.Controller
-	stop       context.CancelFunc
+	// The two daemons' copies of the records.
+	routerDirectory      *directory.Directory
+	controllerDirectory  *directory.Directory
+	stop, stopController context.CancelFunc
 }
 
 // Site runs one failure domain.
@@ -154,18 +157,19 @@
 func (s *Site) startHost(index int) *entryHost {
 	name := hostName(index)
 	ctx, stop := context.WithCancel(context.Background())
-	h := &entryHost{name: name, stop: stop}
+	controlling, stopController := context.WithCancel(ctx)
+	dir := directory.New()
+	h := &entryHost{name: name, stop: stop, stopController: stopController, routerDirectory: dir, controllerDirectory: directory.New()}
 	h.controller = domain.NewController(domain.Identity{Host: name, Domain: domainName}, ownership.DefaultTerms(),
-		domain.DefaultTiming(), s.store, directory.New(), s.network, s.dialer(), s.seeds(), clock.System(), logs.Discard())
+		domain.DefaultTiming(), s.store, h.controllerDirectory, s.network, s.dialer(), s.seeds(), clock.System(), logs.Discard())
 	identity := router.Identity{Host: name, Domain: domainName}
-	dir := directory.New()
 	h.router = router.New(identity, router.DefaultLimits(), dir, s.network, clock.System(), time.Now, rand.Uint64()|1, logs.Discard())
 	h.front = router.NewFront(h.router)
 	s.network.mu.Lock()
 	s.network.controls[name+"/c"] = domain.NewLinkServer(h.controller)
 	s.network.dispatchs[name+"/r"] = router.NewLinkServer(h.router)
 	s.network.mu.Unlock()
-	s.running.Go(func() { h.controller.Run(ctx) })
+	s.running.Go(func() { h.controller.Run(controlling) })
 	s.running.Go(func() { router.Feed(ctx, dir, s.network, identity, []string{name + "/c"}) })
 	return h
 }
@@ -233,7 +237,7 @@
 // killController ends only a host's controller.
 func (s *Site) killController(h *entryHost) {
 	s.network.remove(h.name + "/c")
-	h.stop()
+	h.stopController()
 }
 
 // killRouter makes only a host's router unreachable.
--- a/cmd/cicada-bench/main.go
+++ b/cmd/cicada-bench/main.go
@@ -25,6 +25,7 @@
 	add("slopes", "cost of control by number of hosts, pages, servers and shards", &slopesCommand{})
 	add("failover", "time to serve again after losses", &failoverCommand{})
 	add("orders", "orders of a server's queue, with one caller that bursts", &ordersCommand{})
+	add("changes", "time until a changed record is in force on every daemon", &changesCommand{})
 	_, err := parser.Parse()
 	var flagsErr *flags.Error
 	switch {
@@ -108,6 +109,24 @@
 	return table.Flush()
 }
 
+type changesCommand struct {
+	Count int `long:"count" default:"100" description:"number of changes"`
+	Hosts int `long:"hosts" default:"10" description:"entry hosts of the failure domain"`
+}
+
+// Execute implements flags.Commander.
+func (c *changesCommand) Execute([]string) error {
+	config := bench.Config{Hosts: c.Hosts, Pages: c.Hosts, Servers: 5 * c.Hosts, Shards: 4}
+	times, err := bench.Changes(config, c.Count)
+	if err != nil {
+		return err
+	}
+	slices.Sort(times)
+	fmt.Printf("%d changes on %d hosts: median %d ms, worst %d ms\n", len(times), c.Hosts,
+		times[len(times)/2].Milliseconds(), times[len(times)-1].Milliseconds())
+	return nil
+}
+
 type failoverCommand struct {
 	Runs  int    `long:"runs" default:"20" description:"runs of each loss"`
 	Hosts int    `long:"hosts" default:"3" description:"entry hosts of the failure domain"`
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -72,14 +72,17 @@
 	Hot  []HotHash
 }
 
-// Read returns the loads since the last reading and starts anew. Shards without
-// load are told as idle, so that their averages fall. shardOf returns the first
-// hash of the shard that a hash lies in.
-func (m *LoadMeter) Read(now time.Duration, shards []uint64, shardOf func(hash uint64) uint64) []ShardRate {
+// Since returns when the present reading began.
+func (m *LoadMeter) Since() time.Duration { return m.since }
+
+// Read returns the loads of the shards that were not idle since the last
+// reading, and starts anew. shardOf returns the first hash of the shard that a
+// hash lies in.
+func (m *LoadMeter) Read(now time.Duration, shardOf func(hash uint64) uint64) []ShardRate {
 	elapsed := float64(max(now-m.since, time.Millisecond))
 	hot := m.hotByShard(elapsed, shardOf)
-	rates := make([]ShardRate, 0, len(shards))
-	for _, low := range shards {
+	rates := make([]ShardRate, 0, len(m.shards))
+	for _, low := range slices.Sorted(maps.Keys(m.shards)) {
 		rate := float64(m.shards[low]) / elapsed
 		rates = append(rates, ShardRate{Low: low, Rate: rate, Hot: hottest(hot[low], rate)})
 	}
--- a/domain/events.go
+++ b/domain/events.go
@@ -115,7 +115,9 @@
 			Leaving:     e.reply.GetLeaving(),
 		})
 		l.noteSigns(now, status)
-		state.planner.Observe(now, shardLoads(status))
+		if status.GetMeasured() {
+			state.planner.Observe(now, shardLoads(status))
+		}
 		l.pump(now, state)
 	}
 }
--- a/link/link.go
+++ b/link/link.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,9 @@
 	reconnectFirst  = 50 * time.Millisecond
 	reconnectMost   = 500 * time.Millisecond
 	maxMessageBytes = 16 << 20
+	// windowBytes is the flow-control window of streams and connections. A fixed
+	// one keeps gRPC from probing the path with a ping for each burst of data.
+	windowBytes = 1 << 20
 )
 
 // Pool keeps one connection to each address. It is safe for concurrent use.
@@ -59,6 +63,8 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithStatsHandler(sentHandler{}),
+		grpc.WithStaticStreamWindowSize(windowBytes),
+		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			MinConnectTimeout: connectTimeout,
@@ -136,5 +142,8 @@
 		grpc.Creds(creds),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
+		grpc.NumStreamWorkers(uint32(runtime.GOMAXPROCS(0))),
 	)
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -104,9 +104,19 @@
 	return &Planner{policy: policy, loads: map[uint64]*average{}, owners: map[string]float64{}}
 }
 
-// Observe takes the loads of shards as a dispatch router reports them.
+// Observe takes the loads of shards as a dispatch router reports them. Shards
+// that it leaves out were idle.
 func (p *Planner) Observe(now time.Duration, loads []ShardLoad) {
 	p.observed = now
+	told := make(map[uint64]bool, len(loads))
+	for _, load := range loads {
+		told[load.Low] = true
+	}
+	for low, known := range p.loads {
+		if !told[low] {
+			known.add(now, p.policy.Smoothing, ShardLoad{Low: low})
+		}
+	}
 	for _, load := range loads {
 		known, ok := p.loads[load.Low]
 		if !ok {
--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -40,7 +40,7 @@
 	requests atomic.Int64
 }
 
-func startFake(t *testing.T, scripts ...script) *fakeServer {
+func startFake(t testing.TB, scripts ...script) *fakeServer {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -103,7 +103,7 @@
 	callers *httptest.Server
 }
 
-func startSite(t *testing.T, address string) *site {
+func startSite(t testing.TB, address string) *site {
 	dir := directory.New()
 	apply := func(envelope record.Envelope, err error) {
 		assert.NilError(t, err)
@@ -125,7 +125,7 @@
 }
 
 // lease gives the router a generation of the page.
-func (s *site) lease(t *testing.T, generation uint64, owner string) {
+func (s *site) lease(t testing.TB, generation uint64, owner string) {
 	page := record.Page{Service: "split", Home: "a", High: 1<<64 - 1, Generation: generation,
 		Shards: []record.Shard{{Owner: owner, Token: generation, State: record.ShardOwned}}}
 	encoded, err := json.Marshal(page)
--- a/router/serve.go
+++ b/router/serve.go
@@ -128,13 +128,23 @@
 		known.answered = false
 		known.failed = false
 	}
-	held := p.lease.Load()
-	lows := make([]uint64, len(held.page.Shards))
-	for i, shard := range held.page.Shards {
-		lows[i] = shard.Low
+	p.reportLoads(status)
+}
+
+// loadsEvery is how often loads are told. They are averaged over a second where
+// they are used, and telling them at every renewal cost more than the renewals.
+const loadsEvery = 900 * time.Millisecond
+
+// reportLoads adds the loads of the shards that were not idle. The caller holds p.mu.
+func (p *page) reportLoads(status *linkpb.PageStatus) {
+	now := p.router.clock.Now()
+	if now-p.meter.Since() < loadsEvery {
+		return
 	}
+	held := p.lease.Load()
 	shardOf := func(hash uint64) uint64 { return held.page.Shards[held.page.ShardAt(hash)].Low }
-	for _, rate := range p.meter.Read(p.router.clock.Now(), lows, shardOf) {
+	status.Measured = true
+	for _, rate := range p.meter.Read(now, shardOf) {
 		load := &linkpb.ShardLoad{Low: rate.Low, Rate: rate.Rate}
 		for _, hot := range rate.Hot {
 			load.Hot = append(load.Hot, &linkpb.HotHash{Hash: hot.Hash, Rate: hot.Rate})
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -12,86 +12,9 @@
 mkdir -p "$dir"
 go build -o bin/ ./cmd/...
 
-pids=()
-start() { # start NAME COMMAND...: runs in the background, logs to run/NAME.log
-  local name=$1
-  shift
-  "$@" >"$dir/$name.log" 2>&1 &
-  pids+=($!)
-  last_pid=$!
-}
-
-stop_all() {
-  local pid
-  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-}
+. scripts/lib.sh
 trap stop_all EXIT
 
-# hosts_json USER BASE DOMAINS HOSTS_PER_DOMAIN [GONE]: the platform's host list
-hosts_json() {
-  local user=$1 base=$2 domains=$3 per=$4 gone=${5:-} index=0 sep=""
-  printf '['
-  for domain in $domains; do
-    for n in $(seq 1 "$per"); do
-      local port=$((base + 100 + index * 5)) name="$domain-$n"
-      index=$((index + 1))
-      [ "$name" = "$gone" ] && continue
-      printf '%s{"name":"%s","domain":"%s","link":"127.0.0.1:%d","routerLink":"127.0.0.1:%d"}' \
-        "$sep" "$name" "$domain" $((port + 3)) $((port + 1))
-      sep=,
-    done
-  done
-  printf ']\n'
-}
-
-# start_hosts USER BASE DOMAINS HOSTS_PER_DOMAIN: sets entries
-start_hosts() {
-  local user=$1 base=$2 domains=$3 per=$4 index=0
-  entries=""
-  for domain in $domains; do
-    local controllers="" first=$index
-    for n in $(seq 1 "$per"); do
-      controllers+="${controllers:+, }127.0.0.1:$((base + 100 + (first + n - 1) * 5 + 3))"
-    done
-    for n in $(seq 1 "$per"); do
-      local port=$((base + 100 + index * 5)) name="$domain-$n"
-      index=$((index + 1))
-      cat >"$dir/$name-controller.ini" <<INI
-[host]
-name = $name
-domain = $domain
-
-[listen]
-link = 127.0.0.1:$((port + 3))
-admin = 127.0.0.1:$((port + 4))
-
-[platform]
-store = 127.0.0.1:$base
-INI
-      cat >"$dir/$name-router.ini" <<INI
-[host]
-name = $name
-domain = $domain
-
-[listen]
-callers = 127.0.0.1:$port
-link = 127.0.0.1:$((port + 1))
-admin = 127.0.0.1:$((port + 2))
-
-[control]
-controllers = $controllers
-INI
-      start "$name-controller" bin/cicada-controller --settings "$dir/$name-controller.ini"
-      controller_pid[$name]=$last_pid
-      start "$name-router" bin/cicada-router --settings "$dir/$name-router.ini"
-      router_pid[$name]=$last_pid
-      entries+="${entries:+, }127.0.0.1:$port/127.0.0.1:$((port + 2))"
-    done
-  done
-}
-declare -A controller_pid router_pid
-
 fleets=""
 # start_fleet BASE SERVICE DOMAINS COUNT OFFSET SLOTS CONNECTIONS WORK
 start_fleet() {
@@ -108,14 +31,11 @@
   printf '\n[stream.%s]\nservice = %s\nrate = %s\nkeyed = %s\nwrites = %s\nkeys = %s\n' "$1" "$2" $(($3 * rate_factor)) "$4" "$5" "$6"
 }
 
-service_record() { # NAME KEYED DOMAINS_JSON WEIGH
-  printf '{"kind":"service","name":"%s","schema":"v2","spec":{"keyed":%s,"domains":%s,"weigh":"%s"}}\n' "$1" "$2" "$3" "$4"
-}
-
 echo "== starting two users' systems"
 swan=21000 punch=22000
-hosts_json swanline $swan "perth-a perth-b perth-c" 3 >"$dir/hosts-$swan.json"
-hosts_json punchline $punch "tbilisi-a tbilisi-b tbilisi-c" 3 >"$dir/hosts-$punch.json"
+perth_domains="perth-a perth-b perth-c" tbilisi_domains="tbilisi-a tbilisi-b tbilisi-c"
+hosts_json "$perth_domains" 3 $swan >"$dir/hosts-$swan.json"
+hosts_json "$tbilisi_domains" 3 $punch >"$dir/hosts-$punch.json"
 start swanline-platform bin/cicada-standin platform --listen 127.0.0.1:$swan --hosts "$dir/hosts-$swan.json"
 start punchline-platform bin/cicada-standin platform --listen 127.0.0.1:$punch --hosts "$dir/hosts-$punch.json"
 
@@ -138,17 +58,14 @@
 start_fleet $punch reports tbilisi-a,tbilisi-b,tbilisi-c 9 350 2 110 2ms
 punch_fleets=$fleets
 
-start_hosts swanline $swan "perth-a perth-b perth-c" 3
+start_hosts "$perth_domains" 3 $swan
 swan_entries=$entries
-start_hosts punchline $punch "tbilisi-a tbilisi-b tbilisi-c" 3
+start_hosts "$tbilisi_domains" 3 $punch
 punch_entries=$entries
 
 echo "== applying records"
 for base in $swan $punch; do
-  for _ in $(seq 50); do
-    bin/cicadactl --store 127.0.0.1:$base list >/dev/null 2>&1 && break
-    sleep 0.1
-  done
+  wait_store 127.0.0.1:$base
   bin/cicadactl --store 127.0.0.1:$base apply "$dir/records-$base.json" | awk '{n[$2]++} END {for (a in n) print n[a], "records", a}'
 done
 sleep 3
@@ -167,10 +84,10 @@
 echo "== load for $load_seconds s; a backend server of each freezes at 5 s, an entry host of each is lost at 12 s"
 (
   sleep 12
-  kill -KILL "${controller_pid[perth-b-1]}" "${router_pid[perth-b-1]}" "${controller_pid[tbilisi-c-2]}" "${router_pid[tbilisi-c-2]}"
+  kill -KILL "${pid_of[perth-b-1-controller]}" "${pid_of[perth-b-1-router]}" "${pid_of[tbilisi-c-2-controller]}" "${pid_of[tbilisi-c-2-router]}"
   sleep 2
-  hosts_json swanline $swan "perth-a perth-b perth-c" 3 perth-b-1 >"$dir/hosts-$swan.json"
-  hosts_json punchline $punch "tbilisi-a tbilisi-b tbilisi-c" 3 tbilisi-c-2 >"$dir/hosts-$punch.json"
+  hosts_json "$perth_domains" 3 $swan perth-b-1 >"$dir/hosts-$swan.json"
+  hosts_json "$tbilisi_domains" 3 $punch tbilisi-c-2 >"$dir/hosts-$punch.json"
 ) 2>/dev/null &
 killer=$!
 bin/cicada-load --quiet "$dir/punchline.ini" >"$dir/punchline.txt" &
@@ -186,6 +103,13 @@
 echo "== Punchline Homes Inspect"
 cat "$dir/punchline.txt"
 
+echo
+echo "== configuration in force, and burn"
+for base in $swan $punch; do
+  bin/cicadactl --store 127.0.0.1:$base status
+  bin/cicadactl --store 127.0.0.1:$base report
+done
+
 echo
 echo "== stopping gracefully"
 stop_all
