--- a/domain/health.go
+++ b/domain/health.go
@@ -101,7 +101,6 @@
 type routerHealth struct {
 	asked      bool
 	lastAnswer time.Duration
-	leaving    bool
 	avoidUntil time.Duration
 }
 
@@ -119,15 +118,21 @@
 	h.lastAnswer = now
 }
 
+// noteAnswer takes an answer. A router that leaves is left out for a while, not
+// for good: nobody asks a router that is left out, so nobody would learn that
+// another run of it has come back.
 func (h *routerHealth) noteAnswer(now time.Duration, leaving bool) {
 	h.lastAnswer = now
-	h.leaving = leaving
+	if leaving {
+		h.asked = false
+		h.avoidUntil = now + routerAvoid
+	}
 }
 
 // usable reports whether the router may be chosen. A silent one is left out for
 // a while, then tried again.
 func (h *routerHealth) usable(now time.Duration) bool {
-	if h.leaving || now < h.avoidUntil {
+	if now < h.avoidUntil {
 		return false
 	}
 	if h.asked && now-h.lastAnswer >= routerSilence {
--- a/ownership/advance.go
+++ b/ownership/advance.go
@@ -130,8 +130,8 @@
 	if slices.Contains(m.view.LostServers, shard.Owner) {
 		return true
 	}
-	drained := m.terms.Guard(m.terms.Lease + m.view.DrainWait)
-	if now < gathered.majorityAt+drained {
+	lastSent := max(gathered.majorityAt+m.terms.Guard(m.terms.Lease), m.takeoverSettledAt())
+	if now < lastSent+m.terms.Guard(m.view.DrainWait) {
 		return false
 	}
 	return m.confirmed(shard, gathered) || !m.view.WaitForOperator
@@ -158,14 +158,21 @@
 // takeoverSettled reports whether the domain that had the page before can no
 // longer renew it.
 func (m *Machine) takeoverSettled(now time.Duration) bool {
+	return now >= m.takeoverSettledAt()
+}
+
+// takeoverSettledAt returns when nothing that the domain that had the page
+// before may have granted can run any more. Its group is not asked: it may be
+// cut off, and a new group's word says nothing of it.
+func (m *Machine) takeoverSettledAt() time.Duration {
 	if m.page.TakenOver == 0 {
-		return true
+		return 0
 	}
 	wait := m.terms.Guard(m.terms.Lease)
 	if m.page.Bounded {
 		wait += m.terms.Guard(m.terms.StoreAway)
 	}
-	return now >= m.takenSeen+wait
+	return m.takenSeen + wait
 }
 
 // finishGroup drops the old group once no lease that it alone agreed to can run.
--- a/ownership/faults_test.go
+++ b/ownership/faults_test.go
@@ -50,8 +50,8 @@
 
 func settledWorld(t *testing.T, bounded, unchecked bool) *world {
 	w := plainWorld(bounded, unchecked)
-	for _, c := range w.controllers {
-		w.read(c)
+	for _, name := range w.controllerNames() {
+		w.read(w.controllers[name])
 	}
 	w.runTicks(t, 20)
 	assert.Assert(t, w.page.Shards[0].Grantable())
@@ -129,6 +129,31 @@
 	assert.Assert(t, m.Ready().Write != nil)
 }
 
+// Symptom: a request runs at an unchecked server after its key's new owner has
+// run another.
+// Sequence: a domain is cut off and another takes its page. The first domain's
+// router goes on until its bounded lease ends, and its last request is slow.
+// Cause: the wait for requests in flight began when the new group had stopped,
+// not when the old domain's routers had.
+func TestUncheckedTakeOverWaitsForTheLastRequest(t *testing.T) {
+	terms := testTerms()
+	const drain = 150 * time.Millisecond
+	m := ownership.NewMachine(terms, "d1", func() string { return "attempt" })
+	page := ownership.TakeOver(record.Page{
+		Name: testPage, High: pageHigh, Generation: 1, GroupSince: 1, Bounded: true, Group: []string{"c1"},
+		Shards: []record.Shard{{Owner: "s1", Token: 1, State: record.ShardOwned}},
+	}, "b", []string{"d1"}, "taken")
+	view := ownership.View{Active: true, Eligible: []string{"s2"}, Unchecked: true, DrainWait: drain}
+	m.Learn(0, page)
+	m.Tick(0, view)
+	m.Promised(0, 1, "d1", ownership.Promise{})
+	lastSent := terms.Guard(terms.Lease) + terms.Guard(terms.StoreAway)
+	m.Tick(lastSent+terms.Guard(drain)-1, view)
+	assert.Assert(t, m.Ready().Write == nil, "the old domain's last request may be on its way")
+	m.Tick(lastSent+terms.Guard(drain), view)
+	assert.Assert(t, m.Ready().Write != nil)
+}
+
 // Symptom: two servers hold a key after a member of the group was replaced.
 // Sequence: a member promises to stop a generation and is replaced at its
 // address; a member that is cut off from the store asks the newcomer to agree
--- a/ownership/fuzz_test.go
+++ b/ownership/fuzz_test.go
@@ -47,8 +47,8 @@
 // explore takes random actions in a new world.
 func explore(t *rapid.T, unchecked bool) {
 	w := drawnWorld(t, unchecked)
-	for _, c := range w.controllers {
-		w.read(c)
+	for _, name := range w.controllerNames() {
+		w.read(w.controllers[name])
 	}
 	w.settle(t)
 	a := actions{w}
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -160,8 +160,8 @@
 	}
 	w.history = []record.Page{w.page}
 	w.version = 1
-	for _, c := range w.controllers {
-		w.startController(c)
+	for _, name := range w.controllerNames() {
+		w.startController(w.controllers[name])
 	}
 	for _, name := range serverNames {
 		w.holders[name] = &holder{process: newProcess(name), kind: ownership.BackendServer}
@@ -169,8 +169,8 @@
 	for _, name := range routerNames {
 		w.holders[name] = &holder{process: newProcess(name), kind: ownership.Router}
 	}
-	for _, h := range w.holders {
-		w.startHolder(h)
+	for _, name := range append(slices.Clone(serverNames), routerNames...) {
+		w.startHolder(w.holders[name])
 	}
 	return w
 }
