--- a/ownership/faults_test.go
+++ b/ownership/faults_test.go
@@ -122,7 +122,7 @@
 	m.Promised(0, 1, "c1", ownership.Promise{})
 	m.Promised(0, 1, "c2", ownership.Promise{})
 	terms := testTerms()
-	drained := terms.Guard(terms.Lease + view.DrainWait)
+	drained := terms.Guard(terms.Lease) + terms.Guard(view.DrainWait)
 	m.Tick(drained-1, view)
 	assert.Assert(t, m.Ready().Write == nil, "the key was given away while a request may be on its way")
 	m.Tick(drained, view)
