--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Two commands do everything: "make run" runs the main job on embedded
 # stand-ins, "make test" passes the tests.
-.PHONY: run test check generate
+.PHONY: run test check mutants fuzz slopes failover changes compare stops generate
 
 run:
 	./scripts/run.sh
@@ -8,5 +8,38 @@
 test:
 	go test ./...
 
+# What CI runs.
 check:
 	./.ci/run
+
+# Breaks one rule of the code at a time and expects the tests to notice; minutes.
+mutants:
+	go run ./tools/mutants
+
+# A longer search than the tests make, from another seed: make fuzz SEED=7
+SEED ?= 1
+fuzz:
+	go test ./ownership -run AtMostOneOwner -timeout 60m -rapid.checks=20000 -rapid.steps=60 -rapid.seed=$(SEED) -v
+
+# Cost of control by size, then at the size of one failure domain of the plan.
+slopes:
+	go run ./cmd/cicada-bench slopes
+	go run ./cmd/cicada-bench slopes --large
+
+failover:
+	go run ./cmd/cicada-bench failover
+
+changes:
+	go run ./cmd/cicada-bench changes
+
+# The system and a bare pass-through side by side.
+compare:
+	./scripts/compare.sh
+
+# Planned stops of every part under load.
+stops:
+	./scripts/stops.sh
+
+generate:
+	go run github.com/google/wire/cmd/wire ./host
+	./link/linkpb/generate.sh
--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -58,6 +58,22 @@
 	return stats.HeapAlloc
 }
 
+// quieten waits until the store has had no writes for a while, at most for a
+// bounded time.
+func (s *Site) quieten() {
+	const (
+		quiet = 3 * time.Second
+		limit = 60 * time.Second
+	)
+	for began := time.Now(); time.Since(began) < limit; {
+		before := s.store.writes.Load()
+		time.Sleep(quiet)
+		if s.store.writes.Load() == before {
+			return
+		}
+	}
+}
+
 // Measure starts a site, lets it settle and measures its idle cost for a time.
 func Measure(config Config, settle, measured time.Duration) (Sample, error) {
 	before := heap()
@@ -69,8 +85,7 @@
 	if err := site.Settle(settle); err != nil {
 		return Sample{}, err
 	}
-	const quiet = 2 * time.Second
-	time.Sleep(quiet)
+	site.quieten()
 	from := site.read()
 	time.Sleep(measured)
 	to := site.read()
--- a/cmd/cicada-bench/main.go
+++ b/cmd/cicada-bench/main.go
@@ -42,11 +42,14 @@
 
 type slopesCommand struct {
 	Seconds int  `long:"seconds" default:"5" description:"time to measure each size"`
-	Large   bool `long:"large" description:"also the size of one failure domain of the plan"`
+	Large   bool `long:"large" description:"only the size of one failure domain of the plan"`
 }
 
 // sizes vary one number at a time around a middle.
 func (c *slopesCommand) sizes() []bench.Config {
+	if c.Large {
+		return []bench.Config{{Hosts: 425, Pages: 425, Servers: 2000, Shards: 8}}
+	}
 	middle := bench.Config{Hosts: 10, Pages: 10, Servers: 50, Shards: 8}
 	sizes := []bench.Config{middle}
 	for _, hosts := range []int{5, 20, 40} {
@@ -69,9 +72,6 @@
 		size.Shards = shards
 		sizes = append(sizes, size)
 	}
-	if c.Large {
-		sizes = append(sizes, bench.Config{Hosts: 425, Pages: 425, Servers: 2000, Shards: 8})
-	}
 	return sizes
 }
 
--- a/domain/view.go
+++ b/domain/view.go
@@ -33,7 +33,7 @@
 	for _, server := range servers {
 		view.Servers = append(view.Servers, server.Name)
 	}
-	if service.Keyed {
+	if service.Keyed && l.judged(now, page, servers) {
 		view.Eligible = l.eligible(now, state, servers)
 	}
 	return view
@@ -65,6 +65,21 @@
 	return l.c.directory.PageServers(service, page.Home, page.Index)
 }
 
+// judged reports whether owners may be chosen: at once on a page that has owners,
+// and on a new one when every server has answered or is suspected. Otherwise the
+// servers that answer first would get all shards, and most would move again.
+func (l *loop) judged(now time.Duration, page record.Page, servers []record.Server) bool {
+	for _, shard := range page.Shards {
+		if shard.Owner != "" {
+			return true
+		}
+	}
+	return !slices.ContainsFunc(servers, func(server record.Server) bool {
+		health := l.server(server.Name)
+		return health.incarnation == 0 && !health.suspected(now)
+	})
+}
+
 // eligible returns the servers that may become owners, the least loaded first.
 func (l *loop) eligible(now time.Duration, state *pageState, servers []record.Server) []string {
 	var names []string
