Controllers keep their own domain's servers only

Cause: by the measured slope, 1.6 KB for each server, the 72,000 servers of all domains would take 115 MB of a controller's 128. Change: relays and watchers leave other domains' servers out; the report of what is in force tells the store's revision, renewed at most every 10 s when nothing else is news.

--- a/directory/delta.go
+++ b/directory/delta.go
@@ -57,16 +57,17 @@
 	return d.pages[object.Name]
 }
 
-// ControllerRecords passes what a controller needs: operators' records, and the
-// pages of whose groups its host is a member. A page changes with every move of
-// a shard; sending it to all hosts of a domain would cost each of them more than
-// its share of control.
-func ControllerRecords(host string) Filter {
+// ControllerRecords passes what a controller needs: what its routers need, and
+// the pages of whose groups its host is a member. A page changes with every move
+// of a shard; sending it to all hosts of a domain would cost each of them more
+// than its share of control.
+func ControllerRecords(host, domain string) Filter {
+	others := RouterRecords(domain)
 	return func(object platform.Object, page record.Page) bool {
 		if object.Kind == record.KindPage {
 			return slices.Contains(page.Voters(), host)
 		}
-		return object.Kind.Operators()
+		return others(object, page)
 	}
 }
 
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -60,7 +60,7 @@
 				highest = max(highest, version)
 			},
 			"feed": func(t *rapid.T) {
-				delta, _ := source.Since(seq, directory.ControllerRecords("h"))
+				delta, _ := source.Since(seq, directory.ControllerRecords("h", "a"))
 				seq = delta.Seq
 				consumer.Take(directory.UpdateToLink(delta))
 				want, there := source.Service("s")
--- a/domain/controller.go
+++ b/domain/controller.go
@@ -207,8 +207,8 @@
 }
 
 // concerns reports whether an object is worth keeping: not the reports, which
-// only operators read, and of the pages only those of this failure domain, or
-// those that were. All domains' pages together would not fit a small host.
+// only operators read, and of the pages and servers only those of this failure
+// domain, or those that were. All domains' together would not fit a small host.
 func (c *Controller) concerns(object platform.Object) bool {
 	switch object.Kind {
 	case record.KindPage:
@@ -217,6 +217,9 @@
 		}
 		page, err := record.DecodePage(object.Envelope)
 		return err != nil || page.Home == c.identity.Domain
+	case record.KindServer:
+		server, err := record.DecodeServer(object.Envelope)
+		return err != nil || object.Deleted || server.Domain == c.identity.Domain
 	case record.KindEnforced, record.KindBurn:
 		return false
 	}
--- a/domain/reporting.go
+++ b/domain/reporting.go
@@ -44,6 +44,7 @@
 	revision    uint64
 	routerHeard time.Duration
 	written     record.Enforced
+	enforcedDue time.Duration
 	burnDue     time.Duration
 }
 
@@ -196,7 +197,7 @@
 	total := c.reporter.sum(now, c.identity.Host, c.directory.Revision())
 	parent := c.parent()
 	if parent == "" {
-		c.writeEnforced(ctx, total)
+		c.writeEnforced(ctx, now, total)
 		c.writeBurn(ctx, now, total)
 		return
 	}
@@ -211,31 +212,50 @@
 	}
 }
 
-// writeEnforced writes which configuration is in force, if that has changed.
-func (c *Controller) writeEnforced(ctx context.Context, total *linkpb.DomainReport) {
+// enforcedEvery is how often a report is renewed that says nothing new but that
+// the store's revision has moved on, by changes that do not concern this domain.
+const enforcedEvery = 10 * time.Second
+
+// writeEnforced writes which configuration is in force, if there is news.
+func (c *Controller) writeEnforced(ctx context.Context, now time.Duration, total *linkpb.DomainReport) {
 	live := liveHosts(c.directory.Hosts(), c.identity.Domain)
-	config := c.directory.Config()
+	if len(live) == 0 {
+		return
+	}
 	enforced := record.Enforced{
 		Domain:   c.identity.Domain,
-		Config:   min(total.GetRevision(), config),
+		Config:   total.GetRevision(),
 		Daemons:  int(total.GetDaemons()),
 		Expected: 2 * len(live),
 		Reporter: c.identity.Host,
 	}
-	if total.GetRevision() < config {
+	if total.GetRevision() < c.directory.Config() {
 		enforced.Lagging = total.GetLagging()
 	}
-	if len(live) == 0 || slices.Equal(enforced.Lagging, c.reporter.written.Lagging) && sameReport(enforced, c.reporter.written) {
+	if !c.reporter.isNews(now, enforced, c.directory.Config()) {
 		return
 	}
 	envelope, err := enforced.Encode()
 	if err == nil && c.replace(ctx, envelope) {
 		c.reporter.written = enforced
+		c.reporter.enforcedDue = now + enforcedEvery
 	}
 }
 
-func sameReport(a, b record.Enforced) bool {
-	return a.Config == b.Config && a.Daemons == b.Daemons && a.Expected == b.Expected
+// isNews reports whether a report should be written: it counts other daemons or
+// laggards than the last one, or a change that concerns this domain has come
+// into force since. Every write moves the revision, so that this alone is no news.
+func (r *reporter) isNews(now time.Duration, fresh record.Enforced, config uint64) bool {
+	last := r.written
+	switch {
+	case fresh.Daemons != last.Daemons || fresh.Expected != last.Expected:
+		return true
+	case !slices.Equal(fresh.Lagging, last.Lagging):
+		return true
+	case last.Config < config && fresh.Config > last.Config:
+		return true
+	}
+	return now >= r.enforcedDue && fresh.Config > last.Config
 }
 
 // replace writes a record that only this controller means to write, over
--- a/domain/serve.go
+++ b/domain/serve.go
@@ -85,7 +85,7 @@
 func (s *LinkServer) Records(request *linkpb.RecordsRequest, stream grpc.ServerStreamingServer[linkpb.RecordsUpdate]) error {
 	filter := directory.RouterRecords(request.GetDomain())
 	if request.GetRelay() {
-		filter = directory.ControllerRecords(request.GetFrom())
+		filter = directory.ControllerRecords(request.GetFrom(), request.GetDomain())
 	}
 	recheck := time.NewTicker(relayRecheck)
 	defer recheck.Stop()
