One place for subcommands, fixed seeds and identities

Three programs parsed subcommands each in its own way, four packages fixed their tests' seed, and controller and router had their own words for who they are and whom they reach.

--- a/bench/links.go
+++ b/bench/links.go
@@ -53,12 +53,12 @@
 	delete(n.dispatchs, address)
 }
 
-// Control implements domain.Links and router.Links.
+// Control implements link.Peers.
 func (n *network) Control(address string) linkpb.ControlClient {
 	return &controlClient{network: n, address: address}
 }
 
-// Dispatch implements domain.Links and router.Links.
+// Dispatch implements link.Peers.
 func (n *network) Dispatch(address string) linkpb.DispatchClient {
 	return &dispatchClient{network: n, address: address}
 }
--- a/bench/site.go
+++ b/bench/site.go
@@ -16,6 +16,7 @@
 	"cicadarouter/domain"
 	"cicadarouter/host/clock"
 	"cicadarouter/host/logs"
+	"cicadarouter/link"
 	"cicadarouter/ownership"
 	"cicadarouter/record"
 	"cicadarouter/router"
@@ -160,9 +161,9 @@
 	controlling, stopController := context.WithCancel(ctx)
 	dir := directory.New()
 	h := &entryHost{name: name, stop: stop, stopController: stopController, routerDirectory: dir, controllerDirectory: directory.New()}
-	h.controller = domain.NewController(domain.Identity{Host: name, Domain: domainName}, ownership.DefaultTerms(),
+	h.controller = domain.NewController(link.Identity{Host: name, Domain: domainName}, ownership.DefaultTerms(),
 		domain.DefaultTiming(), s.store, h.controllerDirectory, s.network, s.dialer(), s.seeds(), clock.System(), logs.Discard())
-	identity := router.Identity{Host: name, Domain: domainName}
+	identity := link.Identity{Host: name, Domain: domainName}
 	h.router = router.New(identity, router.DefaultLimits(), dir, s.network, clock.System(), time.Now, rand.Uint64()|1, logs.Discard())
 	h.front = router.NewFront(h.router)
 	s.network.mu.Lock()
--- a/cmd/cicada-bench/main.go
+++ b/cmd/cicada-bench/main.go
@@ -2,42 +2,23 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"slices"
 	"text/tabwriter"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"cicadarouter/bench"
 	"cicadarouter/host/program"
 )
 
 func main() {
-	parser := flags.NewParser(&struct{}{}, flags.HelpFlag|flags.PassDoubleDash)
-	add := func(name, short string, data any) {
-		if _, err := parser.AddCommand(name, short, short, data); err != nil {
-			os.Exit(program.Fail(err))
-		}
-	}
-	add("slopes", "cost of control by number of hosts, pages, servers and shards", &slopesCommand{})
-	add("failover", "time to serve again after losses", &failoverCommand{})
-	add("orders", "orders of a server's queue, with one caller that bursts", &ordersCommand{})
-	add("changes", "time until a changed record is in force on every daemon", &changesCommand{})
-	_, err := parser.Parse()
-	var flagsErr *flags.Error
-	switch {
-	case err == nil:
-		os.Exit(program.ExitOK)
-	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
-		fmt.Println(err)
-		os.Exit(program.ExitOK)
-	case errors.As(err, &flagsErr):
-		os.Exit(program.Usage(err))
-	}
-	os.Exit(program.Fail(err))
+	os.Exit(program.RunCommands(&struct{}{}, "",
+		program.Command{Name: "slopes", Short: "cost of control by number of hosts, pages, servers and shards", Data: &slopesCommand{}},
+		program.Command{Name: "failover", Short: "time to serve again after losses", Data: &failoverCommand{}},
+		program.Command{Name: "orders", Short: "orders of a server's queue, with one caller that bursts", Data: &ordersCommand{}},
+		program.Command{Name: "changes", Short: "time until a changed record is in force on every daemon", Data: &changesCommand{}},
+	))
 }
 
 type slopesCommand struct {
--- a/cmd/cicada-standin/main.go
+++ b/cmd/cicada-standin/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -23,30 +22,16 @@
 )
 
 func main() {
-	parser := flags.NewParser(&struct{}{}, flags.HelpFlag|flags.PassDoubleDash)
-	add := func(name, short string, data any) {
-		if _, err := parser.AddCommand(name, short, short, data); err != nil {
-			os.Exit(program.Fail(err))
-		}
-	}
-	add("platform", "the platform's store and host list", &platformCommand{})
-	add("servers", "backend servers of one service", &serversCommand{})
-	add("passthrough", "the baseline: a bare pass-through to backend servers", &passthroughCommand{})
-	add("records", "print the records of backend servers", &recordsCommand{})
-	_, err := parser.Parse()
-	var flagsErr *flags.Error
-	switch {
-	case err == nil:
-		os.Exit(program.ExitOK)
-	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
-		fmt.Println(err)
-		os.Exit(program.ExitOK)
-	case errors.As(err, &flagsErr):
-		os.Exit(program.Usage(err))
-	}
-	os.Exit(program.Fail(err))
+	os.Exit(program.RunCommands(&struct{}{}, "",
+		program.Command{Name: "platform", Short: "the platform's store and host list", Data: &platformCommand{}},
+		program.Command{Name: "servers", Short: "backend servers of one service", Data: &serversCommand{}},
+		program.Command{Name: "passthrough", Short: "the baseline: a bare pass-through to backend servers", Data: &passthroughCommand{}},
+		program.Command{Name: "records", Short: "print the records of backend servers", Data: &recordsCommand{}},
+	))
 }
 
+var _ flags.Commander = (*platformCommand)(nil)
+
 type platformCommand struct {
 	Listen    string        `long:"listen" required:"yes" value-name:"IP:PORT" description:"address of the store"`
 	HostsFile string        `long:"hosts" value-name:"FILE" description:"JSON list of entry hosts; it is read again when it changes"`
--- a/cmd/cicadactl/commands.go
+++ b/cmd/cicadactl/commands.go
@@ -13,6 +13,7 @@
 
 	"cicadarouter/contract/platform"
 	"cicadarouter/contract/platform/httpstore"
+	"cicadarouter/host/program"
 	"cicadarouter/operator"
 	"cicadarouter/record"
 )
@@ -20,17 +21,17 @@
 // callTimeout bounds every subcommand but watch.
 const callTimeout = 15 * time.Second
 
-func commands(shared *globals) []command {
-	return []command{
-		{"validate", "check records without a store", "Checks files of records one by one and against each other.", &validateCommand{globals: shared}},
-		{"apply", "write records", "Checks all records, then writes those that differ. Nothing is written if anything is wrong.", &applyCommand{globals: shared}},
-		{"diff", "compare records with those in force", "Shows what apply would change.", &diffCommand{globals: shared}},
-		{"get", "print one record", "Prints a record with its version, ready to edit and apply.", &getCommand{globals: shared}},
-		{"list", "list records", "Lists the records of a kind, or all.", &listCommand{globals: shared}},
-		{"delete", "delete a record", "Deletes a record, if it is still at the version given.", &deleteCommand{globals: shared}},
-		{"status", "where the configuration is in force", "Shows for each failure domain which configuration all its daemons have in force, and who lags.", &statusCommand{globals: shared}},
-		{"report", "service-level burn", "Shows how fast each service spends the budget of its objectives, by failure domain.", &reportCommand{globals: shared}},
-		{"watch", "print changes as they come", "Prints each change of a record until interrupted.", &watchCommand{globals: shared}},
+func commands(shared *globals) []program.Command {
+	return []program.Command{
+		{Name: "validate", Short: "check records without a store", Long: "Checks files of records one by one and against each other.", Data: &validateCommand{globals: shared}},
+		{Name: "apply", Short: "write records", Long: "Checks all records, then writes those that differ. Nothing is written if anything is wrong.", Data: &applyCommand{globals: shared}},
+		{Name: "diff", Short: "compare records with those in force", Long: "Shows what apply would change.", Data: &diffCommand{globals: shared}},
+		{Name: "get", Short: "print one record", Long: "Prints a record with its version, ready to edit and apply.", Data: &getCommand{globals: shared}},
+		{Name: "list", Short: "list records", Long: "Lists the records of a kind, or all.", Data: &listCommand{globals: shared}},
+		{Name: "delete", Short: "delete a record", Long: "Deletes a record, if it is still at the version given.", Data: &deleteCommand{globals: shared}},
+		{Name: "status", Short: "where the configuration is in force", Long: "Shows for each failure domain which configuration all its daemons have in force, and who lags.", Data: &statusCommand{globals: shared}},
+		{Name: "report", Short: "service-level burn", Long: "Shows how fast each service spends the budget of its objectives, by failure domain.", Data: &reportCommand{globals: shared}},
+		{Name: "watch", Short: "print changes as they come", Long: "Prints each change of a record until interrupted.", Data: &watchCommand{globals: shared}},
 	}
 }
 
@@ -62,7 +63,7 @@
 	for _, file := range files {
 		read, err := readFile(file)
 		if err != nil {
-			return nil, usageError{err}
+			return nil, &program.InputError{Cause: err}
 		}
 		documents = append(documents, read...)
 	}
@@ -94,7 +95,7 @@
 	}
 	warnings, err := operator.Check(documents, nil)
 	if err != nil {
-		return usageError{err}
+		return &program.InputError{Cause: err}
 	}
 	warn(warnings)
 	fmt.Printf("%d records are valid\n", len(documents))
@@ -162,7 +163,7 @@
 	var check *record.CheckError
 	var field *record.FieldError
 	if errors.As(err, &check) || errors.As(err, &field) {
-		return usageError{err}
+		return &program.InputError{Cause: err}
 	}
 	return err
 }
@@ -174,7 +175,7 @@
 func (a refArgs) parse() (record.Ref, error) {
 	kind, name, ok := strings.Cut(a.Ref, "/")
 	if !ok || kind == "" || name == "" {
-		return record.Ref{}, usageError{&record.FieldError{Field: "KIND/NAME", Value: a.Ref, Fix: "use a form such as service/results"}}
+		return record.Ref{}, &program.InputError{Cause: &record.FieldError{Field: "KIND/NAME", Value: a.Ref, Fix: "use a form such as service/results"}}
 	}
 	return record.Ref{Kind: record.Kind(kind), Name: name}, nil
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"flag"
-	"os"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -12,18 +10,12 @@
 	"cicadarouter/contract/platform"
 	"cicadarouter/directory"
 	"cicadarouter/record"
+
+	"cicadarouter/internal/fixedseed"
 )
 
 // TestMain fixes the seed of the stateful tests.
-func TestMain(m *testing.M) {
-	seeded := false
-	flag.Parse()
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		_ = flag.Set("rapid.seed", "20261202")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixedseed.Run(m) }
 
 func service(version uint64, deadline int, deleted bool) platform.Object {
 	spec, _ := json.Marshal(map[string]any{"domains": []string{"a"}, "deadlineMillis": deadline})
--- a/dispatch/main_test.go
+++ b/dispatch/main_test.go
@@ -1,19 +1,10 @@
 package dispatch_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"cicadarouter/internal/fixedseed"
 )
 
-// TestMain fixes the seed of the stateful tests, so that CI gives the same
-// verdict every time.
-func TestMain(m *testing.M) {
-	seeded := false
-	flag.Parse()
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		_ = flag.Set("rapid.seed", "20261202")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the stateful tests.
+func TestMain(m *testing.M) { fixedseed.Run(m) }
--- a/domain/controller.go
+++ b/domain/controller.go
@@ -15,25 +15,11 @@
 	"cicadarouter/directory"
 	"cicadarouter/host/clock"
 	"cicadarouter/host/ring"
-	"cicadarouter/link/linkpb"
+	"cicadarouter/link"
 	"cicadarouter/ownership"
 	"cicadarouter/record"
 )
 
-// Identity says which entry host a controller runs on.
-type Identity struct {
-	Host   string
-	Domain string
-}
-
-// Links gives the connections to the other processes of the system.
-type Links interface {
-	// Control returns the client of a controller's link address.
-	Control(address string) linkpb.ControlClient
-	// Dispatch returns the client of a router's link address.
-	Dispatch(address string) linkpb.DispatchClient
-}
-
 // Seeds are the link addresses of controllers that records may be learned from
 // when the store does not answer at start.
 type Seeds []string
@@ -64,12 +50,12 @@
 // Controller renews leases and moves shards for one failure domain, together
 // with the controllers of the domain's other entry hosts.
 type Controller struct {
-	identity  Identity
+	identity  link.Identity
 	terms     ownership.Terms
 	timing    Timing
 	store     platform.Store
 	directory *directory.Directory
-	links     Links
+	links     link.Peers
 	dial      ServerDialer
 	seeds     Seeds
 	clock     clock.Clock
@@ -96,8 +82,8 @@
 const eventRingSize = 4096
 
 // NewController returns a controller that has not started.
-func NewController(identity Identity, terms ownership.Terms, timing Timing, store platform.Store,
-	dir *directory.Directory, links Links, dial ServerDialer, seeds Seeds, clk clock.Clock, logger *log.Logger) *Controller {
+func NewController(identity link.Identity, terms ownership.Terms, timing Timing, store platform.Store,
+	dir *directory.Directory, links link.Peers, dial ServerDialer, seeds Seeds, clk clock.Clock, logger *log.Logger) *Controller {
 	c := &Controller{
 		identity:  identity,
 		terms:     terms,
--- a/host/controller.go
+++ b/host/controller.go
@@ -34,8 +34,8 @@
 	return newCredentials(s.TLS)
 }
 
-func controllerIdentity(s ControllerSettings) domain.Identity {
-	return domain.Identity{Host: s.Host, Domain: s.Domain}
+func controllerIdentity(s ControllerSettings) link.Identity {
+	return link.Identity{Host: s.Host, Domain: s.Domain}
 }
 
 func controllerLog(s ControllerSettings) *log.Logger {
--- a/host/router.go
+++ b/host/router.go
@@ -23,14 +23,14 @@
 	router    *router.Router
 	directory *directory.Directory
 	links     *link.Pool
-	identity  router.Identity
+	identity  link.Identity
 	log       *log.Logger
 }
 
 func routerCredentials(s RouterSettings) (LinkCredentials, error) { return newCredentials(s.TLS) }
 
-func routerIdentity(s RouterSettings) router.Identity {
-	return router.Identity{Host: s.Host, Domain: s.Domain}
+func routerIdentity(s RouterSettings) link.Identity {
+	return link.Identity{Host: s.Host, Domain: s.Domain}
 }
 
 func routerLimits(s RouterSettings) router.Limits {
--- a/host/wire.go
+++ b/host/wire.go
@@ -27,7 +27,7 @@
 	newLinks,
 	newServerDialer,
 	domain.NewController,
-	wire.Bind(new(domain.Links), new(*link.Pool)),
+	wire.Bind(new(link.Peers), new(*link.Pool)),
 	wire.Struct(new(ControllerDaemon), "*"),
 )
 
@@ -43,7 +43,7 @@
 	newIncarnation,
 	wallClock,
 	router.New,
-	wire.Bind(new(router.Links), new(*link.Pool)),
+	wire.Bind(new(link.Peers), new(*link.Pool)),
 	wire.Struct(new(RouterDaemon), "*"),
 )
 
--- a/host/wire_gen.go
+++ b/host/wire_gen.go
@@ -82,7 +82,7 @@
 	controllerStore,
 	controllerSeeds,
 	newLinks,
-	newServerDialer, domain.NewController, wire.Bind(new(domain.Links), new(*link.Pool)), wire.Struct(new(ControllerDaemon), "*"),
+	newServerDialer, domain.NewController, wire.Bind(new(link.Peers), new(*link.Pool)), wire.Struct(new(ControllerDaemon), "*"),
 )
 
 // routerSet makes a RouterDaemon from its settings.
@@ -92,5 +92,5 @@
 	routerLog,
 	newLinks,
 	newIncarnation,
-	wallClock, router.New, wire.Bind(new(router.Links), new(*link.Pool)), wire.Struct(new(RouterDaemon), "*"),
+	wallClock, router.New, wire.Bind(new(link.Peers), new(*link.Pool)), wire.Struct(new(RouterDaemon), "*"),
 )
--- a/ownership/fuzz_test.go
+++ b/ownership/fuzz_test.go
@@ -1,36 +1,21 @@
 package ownership_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"cicadarouter/ownership"
-)
 
-// steps counts the actions taken by all stateful tests of this package.
-var steps atomic.Int64
+	"cicadarouter/internal/fixedseed"
+)
 
-// TestMain fixes the seed, so that CI gives the same verdict every time. Longer
-// searches pass -rapid.seed, -rapid.checks and -rapid.steps.
-func TestMain(m *testing.M) {
-	seeded := false
-	flag.Parse()
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		_ = flag.Set("rapid.seed", "20261202")
-	}
-	code := m.Run()
-	println("stateful steps:", steps.Load())
-	os.Exit(code)
-}
+// TestMain fixes the seed of the stateful tests.
+func TestMain(m *testing.M) { fixedseed.Run(m) }
 
 // TestAtMostOneOwner drives the three state machines through every fault that
 // the brief names, singly and together, and asks the oracle after each step.
@@ -86,7 +71,7 @@
 		"fail over":      {a.failOver, 2},
 		"switch router":  {a.switchRouter, 2},
 		"cut off domain": {a.cutOffDomain, 1},
-	}, func(t *rapid.T) { steps.Add(1); w.check(t) }))
+	}, func(t *rapid.T) { w.check(t) }))
 }
 
 // weightedAction is an action that comes up weight times as often as others.
--- a/record/record_test.go
+++ b/record/record_test.go
@@ -3,10 +3,8 @@
 import (
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -15,18 +13,12 @@
 	"pgregory.net/rapid"
 
 	"cicadarouter/record"
+
+	"cicadarouter/internal/fixedseed"
 )
 
 // TestMain fixes the seed of the stateful tests.
-func TestMain(m *testing.M) {
-	seeded := false
-	flag.Parse()
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		_ = flag.Set("rapid.seed", "20261202")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixedseed.Run(m) }
 
 func service(schema record.Schema, spec string) record.Envelope {
 	return record.Envelope{Kind: record.KindService, Name: "split", Schema: schema, Spec: json.RawMessage(spec)}
--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -66,6 +66,6 @@
 	dir.SetDispatcher("split.0", "h1")
 	links := link.NewPool(insecure.NewCredentials())
 	b.Cleanup(links.Close)
-	entry := router.New(router.Identity{Host: "h2", Domain: "a"}, router.DefaultLimits(), dir, links, clock.System(), time.Now, 9, logs.Discard())
+	entry := router.New(link.Identity{Host: "h2", Domain: "a"}, router.DefaultLimits(), dir, links, clock.System(), time.Now, 9, logs.Discard())
 	serveBench(b, router.NewFront(entry))
 }
--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -22,6 +22,7 @@
 	"cicadarouter/directory"
 	"cicadarouter/host/clock"
 	"cicadarouter/host/logs"
+	"cicadarouter/link"
 	"cicadarouter/link/linkpb"
 	"cicadarouter/record"
 	"cicadarouter/router"
@@ -117,7 +118,7 @@
 	limits := router.DefaultLimits()
 	limits.AnswerBody = 1 << 20
 	limits.OwnerWait = 300 * time.Millisecond
-	r := router.New(router.Identity{Host: "h1", Domain: "a"}, limits, dir, nil, clock.System(), time.Now, 7, logs.Discard())
+	r := router.New(link.Identity{Host: "h1", Domain: "a"}, limits, dir, nil, clock.System(), time.Now, 7, logs.Discard())
 	s := &site{router: r, callers: httptest.NewServer(router.NewFront(r))}
 	t.Cleanup(s.callers.Close)
 	s.lease(t, 1, "s1")
--- a/router/feed.go
+++ b/router/feed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cicadarouter/directory"
+	"cicadarouter/link"
 	"cicadarouter/link/linkpb"
 )
 
@@ -15,7 +16,7 @@
 // Feed keeps a directory filled from any controller of a failure domain, until
 // the context ends. seeds are the controllers named in the settings; those in
 // the host list are tried too.
-func Feed(ctx context.Context, dir *directory.Directory, links Links, identity Identity, seeds []string) {
+func Feed(ctx context.Context, dir *directory.Directory, links link.Peers, identity link.Identity, seeds []string) {
 	for turn := 0; ctx.Err() == nil; turn++ {
 		addresses := controllers(dir, identity.Domain, seeds)
 		address := addresses[turn%len(addresses)]
--- a/router/router.go
+++ b/router/router.go
@@ -11,24 +11,10 @@
 	"cicadarouter/directory"
 	"cicadarouter/dispatch"
 	"cicadarouter/host/clock"
-	"cicadarouter/link/linkpb"
+	"cicadarouter/link"
 	"cicadarouter/ownership"
 )
 
-// Identity says which entry host a router runs on.
-type Identity struct {
-	Host   string
-	Domain string
-}
-
-// Links gives the connections to the other processes of the system.
-type Links interface {
-	// Control returns the client of a controller's link address.
-	Control(address string) linkpb.ControlClient
-	// Dispatch returns the client of a router's link address.
-	Dispatch(address string) linkpb.DispatchClient
-}
-
 // Limits bound what a router takes on.
 type Limits struct {
 	// InFlight is the most requests of callers at a time.
@@ -59,10 +45,10 @@
 
 // Router is the data path of one entry host. It is safe for concurrent use.
 type Router struct {
-	identity  Identity
+	identity  link.Identity
 	limits    Limits
 	directory *directory.Directory
-	links     Links
+	links     link.Peers
 	clock     clock.Clock
 	wall      func() time.Time
 	log       *log.Logger
@@ -87,7 +73,7 @@
 
 // New returns a router. incarnation must differ from that of every earlier run
 // at this address.
-func New(identity Identity, limits Limits, dir *directory.Directory, links Links,
+func New(identity link.Identity, limits Limits, dir *directory.Directory, links link.Peers,
 	clk clock.Clock, wall func() time.Time, incarnation uint64, logger *log.Logger) *Router {
 	return &Router{
 		identity:  identity,
