--- /dev/null
+++ b/domain/reporter.go
@@ -0,0 +1,158 @@
+package domain
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"cicadarouter/link/linkpb"
+	"cicadarouter/record"
+)
+
+// childReport is the last report of a child, and when it came.
+type childReport struct {
+	report *linkpb.DomainReport
+	at     time.Duration
+}
+
+// reporter gathers the reports of one controller's part of the tree.
+type reporter struct {
+	mu       sync.Mutex
+	children map[string]childReport
+	counts   map[string]*linkpb.ServiceCount // since the last report
+	// last is what the own router had counted at the last reading.
+	last        map[string]*linkpb.ServiceCount
+	incarnation uint64
+	revision    uint64
+	routerHeard time.Duration
+	written     record.Enforced
+	enforcedDue time.Duration
+	burnDue     time.Duration
+}
+
+func newReporter() *reporter {
+	return &reporter{
+		children: map[string]childReport{},
+		counts:   map[string]*linkpb.ServiceCount{},
+		last:     map[string]*linkpb.ServiceCount{},
+	}
+}
+
+// takeRouter adds what a router has counted since the last reading.
+func (r *reporter) takeRouter(now time.Duration, reply *linkpb.CountsReply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reply.GetIncarnation() != r.incarnation {
+		r.incarnation = reply.GetIncarnation()
+		clear(r.last)
+	}
+	r.revision = reply.GetRevision()
+	r.routerHeard = now
+	for _, count := range reply.GetServices() {
+		r.add(difference(count, r.last[count.GetService()]))
+		r.last[count.GetService()] = count
+	}
+}
+
+func difference(now, before *linkpb.ServiceCount) *linkpb.ServiceCount {
+	grown := &linkpb.ServiceCount{
+		Service: now.GetService(),
+		Total:   now.GetTotal() - before.GetTotal(),
+		Bad:     now.GetBad() - before.GetBad(),
+		Slow:    now.GetSlow() - before.GetSlow(),
+		Causes:  map[string]uint64{},
+	}
+	for cause, n := range now.GetCauses() {
+		if n > before.GetCauses()[cause] {
+			grown.Causes[cause] = n - before.GetCauses()[cause]
+		}
+	}
+	return grown
+}
+
+// add adds counts to those that the next report carries. The caller holds r.mu.
+func (r *reporter) add(count *linkpb.ServiceCount) {
+	sum, known := r.counts[count.GetService()]
+	if !known {
+		sum = &linkpb.ServiceCount{Service: count.GetService(), Causes: map[string]uint64{}}
+		r.counts[count.GetService()] = sum
+	}
+	sum.Total += count.GetTotal()
+	sum.Bad += count.GetBad()
+	sum.Slow += count.GetSlow()
+	for cause, n := range count.GetCauses() {
+		sum.Causes[cause] += n
+	}
+}
+
+// takeChild notes a child's report.
+func (r *reporter) takeChild(now time.Duration, child *linkpb.DomainReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.children[child.GetFrom()] = childReport{report: child, at: now}
+	for _, count := range child.GetServices() {
+		r.add(count)
+	}
+}
+
+// sum makes this controller's report: its own two daemons and its children.
+func (r *reporter) sum(now time.Duration, host string, revision uint64) *linkpb.DomainReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total := &linkpb.DomainReport{From: host, Daemons: 1, Revision: revision, Lagging: []string{host + " controller"}}
+	if now-r.routerHeard < reportAge && r.routerHeard != 0 {
+		join(total, &linkpb.DomainReport{Daemons: 1, Revision: r.revision, Lagging: []string{host + " router"}})
+	}
+	for name, child := range r.children {
+		if now-child.at >= reportAge {
+			delete(r.children, name)
+			continue
+		}
+		join(total, child.report)
+	}
+	for _, count := range r.counts {
+		total.Services = append(total.Services, count)
+	}
+	return total
+}
+
+// join adds a report to a total: the lowest revision counts, and those who are at
+// it are named.
+func join(total, part *linkpb.DomainReport) {
+	total.Daemons += part.GetDaemons()
+	switch {
+	case part.GetRevision() < total.GetRevision():
+		total.Revision = part.GetRevision()
+		total.Lagging = slices.Clone(part.GetLagging())
+	case part.GetRevision() == total.GetRevision():
+		total.Lagging = append(total.Lagging, part.GetLagging()...)
+	}
+	total.Lagging = total.Lagging[:min(len(total.Lagging), mostLagging)]
+}
+
+// reported forgets the counts that a report has carried away.
+func (r *reporter) reported(services []*linkpb.ServiceCount) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, carried := range services {
+		if sum, known := r.counts[carried.GetService()]; known && sum == carried {
+			delete(r.counts, carried.GetService())
+		}
+	}
+}
+
+// isNews reports whether a report should be written: it counts other daemons or
+// laggards than the last one, or a change that concerns this domain has come
+// into force since. Every write moves the revision, so that this alone is no news.
+func (r *reporter) isNews(now time.Duration, fresh record.Enforced, config uint64) bool {
+	last := r.written
+	switch {
+	case fresh.Daemons != last.Daemons || fresh.Expected != last.Expected:
+		return true
+	case !slices.Equal(fresh.Lagging, last.Lagging):
+		return true
+	case last.Config < config && fresh.Config > last.Config:
+		return true
+	}
+	return now >= r.enforcedDue && fresh.Config > last.Config
+}
--- a/standin/server.go
+++ b/standin/server.go
@@ -4,9 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -15,7 +13,6 @@
 	"cicadarouter/contract/backend"
 	"cicadarouter/host/clock"
 	"cicadarouter/ownership"
-	"cicadarouter/record"
 )
 
 // ServerConfig describes a backend server stand-in.
@@ -230,146 +227,3 @@
 	response.PrettyPrint(false)
 	_ = response.WriteAsJson(report)
 }
-
-// serve runs one request.
-func (s *Server) serve(out http.ResponseWriter, in *http.Request) {
-	ctx, cancel := requestContext(in)
-	defer cancel()
-	s.frozen(ctx)
-	_, _ = io.Copy(io.Discard, in.Body)
-	request := s.identify(in)
-	if refusal := s.admit(request); refusal != "" {
-		refuse(out, refusal)
-		return
-	}
-	defer s.leave(request)
-	if refusal := s.takeSlot(ctx); refusal != "" {
-		refuse(out, refusal)
-		return
-	}
-	defer func() { <-s.slots }()
-	pause(ctx, s.work())
-	s.frozen(ctx)
-	run, refusal := s.effect(ctx, in, request)
-	if refusal != "" {
-		refuse(out, refusal)
-		return
-	}
-	s.answer(out, run)
-}
-
-func requestContext(in *http.Request) (context.Context, context.CancelFunc) {
-	millis, err := strconv.Atoi(in.Header.Get(backend.HeaderDeadlineMs))
-	if err != nil {
-		return context.WithCancel(in.Context())
-	}
-	return context.WithTimeout(in.Context(), time.Duration(millis)*time.Millisecond)
-}
-
-func (s *Server) identify(in *http.Request) *inFlight {
-	key := in.Header.Get(backend.HeaderKey)
-	token, _ := strconv.ParseUint(in.Header.Get(backend.HeaderToken), 10, 64)
-	return &inFlight{
-		page:  in.Header.Get(backend.HeaderPage),
-		hash:  record.KeyHash(s.config.Service, key),
-		token: token,
-		keyed: key != "",
-	}
-}
-
-// queueFactor is how many requests may wait for each slot.
-const queueFactor = 4
-
-// admit takes a request in, or says why not.
-func (s *Server) admit(request *inFlight) backend.Refusal {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case s.faults.Draining && !request.keyed:
-		return backend.RefusedDraining
-	case s.faults.Shed || len(s.running) >= s.config.Slots*(1+queueFactor):
-		return backend.RefusedShed
-	case s.stale(request):
-		return backend.RefusedToken
-	}
-	s.running[request] = struct{}{}
-	return ""
-}
-
-// stale reports whether a server that checks tokens must refuse the request.
-func (s *Server) stale(request *inFlight) bool {
-	if !s.config.Checked || !request.keyed {
-		return false
-	}
-	return !s.holder.Holds(s.clock.Now(), request.page, request.hash, request.token)
-}
-
-func (s *Server) leave(request *inFlight) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.running, request)
-}
-
-func (s *Server) takeSlot(ctx context.Context) backend.Refusal {
-	select {
-	case s.slots <- struct{}{}:
-		return ""
-	case <-ctx.Done():
-		return backend.RefusedExpired
-	}
-}
-
-func (s *Server) work() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	work := float64(s.config.Work)
-	if s.faults.SlowFactor > 0 {
-		work *= s.faults.SlowFactor
-	}
-	if s.config.ColdFactor > 0 && s.clock.Now()-s.started < s.config.ColdFor {
-		work *= s.config.ColdFactor
-	}
-	return time.Duration(work)
-}
-
-// effect is the moment at which a request takes effect. What was true when it
-// began may have changed while it waited, worked or was frozen, so that it is
-// checked again here, under the same lock as the effect.
-func (s *Server) effect(ctx context.Context, in *http.Request, request *inFlight) (Run, backend.Refusal) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if ctx.Err() != nil {
-		return Run{}, backend.RefusedExpired
-	}
-	if s.stale(request) {
-		return Run{}, backend.RefusedToken
-	}
-	run := Run{
-		Server: s.config.Name,
-		ID:     in.Header.Get(backend.HeaderRequestID),
-		Key:    in.Header.Get(backend.HeaderKey),
-		Token:  request.token,
-		At:     time.Now(),
-	}
-	s.runs = append(s.runs, run)
-	return run, ""
-}
-
-func (s *Server) answer(out http.ResponseWriter, run Run) {
-	s.mu.Lock()
-	wrong := s.faults.WrongID
-	s.mu.Unlock()
-	id := run.ID
-	if wrong {
-		id = "00000000-0000-7000-8000-000000000000"
-	}
-	out.Header().Set(backend.HeaderRequestID, id)
-	out.Header().Set("Content-Type", "application/json")
-	body, _ := json.Marshal(run)
-	_, _ = out.Write(body)
-}
-
-func refuse(out http.ResponseWriter, refusal backend.Refusal) {
-	out.Header().Set(backend.HeaderRefused, string(refusal))
-	out.WriteHeader(http.StatusServiceUnavailable)
-}
