A refusal at the entry does not deny earlier attempts

Cause: the history of attempts was concluded inside the search for a router only; a full entry host, or a mistake in a header, told a second attempt that the request had not run. Change: the callers' side concludes for every reply. A test with symptom and sequence, a mutant.

--- a/router/deliver.go
+++ b/router/deliver.go
@@ -26,7 +26,7 @@
 	r.firstAttempt()
 	began := r.clock.Now()
 	wait := searchPauseFirst
-	history := dispatch.NewHistory(req.meta.Attempt)
+	var history dispatch.History
 	for turn := 0; ; turn++ {
 		reply := r.deliverOnce(ctx, req, turn)
 		if reply.Outcome == caller.Done || reply.Reason == caller.ReasonDeadline || !r.worthAnother(req, reply) {
--- a/router/front.go
+++ b/router/front.go
@@ -31,10 +31,13 @@
 	began := f.r.clock.Now()
 	req, problem := f.parse(out, in)
 	if problem != nil {
-		f.refuse(out, *problem)
+		f.refuse(out, in, *problem)
 		return
 	}
-	reply := f.serve(in.Context(), req)
+	// Whatever refused this attempt, an earlier one that the caller made may
+	// have run.
+	history := dispatch.NewHistory(req.meta.Attempt)
+	reply := history.Conclude(f.serve(in.Context(), req))
 	objective := time.Duration(req.service.Objectives.LatencyMillis) * time.Millisecond
 	took := f.r.clock.Now() - began
 	f.r.meters.request(req.service.Name, reply, took, objective)
@@ -187,11 +190,16 @@
 	return http.StatusBadGateway
 }
 
-// refuse answers a request that cannot be taken.
-func (f *Front) refuse(out http.ResponseWriter, p problem) {
+// refuse answers a request that cannot be taken. Its headers may be unreadable,
+// but one that claims to be a further attempt is not told that it has not run.
+func (f *Front) refuse(out http.ResponseWriter, in *http.Request, p problem) {
 	f.r.log.Debug("request refused", "reason", p.reason, "text", p.text)
+	outcome := caller.NotRun
+	if attempt := in.Header.Get(caller.HeaderAttempt); attempt != "" && attempt != "1" {
+		outcome = caller.Unknown
+	}
 	header := out.Header()
-	header.Set(caller.HeaderOutcome, string(caller.NotRun))
+	header.Set(caller.HeaderOutcome, string(outcome))
 	header.Set(caller.HeaderReason, string(p.reason))
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	out.WriteHeader(p.status)
--- a/router/run.go
+++ b/router/run.go
@@ -6,6 +6,7 @@
 
 	"cicadarouter/contract/caller"
 	"cicadarouter/dispatch"
+	"cicadarouter/record"
 )
 
 // Pauses of the dispatch loop.
@@ -183,5 +184,5 @@
 }
 
 func usable(now time.Duration, known *server) bool {
-	return now >= known.avoidUntil && known.record.State != "leaving"
+	return now >= known.avoidUntil && known.record.State != record.ServerLeaving
 }
--- a/tools/mutants/path.go
+++ b/tools/mutants/path.go
@@ -41,6 +41,8 @@
 			"	if int64"),
 		in("router", "router/page.go", "wait for an owner that has lost the key",
 			"			running.moved = true\n			running.cancel()\n", "			running.moved = true\n"),
+		in("router", "router/front.go", "deny what an earlier attempt may have done",
+			"history := dispatch.NewHistory(req.meta.Attempt)", "var history dispatch.History"),
 		in("router", "router/run.go", "forget re-sent requests",
 			"	if req.meta.Idempotent {\n		return p.dispatch(ctx, req)", "	if req.meta.Idempotent || req.meta.Attempt > 0 {\n		return p.dispatch(ctx, req)"),
 	}
