A leaving router's pages go to a successor without waiting for ticks

Cause: after a router gave its leases up, its successor was asked for its clock at the next tick and could be leased at the one after. Change: the page is ticked when the word comes, and the successor's first stamp starts a round.

--- a/domain/events.go
+++ b/domain/events.go
@@ -115,6 +115,9 @@
 			Leaving:     e.reply.GetLeaving(),
 		})
 		l.noteSigns(now, status)
+		if e.reply.GetLeaving() {
+			l.tickPage(now, state) // a successor should not wait for the next tick
+		}
 		if status.GetMeasured() {
 			state.planner.Observe(now, shardLoads(status))
 		}
--- a/ownership/holders.go
+++ b/ownership/holders.go
@@ -52,6 +52,7 @@
 	if state.stamped && ack.SentAt < state.ackSentAt {
 		return
 	}
+	first := !state.stamped
 	state.stamped = true
 	state.stamp = ack.Stamp
 	state.incarnation = ack.Incarnation
@@ -63,8 +64,12 @@
 		m.gaveUpRun = ack.Incarnation
 		m.dispatchAfter = now
 	}
-	if m.known && m.view.Active {
-		m.advance(now)
+	if !m.known || !m.view.Active {
+		return
+	}
+	m.advance(now)
+	if first && id == (HolderID{Kind: Router, Name: m.view.Dispatcher}) && m.round.dispatcher == "" {
+		m.startRound(now) // the page has waited for this stamp to be dispatched
 	}
 }
 
