--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -46,7 +46,7 @@
 
 // DefaultGatePolicy is the policy measured in docs/design/dispatch.md.
 func DefaultGatePolicy() GatePolicy {
-	const queue = 64
+	const queue = 16
 	return GatePolicy{Queue: queue, FirstService: 2 * time.Millisecond}
 }
 
--- a/router/deliver.go
+++ b/router/deliver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -18,7 +19,7 @@
 	searchPauseMost  = 100 * time.Millisecond
 	// forwardTry bounds one forward of an idempotent request, so that a frozen
 	// router is noticed while there is time for another.
-	forwardTry = 800 * time.Millisecond
+	forwardTry = 1500 * time.Millisecond
 )
 
 // deliver brings a request to its page's dispatch router and returns the reply.
@@ -114,6 +115,16 @@
 	return domain.Heir(page, service, lost)
 }
 
+// answerTime is kept for the way back, so that the other router's own word at
+// its deadline, which may be that the request has not run, arrives before ours.
+const answerTime = 5 * time.Millisecond
+
+// budget returns the time that another router may spend on a request.
+func budget(ctx context.Context) time.Duration {
+	left := remaining(ctx)
+	return left - min(answerTime, left/10)
+}
+
 // forward hands the request to another router.
 func (r *Router) forward(ctx context.Context, req *request, host string) dispatch.Reply {
 	peer, ok := r.directory.Host(host)
@@ -128,11 +139,14 @@
 		ctx, cancel = context.WithTimeout(ctx, forwardTry)
 		defer cancel()
 	}
-	reply, err := r.links.Dispatch(peer.RouterLink).Forward(ctx, req.toLink(remaining(ctx)))
-	if err != nil {
-		if !sent.Any() {
-			return notRun(caller.ReasonNoDispatcher, searchPauseMost)
-		}
+	reply, err := r.links.Dispatch(peer.RouterLink).Forward(ctx, req.toLink(budget(ctx)))
+	switch {
+	case err == nil:
+	case !sent.Any():
+		return notRun(caller.ReasonNoDispatcher, searchPauseMost)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && !req.meta.Idempotent:
+		return unknown(caller.ReasonDeadline)
+	default:
 		return unknown(caller.ReasonNoDispatcher)
 	}
 	if reply.GetDispatcher() != "" {
