Burn is told from the first ten seconds on; counts climb the tree once

Cause: the report at the end of make run showed only each service's first moment: the next write was due 30 s later; and counts that a report carried stayed in the sum, where later requests could be added to what was then dropped. Change: every 10 s; a report takes its counts along and gets them back if it does not arrive.

--- a/domain/reporter.go
+++ b/domain/reporter.go
@@ -1,6 +1,7 @@
 package domain
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -95,7 +96,8 @@
 	}
 }
 
-// sum makes this controller's report: its own two daemons and its children.
+// sum makes this controller's report: its own two daemons and its children. The
+// report takes the counts along; restore gives back what cannot be passed on.
 func (r *reporter) sum(now time.Duration, host string, revision uint64) *linkpb.DomainReport {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -110,12 +112,22 @@
 		}
 		join(total, child.report)
 	}
-	for _, count := range r.counts {
-		total.Services = append(total.Services, count)
+	for _, name := range slices.Sorted(maps.Keys(r.counts)) {
+		total.Services = append(total.Services, r.counts[name])
 	}
+	r.counts = map[string]*linkpb.ServiceCount{}
 	return total
 }
 
+// restore takes counts back that a report could not carry away.
+func (r *reporter) restore(services []*linkpb.ServiceCount) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, count := range services {
+		r.add(count)
+	}
+}
+
 // join adds a report to a total: the lowest revision counts, and those who are at
 // it are named.
 func join(total, part *linkpb.DomainReport) {
@@ -130,17 +142,6 @@
 	total.Lagging = total.Lagging[:min(len(total.Lagging), mostLagging)]
 }
 
-// reported forgets the counts that a report has carried away.
-func (r *reporter) reported(services []*linkpb.ServiceCount) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, carried := range services {
-		if sum, known := r.counts[carried.GetService()]; known && sum == carried {
-			delete(r.counts, carried.GetService())
-		}
-	}
-}
-
 // isNews reports whether a report should be written: it counts other daemons or
 // laggards than the last one, or a change that concerns this domain has come
 // into force since. Every write moves the revision, so that this alone is no news.
--- a/domain/reporting.go
+++ b/domain/reporting.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"cicadarouter/contract/platform"
 	"cicadarouter/link/linkpb"
 	"cicadarouter/record"
@@ -19,7 +21,7 @@
 const (
 	reportFanIn = 32
 	reportEvery = 2 * time.Second
-	burnEvery   = 30 * time.Second
+	burnEvery   = 10 * time.Second
 	// reportAge is how long a child's report counts.
 	reportAge    = 10 * time.Second
 	mostLagging  = 5
@@ -68,15 +70,22 @@
 		c.writeBurn(ctx, now, total)
 		return
 	}
+	if !c.sendReport(ctx, parent, total) {
+		c.reporter.restore(total.GetServices())
+	}
+}
+
+// sendReport passes a report on and reports whether it arrived. One whose reply
+// is lost is counted twice, which a burn rate bears.
+func (c *Controller) sendReport(ctx context.Context, parent string, total *linkpb.DomainReport) bool {
 	host, ok := c.directory.Host(parent)
 	if !ok {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	if _, err := c.links.Control(host.Link).Report(ctx, total); err == nil {
-		c.reporter.reported(total.GetServices())
-	}
+	_, err := c.links.Control(host.Link).Report(ctx, total)
+	return err == nil
 }
 
 // enforcedEvery is how often a report is renewed that says nothing new but that
@@ -114,48 +123,53 @@
 func (c *Controller) replace(ctx context.Context, envelope record.Envelope) bool {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	current, ok := c.current(ctx, envelope.Ref())
-	if !ok {
+	current, err := c.current(ctx, envelope.Ref())
+	if err != nil {
 		return false
 	}
-	_, err := c.store.Update(ctx, envelope, current.Version)
+	_, err = c.store.Update(ctx, envelope, current.Version)
 	return err == nil
 }
 
 // current reads a record; one that does not exist has version 0.
-func (c *Controller) current(ctx context.Context, ref record.Ref) (platform.Object, bool) {
+func (c *Controller) current(ctx context.Context, ref record.Ref) (platform.Object, error) {
 	object, err := c.store.Get(ctx, ref)
 	var missing *platform.NotFoundError
 	if errors.As(err, &missing) {
-		return platform.Object{}, true
+		return platform.Object{}, nil
 	}
-	return object, err == nil
+	return object, err
 }
 
-// writeBurn adds the counts to the burn records.
+// writeBurn adds the counts to the burn records, and keeps those that it is not
+// time for or that could not be written.
 func (c *Controller) writeBurn(ctx context.Context, now time.Duration, total *linkpb.DomainReport) {
-	if now < c.reporter.burnDue {
+	if now < c.reporter.burnDue || len(total.GetServices()) == 0 {
+		c.reporter.restore(total.GetServices())
 		return
 	}
 	c.reporter.burnDue = now + burnEvery
 	for _, count := range total.GetServices() {
-		if count.GetTotal() == 0 || !c.addBurn(ctx, count) {
+		if count.GetTotal() == 0 {
 			continue
 		}
-		c.reporter.reported([]*linkpb.ServiceCount{count})
+		if err := c.addBurn(ctx, count); err != nil {
+			c.log.Warn("burn record could not be written, its counts are kept", "service", count.GetService(), "error", err)
+			c.reporter.restore([]*linkpb.ServiceCount{count})
+		}
 	}
 }
 
 // BurnName returns the name of a service's burn record in a failure domain.
 func BurnName(domain, service string) string { return domain + "." + service }
 
-func (c *Controller) addBurn(ctx context.Context, count *linkpb.ServiceCount) bool {
+func (c *Controller) addBurn(ctx context.Context, count *linkpb.ServiceCount) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	ref := record.Ref{Kind: record.KindBurn, Name: BurnName(c.identity.Domain, count.GetService())}
-	current, ok := c.current(ctx, ref)
-	if !ok {
-		return false
+	current, err := c.current(ctx, ref)
+	if err != nil {
+		return err
 	}
 	var series report.Series
 	if current.Version != 0 {
@@ -170,10 +184,11 @@
 	series.Add(time.Now(), fresh, count.GetCauses())
 	spec, err := json.Marshal(series)
 	if err != nil {
-		return false
+		return eris.Wrap(err, "encoding a burn record")
 	}
-	_, err = c.store.Update(ctx, record.Envelope{Kind: ref.Kind, Name: ref.Name, Schema: record.SchemaV2, Spec: spec}, current.Version)
-	return err == nil
+	envelope := record.Envelope{Kind: ref.Kind, Name: ref.Name, Schema: record.SchemaV2, Spec: spec}
+	_, err = c.store.Update(ctx, envelope, current.Version)
+	return err
 }
 
 // Report implements linkpb.ControlServer.
