--- a/directory/directory.go
+++ b/directory/directory.go
@@ -7,6 +7,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 
 	"cicadarouter/contract/platform"
@@ -221,13 +222,18 @@
 func (d *Directory) Servers(service, domain string) []record.Server {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
+	return d.serversOf(service, domain)
+}
+
+// serversOf is Servers for callers that hold d.mu.
+func (d *Directory) serversOf(service, domain string) []record.Server {
 	var found []record.Server
 	for _, server := range d.servers {
 		if server.Service == service && server.Domain == domain {
 			found = append(found, server)
 		}
 	}
-	slices.SortFunc(found, func(a, b record.Server) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(found, func(a, b record.Server) int { return strings.Compare(a.Name, b.Name) })
 	return found
 }
 
@@ -245,16 +251,24 @@
 	if known {
 		return cached[slot]
 	}
-	servers := d.Servers(service.Name, home)
+	// Divided and kept under one lock: a server that came between the two would
+	// be missing from what is kept until the next one comes.
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	divided := d.divide(service, home)
+	d.spread[key] = divided
+	return divided[slot]
+}
+
+// divide deals a domain's servers out to its pages. The caller holds d.mu.
+func (d *Directory) divide(service record.Service, home string) map[int][]record.Server {
+	servers := d.serversOf(service.Name, home)
 	divided := map[int][]record.Server{}
 	placed := record.Spread(servers, max(service.PagesPerDomain, 1))
 	for _, server := range servers {
 		divided[placed[server.Name]] = append(divided[placed[server.Name]], server)
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.spread[key] = divided
-	return divided[slot]
+	return divided
 }
 
 // Page returns a page and the version it is stored under.
@@ -325,13 +339,3 @@
 	}
 	return list
 }
-
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
