--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Two commands do everything: "make run" runs the main job on embedded
 # stand-ins, "make test" passes the tests.
-.PHONY: run test check mutants fuzz slopes failover changes compare stops generate
+.PHONY: run test check mutants fuzz slopes failover changes compare stops domain-lost generate
 
 run:
 	./scripts/run.sh
@@ -40,6 +40,10 @@
 stops:
 	./scripts/stops.sh
 
+# All entry hosts of a failure domain lost, and the domain declared lost.
+domain-lost:
+	./scripts/domain-lost.sh
+
 generate:
 	go run github.com/google/wire/cmd/wire ./host
 	./link/linkpb/generate.sh
