New services and lost domains are acted on at once

Cause: watchers looked for pages to make or take over every 2 s. Change: a service's or a loss's record has the next tick look.

--- a/domain/controller.go
+++ b/domain/controller.go
@@ -171,6 +171,9 @@
 	})
 	accepted := c.directory.Apply(wanted, revision)
 	for _, ref := range accepted {
+		if ref.Kind == record.KindService || ref.Kind == record.KindLost {
+			c.post(rescanWanted{}) // pages may have to be made or taken over
+		}
 		if ref.Kind != record.KindPage {
 			continue
 		}
--- a/domain/events.go
+++ b/domain/events.go
@@ -14,6 +14,11 @@
 
 func (e pageLearned) apply(l *loop, now time.Duration) { l.takePage(now, e.page) }
 
+// rescanWanted has the next tick look through all known pages and services.
+type rescanWanted struct{}
+
+func (rescanWanted) apply(l *loop, now time.Duration) { l.rescanDue = now }
+
 type asksAnswered struct {
 	host    string
 	asks    []ownership.AskOut
