What is gone is forgotten: connections, servers, hosts

Change: two minutes after an address has left the host list, longer than any deadline, its connection is closed; routers drop servers without a record, controllers what they knew of gone hosts.

--- a/domain/controller.go
+++ b/domain/controller.go
@@ -276,3 +276,14 @@
 	at, ok := h.at[heardKey{page, host}]
 	return at, ok
 }
+
+// forget drops what was heard from hosts that are gone.
+func (h *heardAsks) forget(gone func(host string) bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for key := range h.at {
+		if gone(key.host) {
+			delete(h.at, key)
+		}
+	}
+}
--- a/domain/loop.go
+++ b/domain/loop.go
@@ -99,12 +99,32 @@
 		}
 		l.createPages(now)
 		l.takeOverLost(now)
+		l.forgetGone()
 	}
 	for _, state := range l.pages {
 		l.tickPage(now, state)
 	}
 }
 
+// forgetGone drops what is known of servers and hosts whose records are gone, so
+// that a domain's daily replacements do not add up.
+func (l *loop) forgetGone() {
+	for name := range l.servers {
+		if _, listed := l.c.directory.Server(name); !listed {
+			delete(l.servers, name)
+		}
+	}
+	for name := range l.routers {
+		if _, listed := l.c.directory.Host(name); !listed {
+			delete(l.routers, name)
+		}
+	}
+	l.c.heard.forget(func(host string) bool {
+		_, listed := l.c.directory.Host(host)
+		return !listed
+	})
+}
+
 // takePage begins or ends this controller's part in a page, as its group says.
 func (l *loop) takePage(now time.Duration, page record.Page) {
 	if !slices.Contains(page.Voters(), l.c.identity.Host) {
--- a/host/controller.go
+++ b/host/controller.go
@@ -87,6 +87,7 @@
 		status:  func() any { return d.controller.Status() },
 		extra:   func(out io.Writer) { d.controller.WriteMetrics(out) },
 	}))
+	go tidyLinks(ctx, d.directory, d.links, d.settings.Peers)
 	go serveGRPC(server, linkListener, d.log)
 	go serveHTTP(admin, adminListener, d.log)
 	d.log.Info("controller started", "domain", d.settings.Domain, "link", d.settings.Link)
--- a/host/daemon.go
+++ b/host/daemon.go
@@ -12,6 +12,9 @@
 	"github.com/charmbracelet/log"
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
+
+	"cicadarouter/directory"
+	"cicadarouter/link"
 )
 
 // Limits of the HTTP servers. A caller that sends its headers or body slowly
@@ -71,6 +74,45 @@
 	}
 }
 
+// tidyEvery is how often connections are compared with the host list. After
+// link's number of misses, two minutes, those to hosts that are gone are closed:
+// later than any request's deadline.
+const tidyEvery = 10 * time.Second
+
+// tidyLinks closes connections to hosts that have left the host list, until the
+// context ends. Hosts are replaced all day, each under addresses of its own;
+// nothing else would end the attempts to reach the old ones.
+func tidyLinks(ctx context.Context, dir *directory.Directory, links *link.Pool, seeds []string) {
+	ticker := time.NewTicker(tidyEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			links.Keep(addressesInUse(dir, seeds))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// addressesInUse are those of the settings and of the host list. Without a host
+// list nothing is known to be gone.
+func addressesInUse(dir *directory.Directory, seeds []string) map[string]bool {
+	hosts := dir.Hosts()
+	if len(hosts) == 0 {
+		return nil
+	}
+	inUse := map[string]bool{}
+	for _, seed := range seeds {
+		inUse[seed] = true
+	}
+	for _, host := range hosts {
+		inUse[host.Link] = true
+		inUse[host.RouterLink] = true
+	}
+	return inUse
+}
+
 // stopGRPC ends a link server when its calls have ended, or at the context's end.
 func stopGRPC(ctx context.Context, server *grpc.Server) {
 	ended := make(chan struct{})
--- a/link/link.go
+++ b/link/link.go
@@ -35,11 +35,13 @@
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
+	// absent counts for how many calls of Keep an address has not been in use.
+	absent map[string]int
 }
 
 // NewPool returns a pool whose connections use the credentials.
 func NewPool(creds credentials.TransportCredentials) *Pool {
-	return &Pool{creds: creds, conns: map[string]*grpc.ClientConn{}}
+	return &Pool{creds: creds, conns: map[string]*grpc.ClientConn{}, absent: map[string]int{}}
 }
 
 // Control returns the client of a controller.
@@ -78,20 +80,50 @@
 	return conn
 }
 
-// Keep closes the connections to addresses that are not in use any more.
+// absentCalls is how many calls of Keep in a row must miss an address before its
+// connection is closed. A host that has left the list may still finish requests
+// for longer than any deadline allows a request to take; closing its connection
+// would cut them.
+const absentCalls = 12
+
+// Keep closes connections to addresses that have not been in use for absentCalls
+// calls in a row. A nil set means that nothing is known, and counts for nothing.
 func (p *Pool) Keep(inUse map[string]bool) {
+	if inUse == nil {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, conn := range p.conns {
-		if !inUse[address] {
+		if inUse[address] {
+			delete(p.absent, address)
+			continue
+		}
+		p.absent[address]++
+		if p.absent[address] >= absentCalls {
 			_ = conn.Close()
 			delete(p.conns, address)
+			delete(p.absent, address)
 		}
 	}
 }
 
 // Close closes all connections.
-func (p *Pool) Close() { p.Keep(nil) }
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conn := range p.conns {
+		_ = conn.Close()
+		delete(p.conns, address)
+	}
+}
+
+// Len returns the number of addresses that the pool has connections for.
+func (p *Pool) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
 
 // brokenConn answers every call with the error that kept a connection from being made.
 type brokenConn struct{ err error }
--- a/router/page.go
+++ b/router/page.go
@@ -94,6 +94,7 @@
 	p.lease.Store(&lease{page: *fresh, expiry: expiry})
 	p.noteOwnerless(now, *fresh)
 	p.cancelMoved(*fresh)
+	p.forgetServers()
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -130,6 +131,18 @@
 	}
 }
 
+// forgetServers drops servers whose records are gone, with their connections.
+// Servers join and leave all day. The caller holds p.mu.
+func (p *page) forgetServers() {
+	for name, known := range p.servers {
+		if _, listed := p.router.directory.Server(name); listed || known.gate.Pressure() > 0 {
+			continue
+		}
+		known.pool.Close()
+		delete(p.servers, name)
+	}
+}
+
 func owns(fresh record.Page, server string) bool {
 	for _, shard := range fresh.Shards {
 		if shard.Owner == server && shard.Grantable() {
