--- a/bench/failover.go
+++ b/bench/failover.go
@@ -36,24 +36,57 @@
 // testKey is the key whose unavailability is measured.
 const testKey = "key-1"
 
-// FailOver starts a site, causes a loss, and returns the longest time for which
-// a key that the loss concerned was not served.
-func FailOver(loss Loss, config Config) (time.Duration, error) {
+// Recovery is what a loss cost.
+type Recovery struct {
+	// Unavailable is the longest time for which a key that the loss concerned
+	// was not served.
+	Unavailable time.Duration
+	// Writes, Reads and Watches are the calls of the store in the seconds
+	// around the loss, the idle ones included.
+	Writes, Reads, Watches int64
+	// Moved is the number of shards that got a new owner.
+	Moved int
+}
+
+// FailOver starts a site, causes a loss, and returns what it cost.
+func FailOver(loss Loss, config Config) (Recovery, error) {
 	config.HTTP = true
 	site, err := Start(config)
 	if err != nil {
-		return 0, err
+		return Recovery{}, err
 	}
 	defer site.Close()
 	const settle = 20 * time.Second
 	if err := site.Settle(settle); err != nil {
-		return 0, err
+		return Recovery{}, err
 	}
 	entry := site.entryFor()
 	if err := site.serveOnce(entry, settle); err != nil {
-		return 0, err
+		return Recovery{}, err
+	}
+	before, owners := site.read(), site.owners()
+	recovery := Recovery{Unavailable: site.measureLoss(loss, entry)}
+	after := site.read()
+	recovery.Writes = after.writes - before.writes
+	recovery.Reads = after.reads - before.reads
+	recovery.Watches = after.watches - before.watches
+	for low, owner := range site.owners() {
+		if owners[low] != owner {
+			recovery.Moved++
+		}
+	}
+	return recovery, nil
+}
+
+// owners returns the owner of each shard of the service, by its first hash.
+func (s *Site) owners() map[uint64]string {
+	owners := map[uint64]string{}
+	for _, page := range s.pages() {
+		for _, shard := range page.Shards {
+			owners[shard.Low] = shard.Owner
+		}
 	}
-	return site.measureLoss(loss, entry), nil
+	return owners
 }
 
 // measureLoss sends a request every few milliseconds and returns the longest
--- a/cmd/cicada-bench/main.go
+++ b/cmd/cicada-bench/main.go
@@ -109,7 +109,7 @@
 }
 
 type failoverCommand struct {
-	Runs  int    `long:"runs" default:"20" description:"runs of each loss"`
+	Runs  int    `long:"runs" default:"20" description:"runs of each loss, at least 1"`
 	Hosts int    `long:"hosts" default:"3" description:"entry hosts of the failure domain"`
 	Only  string `long:"only" description:"one loss only"`
 	Port  int    `long:"base-port" default:"24000" description:"port of the first backend server"`
@@ -118,18 +118,21 @@
 // Execute implements flags.Commander.
 func (c *failoverCommand) Execute([]string) error {
 	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "LOSS\tRUNS\tMEDIAN\tWORST")
+	fmt.Fprintln(table, "LOSS\tRUNS\tMEDIAN\tWORST\tMEDIAN STORE WRITES\tREADS\tWATCHES\tSHARDS MOVED")
 	for _, loss := range bench.Losses() {
 		if c.Only != "" && c.Only != string(loss) {
 			continue
 		}
-		times, err := c.repeat(loss)
+		runs, err := c.repeat(loss)
 		if err != nil {
 			return err
 		}
-		slices.Sort(times)
-		fmt.Fprintf(table, "%s\t%d\t%d ms\t%d ms\n", loss, len(times),
-			times[len(times)/2].Milliseconds(), times[len(times)-1].Milliseconds())
+		times := median(runs, func(r bench.Recovery) int64 { return r.Unavailable.Milliseconds() })
+		fmt.Fprintf(table, "%s\t%d\t%d ms\t%d ms\t%d\t%d\t%d\t%d\n", loss, len(runs), times.middle, times.most,
+			median(runs, func(r bench.Recovery) int64 { return r.Writes }).middle,
+			median(runs, func(r bench.Recovery) int64 { return r.Reads }).middle,
+			median(runs, func(r bench.Recovery) int64 { return r.Watches }).middle,
+			median(runs, func(r bench.Recovery) int64 { return int64(r.Moved) }).middle)
 		if err := table.Flush(); err != nil {
 			return err
 		}
@@ -137,14 +140,26 @@
 	return nil
 }
 
-func (c *failoverCommand) repeat(loss bench.Loss) ([]time.Duration, error) {
-	var times []time.Duration
+// spread is the middle and the highest of some numbers.
+type spread struct{ middle, most int64 }
+
+func median(runs []bench.Recovery, value func(bench.Recovery) int64) spread {
+	values := make([]int64, len(runs))
+	for i, run := range runs {
+		values[i] = value(run)
+	}
+	slices.Sort(values)
+	return spread{middle: values[len(values)/2], most: values[len(values)-1]}
+}
+
+func (c *failoverCommand) repeat(loss bench.Loss) ([]bench.Recovery, error) {
+	var runs []bench.Recovery
 	for range c.Runs {
-		took, err := bench.FailOver(loss, bench.Config{Hosts: c.Hosts, Pages: 1, Servers: 5, Shards: 8, BasePort: c.Port})
+		run, err := bench.FailOver(loss, bench.Config{Hosts: c.Hosts, Pages: 1, Servers: 5, Shards: 8, BasePort: c.Port})
 		if err != nil {
 			return nil, err
 		}
-		times = append(times, took)
+		runs = append(runs, run)
 	}
-	return times, nil
+	return runs, nil
 }
