--- a/load/plot.go
+++ b/load/plot.go
@@ -46,6 +46,7 @@
 	Latency    template.HTML
 	Outcomes   template.HTML
 	Moves      template.HTML
+	Imbalance  template.HTML
 	Servers    template.HTML
 	Percentage float64
 }
@@ -77,6 +78,8 @@
 			series{"unknown", "#c33", pick(func(s Second) float64 { return float64(s.Unknown) })}),
 		Moves: lines("shards moved, by second", false,
 			series{"moves", "#639", pick(func(s Second) float64 { return float64(s.Moves) })}),
+		Imbalance: lines("most loaded server over the mean, first stream, by second", false,
+			series{"imbalance", "#066", pick(func(s Second) float64 { return s.Imbalance })}),
 		Servers:    bars("requests run by each server", report.Served),
 		Percentage: 100 * float64(report.CallsDone) / float64(max(report.Calls, 1)),
 	}
@@ -152,7 +155,7 @@
 <style>body{font:15px sans-serif;margin:2em}.runs{display:grid;grid-template-columns:repeat(auto-fit,minmax(420px,1fr));gap:2em}</style>
 <h1>Runs</h1><div class="runs">{{range .}}<section><h2>{{.Name}}</h2>
 <p>{{.Report.Calls}} calls, {{printf "%.3f" .Percentage}}% done; {{.Report.Moves}} shards moved, {{.Report.Splits}} splits; {{len .Report.Violations}} violations</p>
-{{.Latency}}{{.Outcomes}}{{.Moves}}{{.Servers}}</section>{{end}}</div></html>
+{{.Latency}}{{.Outcomes}}{{.Moves}}{{.Imbalance}}{{.Servers}}</section>{{end}}</div></html>
 `))
 
 func writePlots(out io.Writer, runs []plotted) error { return plotPage.Execute(out, runs) }
--- a/load/report.go
+++ b/load/report.go
@@ -67,6 +67,9 @@
 		report.Served[run.Server]++
 	}
 	report.Timeline = timeline(r.results, r.moves.times(), r.began)
+	if len(r.experiment.Streams) > 0 {
+		noteImbalance(report.Timeline, r.results, runs, r.began, r.experiment.Streams[0].Service)
+	}
 	report.Violations = Judge(r.results, runs)
 	for _, stream := range r.experiment.Streams {
 		report.Streams = append(report.Streams, streamReport(stream, r.results))
--- a/load/timeline.go
+++ b/load/timeline.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadarouter/contract/caller"
+	"cicadarouter/standin"
 )
 
 // Second is one second of a run.
@@ -17,6 +18,9 @@
 	P50   float64 `json:"p50"`
 	P99   float64 `json:"p99"`
 	Moves int     `json:"moves"`
+	// Imbalance is the most loaded server's requests over the mean, of the
+	// servers of the experiment's first stream.
+	Imbalance float64 `json:"imbalance"`
 }
 
 // timeline sorts results into seconds.
@@ -62,3 +66,27 @@
 	slices.Sort(times)
 	return float64(times[int(share*float64(len(times)-1))].Microseconds()) / 1000
 }
+
+// noteImbalance fills in how even the load on a service's servers was.
+func noteImbalance(seconds []Second, results []Result, runs []standin.Run, began time.Time, service string) {
+	mine := map[string]bool{}
+	for _, result := range results {
+		mine[result.ID] = result.Service == service
+	}
+	served := make([]map[string]int, len(seconds))
+	servers := map[string]bool{}
+	for _, run := range runs {
+		index := int(run.At.Sub(began) / time.Second)
+		if !mine[run.ID] || index < 0 || index >= len(seconds) {
+			continue
+		}
+		if served[index] == nil {
+			served[index] = map[string]int{}
+		}
+		served[index][run.Server]++
+		servers[run.Server] = true
+	}
+	for i, counts := range served {
+		seconds[i].Imbalance = imbalance(counts) * float64(len(servers)) / float64(max(len(counts), 1))
+	}
+}
