--- a/host/daemon_test.go
+++ b/host/daemon_test.go
@@ -1,7 +1,12 @@
 package host
 
 import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"google.golang.org/grpc/credentials/insecure"
 	"gotest.tools/v3/assert"
@@ -35,3 +40,37 @@
 	keep(longEnough)
 	assert.Equal(t, links.Len(), 3)
 }
+
+// Symptom: a router runs out of connections although nobody sends requests.
+// Sequence: callers open connections and send their headers byte by byte, or
+// headers without end.
+// Cause: nothing bounded the time or the size of a request's headers.
+func TestSlowAndEndlessHeadersAreCutOff(t *testing.T) {
+	rows := []struct {
+		name string
+		send string
+		want string
+	}{
+		{"slow", "GET / HTTP/1.1\r\nHost: x\r\nX-Slow: ", ""},
+		{"endless", "GET / HTTP/1.1\r\nHost: x\r\nX-Long: " + strings.Repeat("x", 3*maxHeaderBytes), "431"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			server := newHTTPServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				t.Error("a request without its end was served")
+			}))
+			assert.Assert(t, server.ReadHeaderTimeout > 0 && server.ReadTimeout > 0 && server.IdleTimeout > 0)
+			server.ReadHeaderTimeout = 50 * time.Millisecond
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			go func() { _ = server.Serve(listener) }()
+			defer server.Close()
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, _ = io.WriteString(conn, row.send)
+			answer, _ := io.ReadAll(conn) // ends when the server hangs up
+			assert.Assert(t, strings.Contains(string(answer), row.want), "got %q", answer)
+		})
+	}
+}
