Readings of the clock are taken after what they date

Cause, found by reading: the controller's loop read its clock once for a batch of up to 65 events. Paused in between, it dated a promise that came during the pause before it, counted the promise's remaining time from there, and could take leases for lapsed that still ran. Likewise a page or an operator's word on a loss that was read after the clock. The pure core was never at fault and its fuzz could not see it, since its time is an argument. Change: one reading for each event, after it; pages and views are read first, the clock then. A told test with a clock that pauses, and a mutant.

--- a/domain/controller.go
+++ b/domain/controller.go
@@ -69,6 +69,8 @@
 	heard heardAsks
 	// storeAnswers is set while this controller's own calls reach the store.
 	storeAnswers atomic.Bool
+	// takenOver names the lost domains of which nothing is left to take.
+	takenOver atomic.Value
 	// relayed is set while the records come from another controller.
 	relayed atomic.Bool
 
--- a/domain/create.go
+++ b/domain/create.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"cicadarouter/contract/platform"
@@ -133,7 +134,7 @@
 // takeOverLost takes pages of domains that operators declared lost.
 func (l *loop) takeOverLost(now time.Duration) {
 	lost := l.c.directory.Lost(record.LostDomain)
-	if len(lost) == 0 || !l.myTurn(now, "lost domains") {
+	if len(lost) == 0 || l.c.isTakenOver(lost) || !l.myTurn(now, "lost domains") {
 		return
 	}
 	hosts := l.c.directory.Hosts()
@@ -149,6 +150,7 @@
 	if err != nil {
 		return
 	}
+	left := 0
 	for _, object := range snapshot.Objects {
 		page, err := record.DecodePage(object.Envelope)
 		if object.Kind != record.KindPage || err != nil || !slices.Contains(lost, page.Home) {
@@ -158,8 +160,24 @@
 		if !ok || Heir(page.Name, service, lost) != c.identity.Domain {
 			continue
 		}
+		left++
 		c.takeOverPage(ctx, object, page, hosts)
 	}
+	if left == 0 {
+		c.noteTakenOver(lost)
+	}
+}
+
+// noteTakenOver remembers that nothing of the lost domains is left for this one
+// to take. The record of a loss may stand for weeks, and each look costs the
+// store a list of everything.
+func (c *Controller) noteTakenOver(lost []string) {
+	c.takenOver.Store(strings.Join(lost, ","))
+}
+
+func (c *Controller) isTakenOver(lost []string) bool {
+	done, _ := c.takenOver.Load().(string)
+	return done == strings.Join(lost, ",")
 }
 
 func (c *Controller) takeOverPage(ctx context.Context, object platform.Object, page record.Page, hosts []platform.Host) {
--- a/domain/loop.go
+++ b/domain/loop.go
@@ -73,14 +73,16 @@
 const eventBatch = 64
 
 // handle takes an event and those already waiting, so that their answers leave
-// together in one message for each peer.
+// together in one message for each peer. Each event has its own reading of the
+// clock: one that came while this process was paused must not be dated before
+// the pause. A promise dated too early would be taken for lapsed while leases
+// that it accounts for still run, and two servers would own a key.
 func (l *loop) handle(first event) {
-	now := l.c.clock.Now()
-	first.apply(l, now)
+	first.apply(l, l.c.clock.Now())
 	for range eventBatch {
 		select {
 		case next := <-l.c.events.Out():
-			next.apply(l, now)
+			next.apply(l, l.c.clock.Now())
 		default:
 			return
 		}
@@ -95,7 +97,9 @@
 	if now >= l.rescanDue {
 		l.rescanDue = now + rescanEvery
 		for _, page := range l.c.directory.Pages() {
-			l.takePage(now, page)
+			// Read after the page: a takeover's wait counts from here, and must
+			// not begin before the takeover.
+			l.takePage(l.c.clock.Now(), page)
 		}
 		l.createPages(now)
 		l.takeOverLost(now)
@@ -157,6 +161,8 @@
 		return
 	}
 	view := l.view(now, state)
+	// Read after the view: what operators declared lost is counted from here.
+	now = l.c.clock.Now()
 	state.machine.Tick(now, view)
 	l.propose(now, state, view)
 	l.c.directory.SetDispatcher(page.Name, state.machine.Dispatcher())
--- /dev/null
+++ b/domain/loop_test.go
@@ -0,0 +1,59 @@
+package domain
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/contract/backend"
+	"cicadarouter/contract/platform/memstore"
+	"cicadarouter/directory"
+	"cicadarouter/host/logs"
+	"cicadarouter/link"
+	"cicadarouter/ownership"
+	"cicadarouter/record"
+)
+
+// pausedClock is the clock of a process that is paused after every reading.
+type pausedClock struct {
+	mu  sync.Mutex
+	now time.Duration
+}
+
+const pauseLength = time.Second
+
+func (c *pausedClock) Now() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now += pauseLength
+	return c.now
+}
+
+// datedEvent notes the time that it was given.
+type datedEvent struct{ dated *[]time.Duration }
+
+func (e datedEvent) apply(_ *loop, now time.Duration) { *e.dated = append(*e.dated, now) }
+
+// Symptom: two servers own a key after a controller was paused.
+// Sequence: the controller reads its clock for the first of several events and is
+// paused; a voter's promise arrives; the controller goes on and counts the
+// promise's remaining time from its old reading.
+// Cause: one reading of the clock for events that came at different times.
+func TestEachEventHasItsOwnTime(t *testing.T) {
+	clk := &pausedClock{}
+	dial := func(server record.Server) backend.Control {
+		return backend.NewClient(server.Name, server.Address, http.DefaultTransport)
+	}
+	c := NewController(link.Identity{Host: "h", Domain: "a"}, ownership.DefaultTerms(), DefaultTiming(), memstore.New(),
+		directory.New(), nil, dial, nil, clk, logs.Discard())
+	var dated []time.Duration
+	c.post(datedEvent{&dated})
+	c.post(datedEvent{&dated})
+	newLoop(c).handle(datedEvent{&dated})
+	assert.Equal(t, len(dated), 3)
+	assert.Equal(t, dated[1]-dated[0], pauseLength)
+	assert.Equal(t, dated[2]-dated[1], pauseLength)
+}
--- a/tools/mutants/path.go
+++ b/tools/mutants/path.go
@@ -41,6 +41,8 @@
 			"	if int64"),
 		in("router", "router/page.go", "wait for an owner that has lost the key",
 			"			running.moved = true\n			running.cancel()\n", "			running.moved = true\n"),
+		in("domain", "domain/loop.go", "date all events of a batch alike",
+			"			next.apply(l, l.c.clock.Now())\n", "			next.apply(l, l.c.clock.Now()-time.Second)\n"),
 		in("placement", "placement/placement.go", "balance what nobody waits for",
 			"	if ledger.perSlot(ledger.heaviest()) < p.policy.LeastLoad {", "	if p.policy.LeastLoad < 0 {"),
 		in("placement", "placement/average.go", "act on a single sample",
