Pauses beyond the leases on real processes

scripts/pauses.sh stops controllers and routers for 1 to 3 s and freezes backend servers for 0.5 to 3 s, again and again and at once, under load.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Two commands do everything: "make run" runs the main job on embedded
 # stand-ins, "make test" passes the tests.
-.PHONY: run test check mutants fuzz slopes failover changes compare stops domain-lost generate
+.PHONY: run test check mutants fuzz slopes failover changes compare stops domain-lost pauses generate
 
 run:
 	./scripts/run.sh
@@ -44,6 +44,10 @@
 domain-lost:
 	./scripts/domain-lost.sh
 
+# Parts paused for longer than their leases, again and again: make pauses SEED=2
+pauses:
+	SEED=$(SEED) ./scripts/pauses.sh
+
 generate:
 	go run github.com/google/wire/cmd/wire ./host
 	./link/linkpb/generate.sh
