Read once more: twins joined, dead state removed

Four copies of a sleep that ends with a context are clock.Sleep. Three scripts started the same site; start_site and site_experiment in scripts/lib.sh do. The check of a token asks HeldAt for the shard. A controller ranks the watchers once for a look through its pages, not once for each missing page. Removed, since nothing read them: refused connections, reported load and cold start of servers in the controller and in placement, a machine's own name and time of renewal, Directory.Changed, Dedup.Ended and Len, the synced mark on the link. Behaviour and assertions stay.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -188,13 +188,6 @@
 	return d.config
 }
 
-// Changed returns a channel that is closed at the next change.
-func (d *Directory) Changed() <-chan struct{} {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.changed
-}
-
 // Service returns a service's record.
 func (d *Directory) Service(name string) (record.Service, bool) {
 	d.mu.RLock()
--- a/directory/link.go
+++ b/directory/link.go
@@ -8,7 +8,7 @@
 
 // UpdateToLink returns a delta as the link carries it.
 func UpdateToLink(delta Delta) *linkpb.RecordsUpdate {
-	update := &linkpb.RecordsUpdate{Revision: delta.Revision, HostsChanged: delta.HostsChanged, Synced: true}
+	update := &linkpb.RecordsUpdate{Revision: delta.Revision, HostsChanged: delta.HostsChanged}
 	for _, object := range delta.Objects {
 		update.Records = append(update.Records, &linkpb.Record{
 			Kind:    string(object.Kind),
--- a/dispatch/dedup.go
+++ b/dispatch/dedup.go
@@ -140,15 +140,6 @@
 	close(entry.done)
 }
 
-// Ended returns the reply of a copy whose channel was closed.
-func (d *Dedup) Ended(id uuid.UUID) (Reply, bool) {
-	entry, known := d.entries[id]
-	if !known || !entry.ended {
-		return Reply{}, false
-	}
-	return entry.reply, true
-}
-
 // storable replaces an answer that is too large to keep by the word that the
 // request has run.
 func (d *Dedup) storable(reply Reply) Reply {
@@ -178,6 +169,3 @@
 		}
 	}
 }
-
-// Len returns the number of requests remembered.
-func (d *Dedup) Len() int { return len(d.entries) }
--- a/domain/create.go
+++ b/domain/create.go
@@ -27,10 +27,9 @@
 	return slices.Index(l.c.watchers(), l.c.identity.Host)
 }
 
-// myTurn reports whether this controller should act on something that waits for
-// the domain's watchers.
-func (l *loop) myTurn(now time.Duration, what string) bool {
-	rank := l.watcherRank()
+// myTurn reports whether this controller, with its place among the watchers,
+// should act on something that waits for them.
+func (l *loop) myTurn(now time.Duration, rank int, what string) bool {
 	if rank == notAWatcher {
 		return false
 	}
@@ -42,22 +41,23 @@
 	if now-since < time.Duration(rank)*watcherStep {
 		return false
 	}
-	if tried, ok := l.created[what]; ok && now-tried < createRetry {
+	if tried, ok := l.tried[what]; ok && now-tried < createRetry {
 		return false
 	}
-	l.created[what] = now
+	l.tried[what] = now
 	return true
 }
 
 // createPages makes the pages of this domain that do not exist yet.
 func (l *loop) createPages(now time.Duration) {
-	if !l.c.voter.established() || l.watcherRank() == notAWatcher {
+	rank := l.watcherRank()
+	if !l.c.voter.established() || rank == notAWatcher {
 		return // pages may exist that this process has not seen
 	}
 	made := 0
 	for _, service := range l.c.directory.Services() {
 		for index := range service.PageCount() {
-			if service.PageHome(index) == l.c.identity.Domain && made < pagesPerRound && l.createPage(now, service, index) {
+			if service.PageHome(index) == l.c.identity.Domain && made < pagesPerRound && l.createPage(now, rank, service, index) {
 				made++
 			}
 		}
@@ -68,13 +68,13 @@
 }
 
 // createPage makes a page if it is missing, and reports whether it tried.
-func (l *loop) createPage(now time.Duration, service record.Service, index int) bool {
+func (l *loop) createPage(now time.Duration, rank int, service record.Service, index int) bool {
 	name := record.PageName(service.Name, index)
 	if _, _, exists := l.c.directory.Page(name); exists {
 		delete(l.noticed, name)
 		return false
 	}
-	if !l.myTurn(now, name) {
+	if !l.myTurn(now, rank, name) {
 		return false
 	}
 	group := groupFor(name, l.c.directory.Hosts(), l.c.identity.Domain)
@@ -134,7 +134,7 @@
 // takeOverLost takes pages of domains that operators declared lost.
 func (l *loop) takeOverLost(now time.Duration) {
 	lost := l.c.directory.Lost(record.LostDomain)
-	if len(lost) == 0 || l.c.isTakenOver(lost) || !l.myTurn(now, "lost domains") {
+	if len(lost) == 0 || l.c.isTakenOver(lost) || !l.myTurn(now, l.watcherRank(), "lost domains") {
 		return
 	}
 	hosts := l.c.directory.Hosts()
--- a/domain/events.go
+++ b/domain/events.go
@@ -67,7 +67,7 @@
 
 func (e serverAnswered) apply(l *loop, now time.Duration) {
 	health := l.server(e.out.Holder.Name)
-	health.noteAnswer(now, e.report.Incarnation, e.report.Draining, e.report.InFlight)
+	health.noteAnswer(now, e.report.Incarnation, e.report.Draining)
 	state, known := l.pages[e.out.Page]
 	if !known {
 		return
@@ -82,15 +82,9 @@
 	l.pump(now, state)
 }
 
-type serverFailed struct {
-	server  string
-	refused bool
-}
+type serverFailed struct{ server string }
 
 func (e serverFailed) apply(l *loop, now time.Duration) {
-	if e.refused {
-		l.server(e.server).refusedAt = now
-	}
 	l.askPeers(now, e.server)
 }
 
--- a/domain/health.go
+++ b/domain/health.go
@@ -20,8 +20,6 @@
 	// answered this controller, which has just taken the page over from a
 	// silent member: two losses at once must not add up.
 	silenceOfStranger = 300 * time.Millisecond
-	// coldFor is how long a server that started is given less new load.
-	coldFor = 5 * time.Second
 )
 
 // serverHealth gathers the signs about one backend server. Reports lag and
@@ -32,12 +30,9 @@
 	lastAnswer  time.Duration // to this controller
 	lastSign    time.Duration // to a dispatch router's request, or to a peer's probe
 	heardSign   bool
-	refusedAt   time.Duration // last refused connection, 0 if answered since
 	askedPeers  time.Duration
 	draining    bool
-	inFlight    int
 	incarnation uint64
-	startedAt   time.Duration
 	// told is the judgement that was last logged.
 	told bool
 }
@@ -51,15 +46,10 @@
 	h.lastAnswer = now
 }
 
-func (h *serverHealth) noteAnswer(now time.Duration, incarnation uint64, draining bool, inFlight int) {
+func (h *serverHealth) noteAnswer(now time.Duration, incarnation uint64, draining bool) {
 	h.lastAnswer = now
-	h.refusedAt = 0
 	h.draining = draining
-	h.inFlight = inFlight
-	if h.incarnation != incarnation {
-		h.incarnation = incarnation
-		h.startedAt = now
-	}
+	h.incarnation = incarnation
 }
 
 func (h *serverHealth) noteSign(now time.Duration) {
@@ -93,10 +83,6 @@
 	return !contradicted || silent >= silenceToGiveUp
 }
 
-func (h *serverHealth) cold(now time.Duration) bool {
-	return h.incarnation != 0 && now-h.startedAt < coldFor
-}
-
 // routerHealth is what a controller knows of one router.
 type routerHealth struct {
 	asked      bool
--- a/domain/health_test.go
+++ b/domain/health_test.go
@@ -51,7 +51,7 @@
 			var h serverHealth
 			h.noteAsked(0)
 			if !row.strange {
-				h.noteAnswer(1, 7, false, 0)
+				h.noteAnswer(1, 7, false)
 			}
 			if row.signAt > 0 {
 				h.noteSign(row.signAt)
--- a/domain/loop.go
+++ b/domain/loop.go
@@ -32,7 +32,8 @@
 	routers map[string]*routerHealth
 	out     outbox
 	started time.Duration
-	created map[string]time.Duration
+	// tried is when this controller last acted on what waits for the watchers.
+	tried map[string]time.Duration
 	// rescanDue is when all known pages are looked through again.
 	rescanDue time.Duration
 	// noticed is when this controller first saw that something waits for the
@@ -46,7 +47,7 @@
 		pages:   map[string]*pageState{},
 		servers: map[string]*serverHealth{},
 		routers: map[string]*routerHealth{},
-		created: map[string]time.Duration{},
+		tried:   map[string]time.Duration{},
 		noticed: map[string]time.Duration{},
 		started: c.clock.Now(),
 		out:     newOutbox(),
@@ -135,17 +136,17 @@
 		delete(l.pages, page.Name)
 		return
 	}
-	state := l.page(now, page)
+	state := l.page(page)
 	state.machine.Learn(now, page)
 	l.pump(now, state)
 }
 
 // page returns the state of a page of whose group this controller is a member.
-func (l *loop) page(now time.Duration, page record.Page) *pageState {
+func (l *loop) page(page record.Page) *pageState {
 	state, known := l.pages[page.Name]
 	if !known {
 		state = &pageState{
-			machine: ownership.NewMachine(l.c.terms, l.c.identity.Host, newAttempt),
+			machine: ownership.NewMachine(l.c.terms, newAttempt),
 			planner: placement.NewPlanner(placement.DefaultPolicy()),
 		}
 		l.pages[page.Name] = state
--- a/domain/outbox.go
+++ b/domain/outbox.go
@@ -4,11 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"syscall"
 	"time"
 
 	"cicadarouter/contract/backend"
 	"cicadarouter/contract/platform"
+	"cicadarouter/host/clock"
 	"cicadarouter/link/linkpb"
 	"cicadarouter/ownership"
 	"cicadarouter/record"
@@ -187,7 +187,7 @@
 			report, err = control.Grant(ctx, *out.Grant)
 		}
 		if err != nil {
-			c.post(serverFailed{server: name, refused: errors.Is(err, syscall.ECONNREFUSED)})
+			c.post(serverFailed{server: name})
 			return
 		}
 		c.post(serverAnswered{out: out, report: report})
@@ -240,7 +240,7 @@
 		if err == nil {
 			c.learn([]platform.Object{object}, 0)
 		}
-		sleep(ctx, rereadPause)
+		clock.Sleep(ctx, rereadPause)
 	})
 }
 
--- a/domain/relay.go
+++ b/domain/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cicadarouter/directory"
+	"cicadarouter/host/clock"
 	"cicadarouter/link/linkpb"
 )
 
@@ -65,7 +66,7 @@
 	request := &linkpb.RecordsRequest{From: c.identity.Host, Domain: c.identity.Domain, Relay: true}
 	err := directory.Follow(ctx, c.links.Control(host.Link), request, c.takeRelayed)
 	c.log.Debug("relay ended", "from", host.Name, "error", err)
-	sleep(ctx, relayPause)
+	clock.Sleep(ctx, relayPause)
 }
 
 func (c *Controller) takeRelayed(update *linkpb.RecordsUpdate) {
--- a/domain/reporting.go
+++ b/domain/reporting.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"cicadarouter/contract/platform"
+	"cicadarouter/host/clock"
 	"cicadarouter/link/linkpb"
 	"cicadarouter/record"
 	"cicadarouter/report"
@@ -31,7 +32,7 @@
 // reportOften sends or writes this controller's report from time to time.
 func (c *Controller) reportOften(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, reportEvery)
+		clock.Sleep(ctx, reportEvery)
 		c.readRouter(ctx)
 		c.reportOnce(ctx)
 	}
--- a/domain/view.go
+++ b/domain/view.go
@@ -171,7 +171,7 @@
 		Now:     now,
 		Page:    page,
 		Weigh:   service.Weigh,
-		Servers: l.placementServers(now, page, view.Eligible),
+		Servers: l.placementServers(view.Eligible),
 	}
 	plan := state.planner.Plan(world)
 	for _, at := range plan.Splits {
@@ -182,14 +182,13 @@
 	}
 }
 
-func (l *loop) placementServers(now time.Duration, page record.Page, eligible []string) []placement.Server {
+func (l *loop) placementServers(eligible []string) []placement.Server {
 	servers := make([]placement.Server, 0, len(eligible))
 	for _, name := range eligible {
 		server, _ := l.c.directory.Server(name)
 		servers = append(servers, placement.Server{
 			Name:  name,
 			Slots: server.Slots,
-			Cold:  l.server(name).cold(now),
 		})
 	}
 	return servers
--- a/domain/watch.go
+++ b/domain/watch.go
@@ -10,6 +10,7 @@
 
 	"cicadarouter/contract/platform"
 	"cicadarouter/directory"
+	"cicadarouter/host/clock"
 	"cicadarouter/link/linkpb"
 )
 
@@ -66,7 +67,7 @@
 func (c *Controller) bridgeOutage(ctx context.Context, listed bool, turn int, wait time.Duration) {
 	peers := c.knownPeers()
 	if listed || len(peers) == 0 {
-		sleep(ctx, wait)
+		clock.Sleep(ctx, wait)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(wait, bridgeFor))
@@ -74,7 +75,7 @@
 	request := &linkpb.RecordsRequest{From: c.identity.Host, Domain: c.identity.Domain, Relay: true, Cached: true}
 	err := directory.Follow(ctx, c.links.Control(peers[turn%len(peers)]), request, c.takeRelayed)
 	c.log.Debug("learning from a peer ended", "error", err)
-	sleep(ctx, storeRetryFirst)
+	clock.Sleep(ctx, storeRetryFirst)
 }
 
 // bridgeFor is how long a peer is followed before the store is tried again.
@@ -130,16 +131,6 @@
 		if len(c.directory.Hosts()) == 0 {
 			wait = storeRetryFirst
 		}
-		sleep(ctx, wait)
-	}
-}
-
-// sleep waits, or less if the context ends.
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		clock.Sleep(ctx, wait)
 	}
 }
--- a/load/fault.go
+++ b/load/fault.go
@@ -5,29 +5,20 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"time"
 
+	"cicadarouter/host/clock"
 	"cicadarouter/standin"
 )
 
 // fault makes one fault happen and, after its time, ends it.
 func (r *Runner) fault(ctx context.Context, fault Fault) {
 	defer r.working.Done()
-	wait(ctx, fault.At)
+	clock.Sleep(ctx, fault.At)
 	r.setFault(ctx, fault, true)
-	wait(ctx, fault.For)
+	clock.Sleep(ctx, fault.For)
 	r.setFault(context.WithoutCancel(ctx), fault, false)
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (r *Runner) setFault(ctx context.Context, fault Fault, on bool) {
 	const slowFactor = 5
 	const lostReplies = 3
--- a/ownership/faults_test.go
+++ b/ownership/faults_test.go
@@ -74,7 +74,7 @@
 // released by s1, in generation 2, and time 0.
 func releasing(t *testing.T, view ownership.View) *ownership.Machine {
 	attempt := func() string { return "attempt" }
-	m := ownership.NewMachine(testTerms(), "c1", attempt)
+	m := ownership.NewMachine(testTerms(), attempt)
 	m.Learn(0, record.Page{
 		Name: testPage, High: pageHigh, Generation: 1, GroupSince: 1, Group: []string{"c1", "c2", "c3"},
 		Shards: []record.Shard{{Owner: "s1", Token: 1, State: record.ShardOwned}},
@@ -138,7 +138,7 @@
 func TestUncheckedTakeOverWaitsForTheLastRequest(t *testing.T) {
 	terms := testTerms()
 	const drain = 150 * time.Millisecond
-	m := ownership.NewMachine(terms, "d1", func() string { return "attempt" })
+	m := ownership.NewMachine(terms, func() string { return "attempt" })
 	page := ownership.TakeOver(record.Page{
 		Name: testPage, High: pageHigh, Generation: 1, GroupSince: 1, Bounded: true, Group: []string{"c1"},
 		Shards: []record.Shard{{Owner: "s1", Token: 1, State: record.ShardOwned}},
--- a/ownership/holder.go
+++ b/ownership/holder.go
@@ -117,16 +117,8 @@
 // Holds reports whether the holder owns the hash under exactly this token, by
 // its own clock, at now.
 func (h *Holder) Holds(now time.Duration, page string, hash, token uint64) bool {
-	held, ok := h.pages[page]
-	if !ok || now >= held.expiry {
-		return false
-	}
-	for _, shard := range held.shards {
-		if hash >= shard.Low && hash <= shard.High {
-			return shard.Token == token
-		}
-	}
-	return false
+	held, ok := h.HeldAt(now, page, hash)
+	return ok && held.Token == token
 }
 
 // HeldAt returns the shard that the holder owns at the hash, at now.
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -108,7 +108,6 @@
 // Machine renews one page and moves its shards. It is not safe for concurrent use.
 type Machine struct {
 	terms    Terms
-	self     string
 	attempts func() string
 
 	page  record.Page
@@ -132,15 +131,13 @@
 	// gaveUp is a router that gave its leases up in the run gaveUpRun.
 	gaveUp    string
 	gaveUpRun uint64
-	renewedAt time.Duration
 }
 
 // NewMachine returns a machine for one page. attempts mints ids for writes that
 // no other writer will ever use.
-func NewMachine(terms Terms, self string, attempts func() string) *Machine {
+func NewMachine(terms Terms, attempts func() string) *Machine {
 	return &Machine{
 		terms:       terms,
-		self:        self,
 		attempts:    attempts,
 		holders:     map[HolderID]*holderState{},
 		collections: map[uint64]*collection{},
@@ -153,9 +150,6 @@
 // Dispatcher returns the router that last dispatched the page, as far as known.
 func (m *Machine) Dispatcher() string { return m.dispatcher }
 
-// RenewedAt returns when a majority last agreed to a round of this machine.
-func (m *Machine) RenewedAt() time.Duration { return m.renewedAt }
-
 // Ready returns what is to be done and forgets it.
 func (m *Machine) Ready() Ready {
 	ready := m.ready
--- a/ownership/round.go
+++ b/ownership/round.go
@@ -99,7 +99,6 @@
 		return
 	}
 	m.round.won = true
-	m.renewedAt = now
 	if m.round.dispatcher != "" {
 		m.dispatcher = m.round.dispatcher
 		m.gaveUp = ""
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -181,7 +181,7 @@
 	c.paused = false
 	c.reading = false
 	c.voter = ownership.NewVoter(testTerms(), c.now(w))
-	c.machine = ownership.NewMachine(testTerms(), c.name, w.newAttempt)
+	c.machine = ownership.NewMachine(testTerms(), w.newAttempt)
 	c.view = w.defaultView()
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -32,8 +32,6 @@
 type Server struct {
 	Name  string
 	Slots int
-	// Cold is set while the server warms up; it is given nothing beyond its share.
-	Cold bool
 }
 
 // World is what a plan is made from.
--- a/router/deliver.go
+++ b/router/deliver.go
@@ -9,6 +9,7 @@
 	"cicadarouter/contract/caller"
 	"cicadarouter/dispatch"
 	"cicadarouter/domain"
+	"cicadarouter/host/clock"
 	"cicadarouter/link"
 	"cicadarouter/record"
 )
@@ -43,7 +44,7 @@
 			reply.RetryAfter = max(reply.RetryAfter, time.Second)
 			return history.Conclude(reply)
 		}
-		pause(ctx, wait)
+		clock.Sleep(ctx, wait)
 		wait = min(2*wait, searchPauseMost)
 	}
 }
--- a/router/feed.go
+++ b/router/feed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cicadarouter/directory"
+	"cicadarouter/host/clock"
 	"cicadarouter/link"
 	"cicadarouter/link/linkpb"
 )
@@ -22,7 +23,7 @@
 		address := addresses[turn%len(addresses)]
 		request := &linkpb.RecordsRequest{From: identity.Host, Domain: identity.Domain}
 		_ = directory.Follow(ctx, links.Control(address), request, dir.Take)
-		pause(ctx, feedRetry)
+		clock.Sleep(ctx, feedRetry)
 	}
 }
 
@@ -46,6 +47,6 @@
 func WaitReady(ctx context.Context, dir *directory.Directory) {
 	const poll = 20 * time.Millisecond
 	for !Ready(dir) && ctx.Err() == nil {
-		pause(ctx, poll)
+		clock.Sleep(ctx, poll)
 	}
 }
--- a/router/meters.go
+++ b/router/meters.go
@@ -39,7 +39,7 @@
 	return &meters{set: set, forwards: set.NewCounter("cicada_forwards_total")}
 }
 
-// Names of the metrics that the burn report reads.
+// Names of the metrics of callers' requests.
 const (
 	MetricRequests = "cicada_requests_total"
 	MetricSeconds  = "cicada_request_seconds"
--- a/router/try.go
+++ b/router/try.go
@@ -8,6 +8,7 @@
 	"cicadarouter/contract/backend"
 	"cicadarouter/contract/caller"
 	"cicadarouter/dispatch"
+	"cicadarouter/host/clock"
 	"cicadarouter/link/backendlink"
 )
 
@@ -167,7 +168,7 @@
 	if ctx.Err() != nil {
 		return notRun(caller.ReasonDeadline, time.Second), final
 	}
-	pause(ctx, stalePause)
+	clock.Sleep(ctx, stalePause)
 	return reply, again
 }
 
@@ -221,7 +222,7 @@
 		return notRun(caller.ReasonShed, time.Second), final
 	}
 	p.router.meters.retry("shed")
-	pause(ctx, shedPause)
+	clock.Sleep(ctx, shedPause)
 	return notRun(caller.ReasonShed, time.Second), again
 }
 
@@ -260,12 +261,3 @@
 	case <-ctx.Done():
 	}
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/scripts/compare.sh
+++ b/scripts/compare.sh
@@ -3,12 +3,8 @@
 # at half load, and at twice what the servers can do. RATES overrides.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-dir=$(pwd)/run/compare
-rm -rf "$dir"
-mkdir -p "$dir"
-go build -o bin/ ./cmd/...
 . scripts/lib.sh
-trap stop_all EXIT
+begin compare
 
 base=${BASE:-25000}
 servers=${SERVERS:-6}
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,5 +1,4 @@
-# Shared by the scripts that start a system on loopback. Source it after setting
-# $dir, the folder for settings and logs.
+# Shared by the scripts that start a system on loopback. Call begin first.
 
 pids=()
 declare -A pid_of
@@ -94,3 +93,36 @@
   printf '{"kind":"service","name":"%s","schema":"v2","spec":{"keyed":%s,"domains":%s,"weigh":"%s","deadlineMillis":%d}}\n' \
     "$1" "$2" "$3" "$4" "${5:-3000}"
 }
+
+# begin NAME: an empty folder $dir for settings and logs, and built programs
+begin() {
+  dir=$(pwd)/run/$1
+  rm -rf "$dir"
+  mkdir -p "$dir"
+  go build -o bin/ ./cmd/...
+  trap stop_all EXIT
+}
+
+# start_site DOMAINS SERVERS BASE: the platform, 3 hosts for each domain, and a
+# fleet of the keyed service split that is dealt out to them, all settled
+start_site() {
+  local list=${1// /,}
+  local fleet=(--service split --domains "$list" --count "$2" --slots 4 --connections 130 --work 2ms --base-port $(($3 + 300)))
+  hosts_json "$1" 3 "$3" >"$dir/hosts.json"
+  start platform bin/cicada-standin platform --listen "127.0.0.1:$3" --hosts "$dir/hosts.json"
+  start fleet bin/cicada-standin servers "${fleet[@]}" --admin 127.0.0.1:$(($3 + 299))
+  start_hosts "$1" 3 "$3"
+  wait_store "127.0.0.1:$3"
+  {
+    service_record split true "[\"${list//,/\",\"}\"]" unavailability
+    bin/cicada-standin records "${fleet[@]}"
+  } | bin/cicadactl --store "127.0.0.1:$3" apply - >/dev/null
+  sleep 4
+}
+
+# site_experiment SECONDS RATE KEYS BASE: an experiment's settings but for faults
+site_experiment() {
+  printf '[run]\nduration = %ss\noutput = %s/results\n[system]\nentries = %s\nfleets = 127.0.0.1:%s\nstore = 127.0.0.1:%s\n' \
+    "$1" "$dir" "$entries" $(($4 + 299)) "$4"
+  printf '[stream.split]\nservice = split\nrate = %s\nwrites = 0.5\nkeys = %s\n' "$2" "$3"
+}
--- a/scripts/stops.sh
+++ b/scripts/stops.sh
@@ -4,31 +4,16 @@
 # whose outcome is unknown. STOPS sets the number for each part (default 50).
 set -euo pipefail
 cd "$(dirname "$0")/.."
-dir=$(pwd)/run/stops
-rm -rf "$dir"
-mkdir -p "$dir"
-go build -o bin/ ./cmd/...
 . scripts/lib.sh
-trap stop_all EXIT
+begin stops
 
 base=${BASE:-26000}
 stops=${STOPS:-50}
-fleet=(--service split --domains a --count 6 --slots 4 --connections 130 --work 2ms --base-port $((base + 300)))
-hosts_json a 3 $base >"$dir/hosts.json"
-start platform bin/cicada-standin platform --listen 127.0.0.1:$base --hosts "$dir/hosts.json"
-start fleet bin/cicada-standin servers "${fleet[@]}" --admin 127.0.0.1:$((base + 299))
-start_hosts a 3 $base
-wait_store 127.0.0.1:$base
-{
-  service_record split true '["a"]' unavailability
-  bin/cicada-standin records "${fleet[@]}"
-} | bin/cicadactl --store 127.0.0.1:$base apply - >/dev/null
-sleep 4
+start_site a 6 $base
 
 seconds=$((stops * 3 + 10))
 {
-  printf '[run]\nduration = %ss\noutput = %s/stops\n[system]\nentries = %s\nfleets = 127.0.0.1:%s\nstore = 127.0.0.1:%s\n' "$seconds" "$dir" "$entries" $((base + 299)) $base
-  printf '[stream.split]\nservice = split\nrate = 400\nwrites = 0.5\nkeys = 2000\n'
+  site_experiment "$seconds" 400 2000 $base
   for n in $(seq 1 "$stops"); do # a backend server drains, is emptied, comes back
     printf '[fault.drain-%d]\nat = %ds\nfor = 2s\naction = drain\ntarget = split-%02d\n' "$n" $((n * 3)) $((n % 6))
   done
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -4,9 +4,9 @@
 package standin
 
 import (
-	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -16,6 +16,7 @@
 	"cicadarouter/contract/platform"
 	"cicadarouter/contract/platform/httpstore"
 	"cicadarouter/contract/platform/memstore"
+	"cicadarouter/host/clock"
 	"cicadarouter/record"
 )
 
@@ -118,10 +119,10 @@
 	faults := p.faults
 	p.mu.Unlock()
 	if faults.SlowMillis > 0 {
-		pause(request.Request.Context(), time.Duration(faults.SlowMillis)*time.Millisecond)
+		clock.Sleep(request.Request.Context(), time.Duration(faults.SlowMillis)*time.Millisecond)
 	}
 	domain := request.HeaderParameter(httpstore.DomainHeader)
-	if faults.Down || contains(faults.Cut, domain) {
+	if faults.Down || slices.Contains(faults.Cut, domain) {
 		_ = response.WriteErrorString(http.StatusServiceUnavailable, "store is down")
 		return
 	}
@@ -212,7 +213,7 @@
 	wait := min(time.Duration(millis)*time.Millisecond, longestWatch)
 	snapshot, err := p.store.Watch(request.Request.Context(), revision, wait)
 	p.mu.Lock()
-	cut := p.faults.Down || contains(p.faults.Cut, request.HeaderParameter(httpstore.DomainHeader))
+	cut := p.faults.Down || slices.Contains(p.faults.Cut, request.HeaderParameter(httpstore.DomainHeader))
 	p.mu.Unlock()
 	if cut {
 		panic(http.ErrAbortHandler) // the store went down while the watch waited
@@ -268,21 +269,3 @@
 		_ = response.WriteErrorString(http.StatusServiceUnavailable, err.Error())
 	}
 }
-
-func contains(list []string, wanted string) bool {
-	for _, entry := range list {
-		if entry == wanted {
-			return true
-		}
-	}
-	return false
-}
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/standin/requests.go
+++ b/standin/requests.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cicadarouter/contract/backend"
+	"cicadarouter/host/clock"
 	"cicadarouter/record"
 )
 
@@ -29,7 +30,7 @@
 		return
 	}
 	defer func() { <-s.slots }()
-	pause(ctx, s.work())
+	clock.Sleep(ctx, s.work())
 	s.frozen(ctx)
 	run, refusal := s.effect(ctx, in, request)
 	if refusal != "" {
--- a/tools/mutants/main.go
+++ b/tools/mutants/main.go
@@ -18,7 +18,7 @@
 )
 
 // stateful names the packages whose tests take rapid's flags.
-var stateful = map[string]bool{"ownership": true, "dispatch": true}
+var stateful = map[string]bool{"ownership": true, "dispatch": true, "directory": true}
 
 // mutant is one broken rule.
 type mutant struct {
--- a/tools/mutants/ownership.go
+++ b/tools/mutants/ownership.go
@@ -66,7 +66,7 @@
 		in("holder.go", "accept a grant for an earlier run",
 			"case grant.Incarnation != h.incarnation:", "case false:"),
 		in("holder.go", "run a request under any token",
-			"return shard.Token == token", "return shard.Token > 0"),
+			"return ok && held.Token == token", "return ok && held.Token > 0"),
 		in("doc.go", "ignore the drift of clocks",
 			"return time.Duration(float64(d)*(1+t.Drift)/(1-t.Drift)) + 1", "return d + 1"),
 		in("machine.go", "take a lost reply for success",
