--- /dev/null
+++ b/balance/server.go
@@ -0,0 +1,155 @@
+// Package balance decides, for one service, which backend server a request goes
+// to, how long it may wait for one, and when it is turned away. It is pure:
+// time comes in as an argument, and nothing blocks.
+//
+// Load pattern: more requests than slots, from many hosts that do not know each
+// other's, towards servers of unequal speed that never answer what they cannot
+// queue. A host therefore estimates each server's load from its own requests
+// and from the load that the server last reported, discounted by age, and keeps
+// its requests back while a server is believed to be full.
+package balance
+
+import (
+	"math"
+	"time"
+
+	"cicadarouter/fleet"
+)
+
+// Load is what a server says of itself in an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Weights and limits of the estimates.
+const (
+	// loadHalfLife is the age at which a reported load counts half: about the
+	// time in which a server turns over its queue.
+	loadHalfLife = 400 * time.Millisecond
+	// queueShare is how many requests may wait at a server for each of its
+	// slots. Servers queue a few more than they have slots; what hosts send
+	// without knowing of each other must fit above this.
+	queueShare = 1.0
+	// meanWeight is the weight of a new sample in smoothed times.
+	meanWeight = 0.08
+	// firstMean is the service time assumed before any was measured.
+	firstMean = 100 * time.Millisecond
+	// coldFactor is how much slower a server is right after its start.
+	coldFactor = 2.0
+	// crossDomain is the cost of another failure domain's server, as a share
+	// of the service time. Traffic between domains is dear; a queue of more
+	// than half a service time is dearer.
+	crossDomain = 0.6
+	// failureWeight is the weight of a new outcome in the failure rate.
+	failureWeight = 0.12
+	// failureCost is how many service times a certain failure is worth. A
+	// server that fails part of its requests is used less, not cut off: all
+	// servers may fail alike.
+	failureCost = 6.0
+	// suspectFirst and suspectMost bound how long a server that could not be
+	// reached, or that fell silent, is passed over.
+	suspectFirst = 300 * time.Millisecond
+	suspectMost  = 3 * time.Second
+)
+
+// Outcome is how an attempt at a server ended, as far as the estimates go.
+type Outcome int
+
+// The outcomes.
+const (
+	// Answered: the server gave a whole answer of success.
+	Answered Outcome = iota
+	// Failed: the server answered with a failure of its own, or with bytes
+	// that are no answer.
+	Failed
+	// Refused: the server turned the request away without running it.
+	Refused
+	// Unreachable: no connection, or no answer in time.
+	Unreachable
+	// Abandoned: the caller left; it says nothing about the server.
+	Abandoned
+)
+
+// Server is one backend server as a host sees it.
+type Server struct {
+	fleet.Server
+	inFlight  int
+	others    float64 // load by other hosts at reportAt
+	reportAt  time.Duration
+	ratio     float64 // its service time over the service's mean
+	failures  float64
+	coldUntil time.Duration
+	suspect   time.Duration // passed over until
+	strikes   int
+}
+
+// InFlight returns the host's own requests at the server.
+func (s *Server) InFlight() int { return s.inFlight }
+
+// estimate returns the requests believed to be at the server, from all hosts.
+func (s *Server) estimate(now time.Duration) float64 {
+	age := float64(now-s.reportAt) / float64(loadHalfLife)
+	return float64(s.inFlight) + s.others*math.Exp2(-age)
+}
+
+// room reports whether the server is believed to have space for one more.
+func (s *Server) room(now time.Duration) bool {
+	return s.estimate(now)+1 <= float64(s.Slots)*(1+queueShare)
+}
+
+// silent reports a server that several attempts in a row could not reach.
+func (s *Server) silent(now time.Duration) bool { return s.strikes > 1 && now < s.suspect }
+
+// usable reports whether the server may take new requests now.
+func (s *Server) usable(now time.Duration) bool { return !s.Draining && now >= s.suspect }
+
+// cost is the expected time of one more request, in service times of the
+// service's mean server.
+func (s *Server) cost(now time.Duration, domain string) float64 {
+	ratio := s.ratio
+	if now < s.coldUntil {
+		ratio = max(ratio, coldFactor)
+	}
+	waiting := max(0, s.estimate(now)+1-float64(s.Slots))
+	cost := ratio * (1 + waiting/float64(max(s.Slots, 1)))
+	if s.Domain != domain {
+		cost += crossDomain
+	}
+	return cost + failureCost*s.failures
+}
+
+// report takes the load that came with an answer.
+func (s *Server) report(now time.Duration, load Load) {
+	if load.Slots > 0 {
+		s.Slots = load.Slots
+	}
+	s.others = max(0, float64(load.Running+load.Waiting-s.inFlight))
+	s.reportAt = now
+}
+
+// settle takes the outcome of an attempt.
+func (s *Server) settle(now time.Duration, outcome Outcome) {
+	failed := 0.0
+	switch outcome {
+	case Abandoned, Refused:
+		return
+	case Failed, Unreachable:
+		failed = 1
+	}
+	s.failures += failureWeight * (failed - s.failures)
+	if outcome != Unreachable {
+		s.strikes = 0
+		return
+	}
+	s.suspect = now + min(suspectFirst<<min(s.strikes, 8), suspectMost)
+	s.strikes++
+}
+
+// refused notes that a server had no room after all, whatever it was believed.
+func (s *Server) refused(now time.Duration) {
+	s.others = max(s.others, float64(s.Slots)*(1+queueShare))
+	s.reportAt = now
+}
+
+// Ratio returns the server's service time over the mean of its service.
+func (s *Server) Ratio() float64 { return max(s.ratio, 0.3) }
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"cicadarouter/balance"
+	"cicadarouter/contract/adapter"
+	"cicadarouter/link/backendlink"
+)
+
+// attemptResult is how one attempt at one server ended.
+type attemptResult struct {
+	// reply is what the caller gets if there is no other attempt; nil if the
+	// caller left or the time ran out during the attempt.
+	reply *reply
+	// sent is set once any byte may have left: it counts as an attempt.
+	sent bool
+	// notRun is set if the request is proven not to have run.
+	notRun bool
+	// failed is set if the answer was a failure, or there was none.
+	failed  bool
+	outcome balance.Outcome
+	load    *balance.Load
+	server  string
+	err     error
+}
+
+// Errors of answers.
+var (
+	errOtherAnswer = errors.New("the answer belongs to another request")
+	errBrokenOff   = errors.New("the answer broke off")
+)
+
+// mostStray bounds answers to earlier requests that are read past.
+const mostStray = 2
+
+// attempt sends the request to one server and reads the answer. The server's
+// place is given back when the answer has been read.
+func (g *Gateway) attempt(ctx context.Context, req *request, server *balance.Server, link *backendlink.Pool) attemptResult {
+	began := g.now()
+	req.tried = append(req.tried, server.ID)
+	exchange, err := link.Begin(ctx)
+	if err != nil {
+		result := unreached(ctx, err)
+		result.server = server.ID
+		req.service.done(server, result.outcome, 0, nil, req.key())
+		return result
+	}
+	req.sends++
+	stop := context.AfterFunc(ctx, exchange.Abort)
+	result, response := g.exchange(ctx, req, server, exchange)
+	result.server, result.sent = server.ID, true
+	if response == nil {
+		stop()
+		exchange.Abort()
+		req.service.done(server, result.outcome, g.now()-began, result.load, req.key())
+		return result
+	}
+	took := g.now() - began
+	finish := func(whole bool) {
+		if stop() && whole {
+			exchange.Keep()
+		} else {
+			exchange.Abort()
+		}
+		req.service.done(server, result.outcome, took, result.load, req.key())
+	}
+	result.reply.server = server.ID
+	if result.reply.rest == nil {
+		finish(true)
+		return result
+	}
+	result.reply.finish = finish
+	return result
+}
+
+// unreached is the result when no connection could be had: nothing was sent.
+func unreached(ctx context.Context, err error) attemptResult {
+	if ctx.Err() != nil {
+		return attemptResult{outcome: balance.Abandoned, err: err, reply: unsentReply(ctx, err)}
+	}
+	return attemptResult{notRun: true, failed: true, outcome: balance.Unreachable, err: err,
+		reply: &reply{outcome: "unreachable", status: http.StatusServiceUnavailable, retryAfter: retryAfterUnknown, cause: err}}
+}
+
+// unsentReply tells a caller whose time ran out before anything was sent that
+// its request has not run.
+func unsentReply(ctx context.Context, err error) *reply {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return nil
+	}
+	return &reply{outcome: string(balance.Expired), status: http.StatusServiceUnavailable, retryAfter: retryAfterUnknown, cause: err}
+}
+
+// exchange sends the request and reads the answer, of a long one the first
+// part. response is nil if the connection must not be used again.
+func (g *Gateway) exchange(ctx context.Context, req *request, server *balance.Server, exchange *backendlink.Exchange) (attemptResult, *http.Response) {
+	out := g.outgoing(req, server)
+	if err := exchange.Send(out); err != nil {
+		return g.unanswered(ctx, err), nil
+	}
+	for stray := 0; ; stray++ {
+		meta := g.codec.ReadAnswer(exchange.Response.StatusCode, exchange.Response.Header)
+		if meta.RequestID == req.ID || meta.RequestID == "" && meta.NotRun {
+			return g.answered(ctx, req, exchange.Response, meta)
+		}
+		// A late second answer to an earlier request lies in the way. Passing
+		// it on would give one caller another's answer.
+		g.counts.strays.Inc()
+		if !exchange.Reused || stray >= mostStray {
+			return g.unanswered(ctx, errOtherAnswer), nil
+		}
+		if err := exchange.Next(out); err != nil {
+			return g.unanswered(ctx, err), nil
+		}
+	}
+}
+
+// unanswered is the result of a request that was sent and got no whole answer.
+// Nobody knows whether it ran, unless nothing was written.
+func (g *Gateway) unanswered(ctx context.Context, err error) attemptResult {
+	var sendErr *backendlink.SendError
+	if errors.As(err, &sendErr) && !sendErr.Written && ctx.Err() == nil {
+		return unreached(ctx, err)
+	}
+	result := attemptResult{failed: true, outcome: balance.Failed, err: err}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		result.outcome = balance.Unreachable
+		return result
+	case ctx.Err() != nil:
+		result.outcome = balance.Abandoned
+		return result
+	}
+	result.reply = &reply{outcome: "no-answer", status: http.StatusBadGateway, cause: err}
+	return result
+}
+
+// answered takes a server's answer to this request.
+func (g *Gateway) answered(ctx context.Context, req *request, response *http.Response, meta adapter.Answer) (attemptResult, *http.Response) {
+	result := attemptResult{load: meta.Load}
+	data, whole, err := backendlink.ReadWhole(response.Body, heldAnswer)
+	if err != nil {
+		broken := g.unanswered(ctx, errors.Join(errBrokenOff, err))
+		broken.load = meta.Load
+		return broken, nil
+	}
+	if meta.NotRun {
+		result.notRun, result.failed, result.outcome = true, true, balance.Refused
+		result.reply = &reply{outcome: "server-refused", status: http.StatusServiceUnavailable, retryAfter: g.whenFree(req)}
+		return result, response
+	}
+	result.reply = &reply{outcome: outcomeAnswered, status: response.StatusCode, header: forwardable(response.Header), body: data}
+	if !whole {
+		result.reply.rest = response.Body
+		result.reply.body = data
+	}
+	if !bodyAllowed(req.http, response.StatusCode) {
+		result.reply.body = nil
+	} else if response.ContentLength < 0 && whole {
+		result.reply.header.Del("Content-Length")
+	}
+	result.failed = response.StatusCode >= http.StatusInternalServerError
+	if result.failed {
+		result.outcome = balance.Failed
+		if response.StatusCode == http.StatusGatewayTimeout {
+			result.outcome = balance.Abandoned // the deadline ended it, not the server
+		}
+	}
+	if promisesNotRun(response.StatusCode) {
+		// The server ran the request; its caller must not read this as a promise.
+		result.failed, result.outcome = true, balance.Failed
+		result.reply = &reply{outcome: "server-failed", status: http.StatusBadGateway}
+		if !whole {
+			return result, nil
+		}
+	}
+	return result, response
+}
+
+// promisesNotRun reports the statuses that tell a caller that its request has
+// not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// whenFree is how long a turned-away caller should stay away: one service time.
+func (g *Gateway) whenFree(req *request) time.Duration { return req.service.mean() }
--- /dev/null
+++ b/gateway/control.go
@@ -0,0 +1,315 @@
+package gateway
+
+import (
+	"context"
+	"hash/fnv"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"cicadarouter/fleet"
+	"cicadarouter/host/ring"
+	"cicadarouter/keyspace"
+)
+
+// Times of control.
+const (
+	// stepEvery is how often a controller looks at its leases.
+	stepEvery = 50 * time.Millisecond
+	// idleEvery is how often a host that controls nothing looks whether it should.
+	idleEvery = 250 * time.Millisecond
+	// confirmEvery is how often a controller has the store confirm it. Several
+	// may fail before its authority runs out.
+	confirmEvery = 1200 * time.Millisecond
+	// reportEvery is how often a host tells a controller the load of keys. It
+	// is also how the host learns that the controller lives.
+	reportEvery = time.Second
+	// silentAfter is how long a controller may leave reports unanswered before
+	// another host takes over. Leases outlast this and the takeover.
+	silentAfter = 1300 * time.Millisecond
+	// storelessAfter is for how long a controller may be without the store
+	// before a host that reaches the store takes over.
+	storelessAfter = 2500 * time.Millisecond
+	// claimSpread spreads the hosts' claims, so that mostly one call is made.
+	claimSpread = 700 * time.Millisecond
+	// firstWait is how long after the first listing a first assignment is made:
+	// servers that start together register within it.
+	firstWait = 1200 * time.Millisecond
+	// yieldEvery is how often a predecessor is asked whether it has stopped.
+	yieldEvery = 400 * time.Millisecond
+	// mostEvents bounds answers that wait for the controller.
+	mostEvents = 4096
+)
+
+// control is what a host does as, or towards, the controllers of keys.
+type control struct {
+	listed   atomic.Bool // the assignments have been read once
+	services map[string]*controller
+	events   *ring.Ring[event]
+}
+
+func newControl() control {
+	return control{services: map[string]*controller{}, events: ring.New[event](mostEvents)}
+}
+
+// event is an answer that the control loop takes in.
+type event interface {
+	apply(g *Gateway, now time.Duration)
+}
+
+// controller is one keyed service as the control loop sees it. Only that loop
+// touches it.
+type controller struct {
+	service   *service
+	machine   *keyspace.Machine // nil unless this process is the controller
+	revision  uint64            // of the machine's record
+	known     map[string]fleet.Server
+	writing   bool
+	reading   bool
+	claiming  bool
+	firstAt   time.Duration // when the service was first seen
+	reported  time.Duration // when the last report was sent
+	heard     time.Duration // when the controller last answered one, on the boot clock
+	wanted    time.Duration // since when a claim seems due; 0 if it does not
+	confirm   time.Duration // when the last confirmation began
+	yield     *yieldTarget
+	powerless bool // logged that authority ran out
+}
+
+// yieldTarget is a predecessor that has not been proven stopped.
+type yieldTarget struct {
+	keyspace.Controller
+	asked time.Duration
+}
+
+// runControl is the control loop.
+func (g *Gateway) runControl(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := idleEvery
+		if g.controls() {
+			pause = stepEvery
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-g.wake:
+		case next := <-g.control.events.Out():
+			next.apply(g, g.boot.Now())
+		}
+		timer.Stop()
+		g.drainEvents()
+		g.stepControl(ctx)
+	}
+}
+
+func (g *Gateway) drainEvents() {
+	for {
+		select {
+		case next := <-g.control.events.Out():
+			next.apply(g, g.boot.Now())
+		default:
+			return
+		}
+	}
+}
+
+// controls reports whether this process is the controller of any service.
+func (g *Gateway) controls() bool {
+	for _, c := range g.control.services {
+		if c.machine != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gateway) stepControl(ctx context.Context) {
+	g.expireServers()
+	if g.stopping.Load() {
+		g.resignAll(ctx)
+		return
+	}
+	for _, s := range g.keyedServices() {
+		c := g.control.services[s.name]
+		if c == nil {
+			c = &controller{service: s, known: map[string]fleet.Server{}, firstAt: g.boot.Now(), heard: g.boot.Now()}
+			g.control.services[s.name] = c
+		}
+		if c.machine != nil {
+			g.lead(ctx, c)
+		} else {
+			g.serveUnder(ctx, c)
+		}
+	}
+}
+
+// own reports whether a record names this process as the controller.
+func (g *Gateway) own(record *keyspace.Record) bool {
+	return record.Controller.Incarnation == g.identity.Incarnation
+}
+
+func (g *Gateway) self() keyspace.Controller {
+	return keyspace.Controller{Host: g.identity.Host, Address: g.identity.Peers, Incarnation: g.identity.Incarnation}
+}
+
+// serveUnder does what a host owes another controller: reports, and taking over.
+func (g *Gateway) serveUnder(ctx context.Context, c *controller) {
+	now := g.boot.Now()
+	if !g.control.listed.Load() || c.claiming {
+		return
+	}
+	record, revision := c.service.view.latest()
+	switch {
+	case record == nil:
+		g.claimFirst(ctx, c, now)
+	case g.own(record):
+		// The claim was acknowledged but its answer got lost.
+		g.wantClaim(ctx, c, now, record, revision, 0)
+	case record.Controller.Resigned:
+		g.wantClaim(ctx, c, now, record, revision, g.claimDelay(c, record.Term)/2)
+	case now-c.heard > silentAfter:
+		g.wantClaim(ctx, c, now, record, revision, g.claimDelay(c, record.Term))
+	default:
+		c.wanted = 0
+	}
+	if record != nil && !g.own(record) && now-c.reported >= reportEvery {
+		c.reported = now
+		g.sendReport(ctx, c, record.Controller)
+	}
+}
+
+// claimDelay spreads the claims of hosts over claimSpread.
+func (g *Gateway) claimDelay(c *controller, term uint64) time.Duration {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(g.identity.Host + c.service.name + strconv.FormatUint(term, 10)))
+	return claimSpread * time.Duration(hash.Sum32()%1000) / 1000
+}
+
+// wantClaim claims once the claim has seemed due for the delay.
+func (g *Gateway) wantClaim(ctx context.Context, c *controller, now time.Duration, record *keyspace.Record, revision uint64, delay time.Duration) {
+	if c.wanted == 0 {
+		c.wanted = now
+	}
+	if now-c.wanted < delay || !g.Ready() {
+		return
+	}
+	c.wanted = 0
+	next := record.Clone()
+	next.Term++
+	next.Controller = g.self()
+	predecessor := record.Controller
+	// What this process itself granted is behind it.
+	predecessor.Resigned = predecessor.Resigned || g.own(record)
+	g.log.Info("claiming control", "service", c.service.name, "term", next.Term, "revision", revision,
+		"predecessor", predecessor.Host, "resigned", predecessor.Resigned, "unheard-ms", (now - c.heard).Milliseconds())
+	c.claiming = true
+	g.claim(ctx, c, next, revision, &predecessor)
+}
+
+// claimFirst makes the first assignment of a service.
+func (g *Gateway) claimFirst(ctx context.Context, c *controller, now time.Duration) {
+	if now-c.firstAt < firstWait+g.claimDelay(c, 0) || !g.Ready() {
+		return
+	}
+	servers := g.holders(c)
+	var eligible []keyspace.Server
+	for _, server := range servers {
+		if !server.Leaving {
+			eligible = append(eligible, server)
+		}
+	}
+	if len(eligible) == 0 {
+		return
+	}
+	record := keyspace.First(g.self(), eligible)
+	g.log.Info("first assignment", "service", c.service.name, "servers", len(eligible))
+	c.claiming = true
+	g.claim(ctx, c, record, 0, nil)
+}
+
+// holders returns the servers that may hold keys, and remembers their addresses.
+func (g *Gateway) holders(c *controller) []keyspace.Server {
+	var holders []keyspace.Server
+	for _, state := range c.service.serverStates() {
+		c.known[state.ID] = state.Server
+		holders = append(holders, keyspace.Server{ID: state.ID, Slots: state.Slots, Speed: state.Speed, Leaving: state.Draining})
+	}
+	return holders
+}
+
+// lead does what a controller does.
+func (g *Gateway) lead(ctx context.Context, c *controller) {
+	now := g.boot.Now()
+	record, revision := c.service.view.latest()
+	if record != nil && revision > c.revision && !g.own(record) {
+		g.stepDown(c, "another controller took over", record.Controller.Host)
+		return
+	}
+	if now-c.reported >= reportEvery {
+		c.reported = now
+		c.machine.Loads().Add(now, c.service.takeBusy())
+	}
+	g.noteAuthority(c, now)
+	for _, call := range c.machine.Step(now, g.holders(c)) {
+		g.startCall(ctx, c, call)
+	}
+	if pending := c.machine.Pending(); pending != nil && !c.writing {
+		c.writing = true
+		g.startWrite(ctx, c, pending)
+	}
+	if now-c.confirm >= confirmEvery && !c.reading && !c.writing {
+		c.confirm, c.reading = now, true
+		g.startConfirm(ctx, c)
+	}
+	g.askPredecessor(ctx, c, now)
+}
+
+// noteAuthority logs when the authority ran out and when it is back.
+func (g *Gateway) noteAuthority(c *controller, now time.Duration) {
+	powerless := !c.machine.Authority(now)
+	if powerless == c.powerless {
+		return
+	}
+	c.powerless = powerless
+	if powerless {
+		g.log.Warn("authority ran out: the store has not confirmed this controller", "service", c.service.name)
+		return
+	}
+	g.log.Info("authority confirmed again", "service", c.service.name)
+}
+
+func (g *Gateway) stepDown(c *controller, why, successor string) {
+	g.log.Info("control given up", "service", c.service.name, "why", why, "successor", successor)
+	c.machine, c.yield, c.writing, c.reading, c.powerless = nil, nil, false, false, false
+	c.heard = g.boot.Now()
+}
+
+// askPredecessor asks an earlier controller whether it has stopped, until it
+// has or its authority has run out in any case.
+func (g *Gateway) askPredecessor(ctx context.Context, c *controller, now time.Duration) {
+	if c.yield == nil || now-c.yield.asked < yieldEvery {
+		return
+	}
+	if c.machine.Settled(now) {
+		c.yield = nil
+		return
+	}
+	c.yield.asked = now
+	g.startYield(ctx, c, c.yield.Controller)
+}
+
+// resignAll stops all controllers and tells the others through the store, so
+// that the next takes over without waiting for leases.
+func (g *Gateway) resignAll(ctx context.Context) {
+	for _, c := range g.control.services {
+		if c.machine == nil {
+			continue
+		}
+		record := c.machine.Record().Clone()
+		record.Controller.Resigned = true
+		revision := c.revision
+		g.stepDown(c, "this process stops", "")
+		g.startResign(ctx, c, record, revision)
+	}
+}
--- /dev/null
+++ b/gateway/daemon/daemon.go
@@ -0,0 +1,228 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+
+	"cicadarouter/gateway"
+	"cicadarouter/host/logs"
+	"cicadarouter/platform"
+)
+
+const (
+	// logLines is how many log lines may wait to be written.
+	logLines = 512
+	// heapGrowth is the garbage collector's target in percent. Memory at its
+	// peak is dearer than processor time, of which the collector then takes more.
+	heapGrowth = 40
+	// memoryShare is the part of the memory allowed that the heap may take.
+	memoryShare = 0.6
+	// stopMargin is kept to the moment at which the process is killed.
+	stopMargin = 600 * time.Millisecond
+	// lookEvery is how often the settings file is looked at; it may change
+	// without a signal.
+	lookEvery = 2 * time.Second
+	// headerBytes bounds a request's header before a configuration says so.
+	headerBytes = 64 << 10
+)
+
+// Daemon is the process.
+type Daemon struct {
+	settings Settings
+	gateway  *gateway.Gateway
+	store    *platform.Store
+	log      *log.Logger
+	lines    *logs.Bounded
+}
+
+func newLines() *logs.Bounded { return logs.NewBounded(logLines) }
+
+func newLog(s Settings, lines *logs.Bounded) *log.Logger {
+	return logs.New(lines, "cicada-gateway", s.Host, levelOf(s.LogLevel))
+}
+
+// levelOf returns the level of a name that the settings have checked.
+func levelOf(name string) log.Level {
+	level, err := log.ParseLevel(name)
+	if err != nil {
+		return log.InfoLevel
+	}
+	return level
+}
+
+func newStore(s Settings) *platform.Store { return platform.NewStore(s.Store) }
+
+func newIdentity(s Settings) gateway.Identity {
+	return gateway.Identity{Host: s.Host, Domain: s.Domain, Peers: s.Peers, Incarnation: rand.Uint64() >> 1}
+}
+
+func newPlatform(store *platform.Store) gateway.Platform {
+	return gateway.Platform{Store: store, Registry: platform.Registry{}, Codec: platform.Codec{}, Keys: platform.NewKeys()}
+}
+
+func newDaemon(s Settings, g *gateway.Gateway, store *platform.Store, logger *log.Logger, lines *logs.Bounded) *Daemon {
+	return &Daemon{settings: s, gateway: g, store: store, log: logger, lines: lines}
+}
+
+// listeners are the process's listening sockets.
+type listeners struct{ callers, ready, peers, metrics net.Listener }
+
+func (d *Daemon) listen() (listeners, error) {
+	var l listeners
+	for _, each := range []struct {
+		what, address string
+		into          *net.Listener
+	}{
+		{"callers", d.settings.Callers, &l.callers}, {"the balancer's check", d.settings.Ready, &l.ready},
+		{"other hosts", d.settings.Peers, &l.peers}, {"metrics", d.settings.Metrics, &l.metrics},
+	} {
+		listener, err := net.Listen("tcp", each.address)
+		if err != nil {
+			return l, eris.Wrapf(err, "listening for %s on %s", each.what, each.address)
+		}
+		*each.into = listener
+	}
+	return l, nil
+}
+
+// Run serves until the context ends, and then leaves: the balancer's check
+// fails at once, callers are served until the balancer has noticed, what is
+// under way is finished, and the process ends before it would be killed.
+func (d *Daemon) Run(ctx context.Context) error {
+	debug.SetGCPercent(heapGrowth)
+	debug.SetMemoryLimit(int64(float64(d.settings.MemoryMB) * memoryShare * (1 << 20)))
+	stopLog := make(chan struct{})
+	var writing sync.WaitGroup
+	writing.Go(func() { d.lines.Run(os.Stdout, stopLog) })
+	defer writing.Wait()
+	defer close(stopLog)
+	open, err := d.listen()
+	if err != nil {
+		return err
+	}
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	callers := &http.Server{Handler: d.gateway, ReadHeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout,
+		MaxHeaderBytes: headerBytes, ConnState: noteState, ErrorLog: d.log.StandardLog()}
+	ready := d.server(d.readyHandler())
+	peers := d.server(d.gateway.PeerHandler())
+	metrics := d.server(d.metricsHandler())
+	go d.serve(callers, callerListener{Listener: open.callers, limits: d.gateway.Limits})
+	go d.serve(ready, open.ready)
+	go d.serve(peers, open.peers)
+	go d.serve(metrics, open.metrics)
+	go d.watchSettings(running)
+	duties := d.gateway.Start(running)
+	d.log.Info("started", "domain", d.settings.Domain, "callers", d.settings.Callers, "store", d.settings.Store)
+	<-ctx.Done()
+	err = d.leave(callers)
+	cancel()
+	duties.Wait()
+	d.log.Info("stopped", "log-lines-dropped", d.lines.Dropped())
+	return err
+}
+
+// leave ends the service to callers.
+func (d *Daemon) leave(callers *http.Server) error {
+	d.log.Info("stopping", "leave-for-ms", d.settings.LeaveFor.Milliseconds(), "within-ms", d.settings.StopWithin.Milliseconds())
+	until, cancel := context.WithTimeout(context.Background(), d.settings.StopWithin-stopMargin)
+	defer cancel()
+	d.gateway.Stop()
+	select {
+	case <-time.After(min(d.settings.LeaveFor, d.settings.StopWithin-stopMargin)):
+	case <-until.Done():
+	}
+	if err := callers.Shutdown(until); err != nil {
+		d.log.Warn("requests were still under way at the end", "error", err.Error())
+	}
+	return nil
+}
+
+func (d *Daemon) server(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout, ErrorLog: d.log.StandardLog()}
+}
+
+func (d *Daemon) serve(server *http.Server, listener net.Listener) {
+	err := server.Serve(listener)
+	if !errors.Is(err, http.ErrServerClosed) {
+		d.log.Error("listener ended", "address", listener.Addr().String(), "error", err.Error())
+	}
+}
+
+func (d *Daemon) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !d.gateway.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (d *Daemon) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain")
+		d.gateway.WriteMetrics(w)
+	})
+	return mux
+}
+
+// watchSettings reads the settings again when the file has changed or SIGHUP
+// came. What can't be read leaves the last good settings in force.
+func (d *Daemon) watchSettings(ctx context.Context) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	seen := modified(d.settings.File)
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-ticker.C:
+			if now := modified(d.settings.File); now.IsZero() || now.Equal(seen) {
+				continue
+			}
+		}
+		seen = modified(d.settings.File)
+		d.reload()
+	}
+}
+
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload puts what can change while the process runs in force: the store's
+// address and the log level. Other changes take effect at the next start.
+func (d *Daemon) reload() {
+	fresh, err := Load(d.settings.File)
+	if err != nil {
+		d.log.Error("settings left aside; the last good ones stay in force", "error", err.Error())
+		return
+	}
+	d.store.SetAddress(fresh.Store)
+	d.log.SetLevel(levelOf(fresh.LogLevel))
+	kept := fresh
+	kept.Store, kept.LogLevel = d.settings.Store, d.settings.LogLevel
+	d.log.Info("settings read again", "store", fresh.Store, "level", fresh.LogLevel, "others-wait-for-restart", kept != d.settings)
+}
--- /dev/null
+++ b/gateway/daemon/settings.go
@@ -0,0 +1,59 @@
+// Package daemon runs a gateway as a process: settings, listeners, signals.
+package daemon
+
+import (
+	"time"
+
+	"cicadarouter/host/settings"
+)
+
+// Settings are the settings of cicada-gateway.
+type Settings struct {
+	// File is where they were read from.
+	File string
+
+	Host, Domain string
+	Callers      string
+	Ready        string
+	Peers        string
+	Metrics      string
+	Store        string
+	LogLevel     string
+	// MemoryMB is what the process may use.
+	MemoryMB int
+	// LeaveFor is how long the host goes on taking callers after SIGTERM: the
+	// balancer asks each second and takes a host out after two misses.
+	LeaveFor time.Duration
+	// StopWithin is how long after SIGTERM the process is killed.
+	StopWithin time.Duration
+}
+
+const (
+	addressAllowed = "an IP number and port, such as 127.0.0.1:7001"
+	nameAllowed    = "a name that is not empty"
+)
+
+// Options returns the options of the settings file.
+func (s *Settings) Options() []settings.Option {
+	return []settings.Option{
+		{Section: "host", Name: "name", Required: true, Allowed: nameAllowed, Set: settings.Text(&s.Host)},
+		{Section: "host", Name: "domain", Required: true, Allowed: nameAllowed, Set: settings.Text(&s.Domain)},
+		{Section: "host", Name: "memory-mb", Default: "128", Allowed: "16 to 1048576", Set: settings.Int(&s.MemoryMB, 16, 1<<20)},
+		{Section: "listen", Name: "callers", Required: true, Allowed: addressAllowed, Set: settings.Address(&s.Callers)},
+		{Section: "listen", Name: "ready", Required: true, Allowed: addressAllowed, Set: settings.Address(&s.Ready)},
+		{Section: "listen", Name: "peers", Required: true, Allowed: addressAllowed, Set: settings.Address(&s.Peers)},
+		{Section: "listen", Name: "metrics", Required: true, Allowed: addressAllowed, Set: settings.Address(&s.Metrics)},
+		{Section: "store", Name: "address", Required: true, Allowed: addressAllowed, Set: settings.Address(&s.Store)},
+		{Section: "stop", Name: "leave-for", Default: "3300ms", Allowed: "0s to 1h", Set: settings.Duration(&s.LeaveFor, 0, time.Hour)},
+		{Section: "stop", Name: "within", Default: "6s", Allowed: "1s to 1h", Set: settings.Duration(&s.StopWithin, time.Second, time.Hour)},
+		{Section: "log", Name: "level", Default: "info", Allowed: "debug, info, warn or error",
+			Set: settings.Choice(&s.LogLevel, "debug", "info", "warn", "error")},
+	}
+}
+
+// Load reads and checks the settings file.
+func Load(file string) (Settings, error) {
+	s := Settings{File: file}
+	err := settings.Load(file, s.Options())
+	return s, err
+}
--- /dev/null
+++ b/gateway/follow.go
@@ -0,0 +1,238 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"cicadarouter/contract/objects"
+	"cicadarouter/fleet"
+	"cicadarouter/keyspace"
+)
+
+// Times of following the store.
+const (
+	// watchWait is how long a watch waits: long, since each call has a price;
+	// keep-alive probes find a dead connection sooner.
+	watchWait = 25 * time.Second
+	// awayFirst and awayMost bound the pause after a failed call. A host that
+	// has lost the store must learn of its return within the time in which a
+	// configuration has to be in force.
+	awayFirst = 100 * time.Millisecond
+	awayMost  = 600 * time.Millisecond
+	// gather is left between two watches of a kind that changes often, so that
+	// one call brings several changes. A tenth of the time to obey them.
+	gather = 200 * time.Millisecond
+	// assignments is the kind of the records in which owners of keys lie.
+	assignments = "cicada-assignments"
+)
+
+// follower keeps this host's copy of one kind up to date.
+type follower struct {
+	kind   string
+	gather time.Duration
+	// replace takes a complete listing, change takes later changes.
+	replace func(objects.Listing)
+	change  func(objects.Listing)
+	// away is told each time a call fails.
+	away func()
+}
+
+// follow runs until the context ends.
+func (g *Gateway) follow(ctx context.Context, f follower) {
+	pause := awayFirst
+	var revision uint64
+	connected := false
+	for ctx.Err() == nil {
+		var listing objects.Listing
+		var err error
+		if connected {
+			listing, err = g.store.Watch(ctx, f.kind, revision, watchWait)
+		} else {
+			listing, err = g.store.List(ctx, f.kind)
+		}
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			connected = g.lost(f, err, connected)
+			g.sleep(ctx, pause)
+			pause = min(2*pause, awayMost)
+			continue
+		}
+		if !connected {
+			g.log.Info("store followed", "kind", f.kind, "revision", listing.Revision, "objects", len(listing.Objects))
+			f.replace(listing)
+		} else if len(listing.Objects) > 0 {
+			f.change(listing)
+		}
+		connected, pause, revision = true, awayFirst, listing.Revision
+		if f.gather > 0 {
+			g.sleep(ctx, f.gather)
+		}
+	}
+}
+
+// lost notes a failed call, and reports whether the watch may go on from its
+// revision. A watch that was cut or turned away loses nothing by going on.
+func (g *Gateway) lost(f follower, err error, connected bool) bool {
+	g.counts.storeErrors.Inc()
+	compacted := errors.Is(err, objects.ErrCompacted)
+	g.log.Warn("store not followed", "kind", f.kind, "error", err.Error(), "list-again", compacted || !connected)
+	if !compacted {
+		f.away()
+	}
+	return connected && !compacted
+}
+
+func (g *Gateway) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// followServers follows the entries of backend servers.
+func (g *Gateway) followServers(ctx context.Context) {
+	g.follow(ctx, follower{
+		kind: g.registry.Servers(), gather: gather,
+		replace: func(listing objects.Listing) {
+			servers := make([]fleet.Server, 0, len(listing.Objects))
+			for _, object := range listing.Objects {
+				if server, ok := g.decodeServer(object); ok {
+					servers = append(servers, server)
+				}
+			}
+			g.mu.Lock()
+			g.directory.Replace(g.now(), servers)
+			g.mu.Unlock()
+			g.listed.Store(true)
+			g.directoryChanged()
+		},
+		change: func(listing objects.Listing) {
+			for _, object := range listing.Objects {
+				g.changeServer(object)
+			}
+			g.directoryChanged()
+		},
+		away: func() {
+			g.mu.Lock()
+			g.directory.Away(g.now())
+			g.mu.Unlock()
+		},
+	})
+}
+
+func (g *Gateway) decodeServer(object objects.Object) (fleet.Server, bool) {
+	server, err := g.registry.Server(object)
+	if err != nil {
+		g.log.Error("server entry left aside", "server", object.Name, "revision", object.Revision, "error", err.Error())
+		return fleet.Server{}, false
+	}
+	return server, true
+}
+
+func (g *Gateway) changeServer(object objects.Object) {
+	if object.Deleted {
+		g.log.Info("server entry gone", "server", object.Name, "revision", object.Revision)
+		g.mu.Lock()
+		g.directory.Remove(g.now(), object.Name)
+		g.mu.Unlock()
+		return
+	}
+	server, ok := g.decodeServer(object)
+	if !ok {
+		return
+	}
+	g.log.Info("server entry", "server", server.ID, "service", server.Service, "draining", server.Draining, "revision", object.Revision)
+	g.mu.Lock()
+	g.directory.Put(server)
+	g.mu.Unlock()
+}
+
+func (g *Gateway) directoryChanged() {
+	g.distribute()
+	g.nudge()
+}
+
+// expireServers drops servers whose entries did not come back.
+func (g *Gateway) expireServers() {
+	g.mu.Lock()
+	changed := g.directory.Expire(g.now())
+	g.mu.Unlock()
+	if changed {
+		g.log.Info("servers dropped whose entries did not return")
+		g.directoryChanged()
+	}
+}
+
+// followConfiguration follows the operator's configuration.
+func (g *Gateway) followConfiguration(ctx context.Context) {
+	take := func(listing objects.Listing) {
+		for _, object := range listing.Objects {
+			if object.Name != g.registry.Current() || object.Deleted {
+				continue
+			}
+			offered, err := g.registry.Configuration(object)
+			if err != nil {
+				g.log.Error("configuration left aside", "revision", object.Revision, "error", err.Error())
+				continue
+			}
+			g.configure(offered)
+		}
+	}
+	g.follow(ctx, follower{kind: g.registry.Configurations(), replace: take, change: take, away: func() {}})
+}
+
+// followAssignments follows who owns which keys.
+func (g *Gateway) followAssignments(ctx context.Context) {
+	take := func(listing objects.Listing) {
+		for _, object := range listing.Objects {
+			g.takeAssignment(object)
+		}
+		g.control.listed.Store(true)
+		g.nudge()
+	}
+	g.follow(ctx, follower{kind: assignments, replace: take, change: take, away: func() {}})
+}
+
+func (g *Gateway) takeAssignment(object objects.Object) {
+	if object.Deleted {
+		g.log.Error("assignment deleted in the store; the last one stays in force", "service", object.Name)
+		return
+	}
+	record := &keyspace.Record{}
+	err := json.Unmarshal(object.Spec, record)
+	if err == nil {
+		err = record.Check()
+	}
+	if err != nil {
+		g.log.Error("assignment left aside", "service", object.Name, "revision", object.Revision, "error", err.Error())
+		return
+	}
+	s := g.keyedService(object.Name)
+	if s.view == nil {
+		g.log.Error("assignment of a service without keys left aside", "service", object.Name)
+		return
+	}
+	if s.view.offer(object.Revision, record) {
+		g.log.Info("assignment known", "service", object.Name, "revision", object.Revision, "term", record.Term,
+			"controller", record.Controller.Host, "ranges", len(record.Ranges))
+		s.pump()
+	}
+}
+
+// keyedService returns the service, which an assignment proves to have keys.
+func (g *Gateway) keyedService(name string) *service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.services[name]
+	if s == nil {
+		s = newService(name, g.identity.Domain, true, g.now)
+		g.services[name] = s
+	}
+	return s
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,167 @@
+// Package gateway is the daemon of a host: it takes callers' requests, sends
+// each to a backend server, follows the registry and the operator's
+// configuration, and, where it is the controller of a service, assigns keys.
+//
+// Goroutines: one a request; one a watched kind; one that controls keys. They
+// meet in a service, under its lock, and in immutable snapshots.
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"cicadarouter/contract/adapter"
+	"cicadarouter/contract/objects"
+	"cicadarouter/fleet"
+	"cicadarouter/host/clock"
+	"cicadarouter/routing"
+)
+
+// Identity is who this process is.
+type Identity struct {
+	Host   string
+	Domain string
+	// Peers is the address at which other hosts reach this one.
+	Peers string
+	// Incarnation is drawn anew at each start.
+	Incarnation uint64
+}
+
+// Platform is what the gateway uses of the hosting platform.
+type Platform struct {
+	Store    objects.Store
+	Registry adapter.Registry
+	Codec    adapter.Codec
+	Keys     adapter.Keys
+}
+
+// Gateway is one host's part of the system. It is safe for concurrent use.
+type Gateway struct {
+	identity Identity
+	codec    adapter.Codec
+	registry adapter.Registry
+	store    objects.Store
+	keys     adapter.Keys
+	clock    clock.Clock
+	boot     clock.Clock
+	log      *log.Logger
+	requests *requestLog
+	counts   *counts
+
+	inForce  routing.InForce
+	stopping atomic.Bool
+	listed   atomic.Bool // the registry has been read once
+
+	mu        sync.Mutex
+	directory *fleet.Directory
+	services  map[string]*service
+
+	control control
+	peers   *http.Client
+	wake    chan struct{} // the controller has something to do
+}
+
+// New returns a gateway that knows nothing yet.
+func New(identity Identity, platform Platform, logger *log.Logger) *Gateway {
+	g := &Gateway{
+		identity: identity, codec: platform.Codec, registry: platform.Registry, store: platform.Store, keys: platform.Keys,
+		clock: clock.System(), boot: clock.Boot(), log: logger, counts: newCounts(),
+		directory: fleet.NewDirectory(), services: map[string]*service{},
+		control: newControl(), peers: newPeerClient(), wake: make(chan struct{}, 1),
+	}
+	g.requests = newRequestLog(logger, g.clock)
+	return g
+}
+
+func (g *Gateway) now() time.Duration { return g.clock.Now() }
+
+// Ready reports whether callers should be sent here.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.inForce.Current() != nil && g.listed.Load()
+}
+
+// Stop makes the host leave: it is not ready any more, and answers end their
+// connections.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Limits returns what callers are held to, for the listener.
+func (g *Gateway) Limits() routing.Limits {
+	if current := g.inForce.Current(); current != nil {
+		return current.Limits
+	}
+	return routing.Limits{}
+}
+
+// service returns the service, or nil if neither the configuration nor the
+// registry speaks of it.
+func (g *Gateway) service(name string) *service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.services[name]
+}
+
+// keyedServices returns the services whose keys have owners.
+func (g *Gateway) keyedServices() []*service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var keyed []*service
+	for _, s := range g.services {
+		if s.view != nil {
+			keyed = append(keyed, s)
+		}
+	}
+	return keyed
+}
+
+// configure puts a configuration in force if it is newer.
+func (g *Gateway) configure(offered *routing.Configuration) {
+	before := g.inForce.Current()
+	if before != nil && before.Version >= offered.Version {
+		if before.Version > offered.Version {
+			g.log.Info("older configuration passed over", "offered", offered.Version, "in-force", before.Version)
+		}
+		return
+	}
+	g.mu.Lock()
+	for name, described := range offered.Services {
+		if g.services[name] == nil {
+			g.services[name] = newService(name, g.identity.Domain, described.Keyed, g.now)
+		}
+	}
+	g.mu.Unlock()
+	// Services come first: a request must not meet a route without its service.
+	g.distribute()
+	if g.inForce.Offer(offered) {
+		g.log.Info("configuration in force", "version", offered.Version, "hosts", len(offered.Hosts), "services", len(offered.Services))
+	}
+	g.nudge()
+}
+
+// distribute hands the directory's servers to their services.
+func (g *Gateway) distribute() {
+	g.mu.Lock()
+	byService := map[string][]fleet.Server{}
+	for _, server := range g.directory.Snapshot() {
+		byService[server.Service] = append(byService[server.Service], server)
+	}
+	services := make(map[*service][]fleet.Server, len(g.services))
+	for name, s := range g.services {
+		services[s] = byService[name]
+	}
+	g.mu.Unlock()
+	for s, servers := range services {
+		s.setServers(servers)
+	}
+}
+
+// nudge wakes the controller.
+func (g *Gateway) nudge() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/gateway/keyview.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"cicadarouter/keyspace"
+)
+
+// keyView is what this host knows of a service's assignment of keys.
+type keyView struct {
+	now func() time.Duration
+
+	mu       sync.RWMutex
+	revision uint64
+	record   *keyspace.Record
+	seen     time.Duration // when record came
+	present  map[string]bool
+	vacant   map[uint16]time.Duration // by a range's first key: since when it has no owner
+}
+
+func newKeyView(now func() time.Duration) *keyView {
+	return &keyView{now: now, vacant: map[uint16]time.Duration{}}
+}
+
+// offer takes a record unless a newer one is known: a slow answer must not
+// bring back owners that have lost their keys.
+func (v *keyView) offer(revision uint64, record *keyspace.Record) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if revision <= v.revision {
+		return false
+	}
+	v.revision, v.record, v.seen = revision, record, v.now()
+	return true
+}
+
+// latest returns the newest record known, with its revision in the store; nil
+// before the first.
+func (v *keyView) latest() (*keyspace.Record, uint64) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.record, v.revision
+}
+
+// age returns how long the newest record has been known.
+func (v *keyView) age() time.Duration {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.now() - v.seen
+}
+
+func (v *keyView) setPresent(present map[string]bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.present = present
+}
+
+// OwnerOf implements balance.Owner.
+func (v *keyView) OwnerOf(key uint16) (string, time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.record == nil {
+		return "", 0
+	}
+	r := v.record.At(key)
+	if r == nil {
+		return "", 0
+	}
+	if !r.Moving() && v.present[r.Server] {
+		delete(v.vacant, r.From)
+		return r.Server, 0
+	}
+	return "", v.backAt(r)
+}
+
+// backAt estimates when a range has an owner again: a former holder that is
+// still registered releases it within the time of its requests; one that is
+// gone holds it until its lease has run out.
+func (v *keyView) backAt(r *keyspace.Range) time.Duration {
+	since, known := v.vacant[r.From]
+	if !known {
+		since = v.now()
+		v.vacant[r.From] = since
+	}
+	lost := !r.Moving()
+	for _, former := range r.Former {
+		lost = lost || !v.present[former.Server]
+	}
+	if !lost {
+		return 0
+	}
+	return max(since+keyspace.LeaseTerm, v.now()+leastVacancy)
+}
+
+// leastVacancy is the least time for which a lost owner's keys are believed to
+// stay without one.
+const leastVacancy = 300 * time.Millisecond
--- /dev/null
+++ b/gateway/log.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"cicadarouter/host/clock"
+)
+
+// counts are the host's counters and histograms.
+type counts struct {
+	set         *metrics.Set
+	retries     *metrics.Counter
+	strays      *metrics.Counter
+	storeErrors *metrics.Counter
+	latency     *metrics.Histogram
+}
+
+func newCounts() *counts {
+	set := metrics.NewSet()
+	return &counts{set: set,
+		retries:     set.NewCounter("cicada_retries_total"),
+		strays:      set.NewCounter("cicada_stray_answers_total"),
+		storeErrors: set.NewCounter("cicada_store_errors_total"),
+		latency:     set.NewHistogram("cicada_request_seconds"),
+	}
+}
+
+// WriteMetrics writes the metrics in the text exposition format.
+func (g *Gateway) WriteMetrics(out io.Writer) {
+	g.counts.set.WritePrometheus(out)
+	metrics.WriteProcessMetrics(out)
+}
+
+// finished counts a request's final answer.
+func (g *Gateway) finished(req *request, answer *reply) {
+	g.counts.set.GetOrCreateCounter(`cicada_requests_total{outcome="` + answer.outcome + `"}`).Inc()
+	g.counts.latency.Update((g.now() - req.arrived).Seconds())
+}
+
+// requestLines is the most lines about requests that are written each second:
+// some five times what a host answers at its planned load. The rest is counted.
+const requestLines = 400
+
+// requestLog bounds the lines about requests.
+type requestLog struct {
+	log   *log.Logger
+	clock clock.Clock
+
+	mu      sync.Mutex
+	second  time.Duration
+	lines   int
+	skipped int
+}
+
+func newRequestLog(logger *log.Logger, clock clock.Clock) *requestLog {
+	return &requestLog{log: logger, clock: clock}
+}
+
+// take reports whether a line may be written now.
+func (l *requestLog) take() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	second := l.clock.Now() / time.Second
+	if second != l.second {
+		if l.skipped > 0 {
+			l.log.Warn("lines about requests left out", "count", l.skipped)
+		}
+		l.second, l.lines, l.skipped = second, 0, 0
+	}
+	if l.lines >= requestLines {
+		l.skipped++
+		return false
+	}
+	l.lines++
+	return true
+}
+
+// logRequest writes the line that tells how a request ended, and on what ground.
+func (g *Gateway) logRequest(req *request, answer *reply) {
+	if !g.requests.take() {
+		return
+	}
+	fields := []any{"request", req.ID, "outcome", answer.outcome, "status", answer.status,
+		"ms", (g.now() - req.arrived).Milliseconds()}
+	if req.configuration != nil {
+		fields = append(fields, "configuration", req.configuration.Version)
+	}
+	if req.route != nil {
+		fields = append(fields, "route", req.route.Name, "service", req.serviceName, "sends", req.sends, "servers", req.tried)
+	}
+	if key := req.key(); key != nil {
+		_, revision := req.service.view.latest()
+		fields = append(fields, "key", *key, "assignment", revision, "assignment-age-ms", req.service.view.age().Milliseconds())
+	}
+	if answer.retryAfter > 0 {
+		fields = append(fields, "retry-after-ms", answer.retryAfter.Milliseconds(), "expected-wait-ms", answer.expected.Milliseconds())
+	}
+	if answer.cause != nil {
+		fields = append(fields, "error", answer.cause.Error())
+	}
+	g.log.Info("request", fields...)
+}
+
+// logRetry writes the line of an attempt that did not settle a request.
+func (g *Gateway) logRetry(req *request, result attemptResult) {
+	if !g.requests.take() {
+		return
+	}
+	fields := []any{"request", req.ID, "server", result.server, "sent", result.sent, "not-run", result.notRun,
+		"left-ms", (req.deadline - g.now()).Milliseconds()}
+	if result.reply != nil {
+		fields = append(fields, "outcome", result.reply.outcome, "status", result.reply.status)
+	}
+	if result.err != nil {
+		fields = append(fields, "error", result.err.Error())
+	}
+	g.log.Info("attempt repeated", fields...)
+}
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,243 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"cicadarouter/keyspace"
+)
+
+// Paths between hosts.
+const (
+	pathLoad  = "/keys/load"
+	pathYield = "/keys/yield"
+)
+
+const (
+	// peerTimeout bounds a call to another host.
+	peerTimeout = 500 * time.Millisecond
+	// mostPeerBody bounds a body between hosts, in bytes: a report has at most
+	// one entry a key.
+	mostPeerBody = 2 << 20
+)
+
+// loadReport tells a controller how long requests for keys held slots.
+type loadReport struct {
+	Service string `json:"service"`
+	Host    string `json:"host"`
+	// Busy is in microseconds, by key, since the host's last report.
+	Busy map[uint16]int64 `json:"busy"`
+}
+
+// loadAnswer tells a host that the controller lives.
+type loadAnswer struct {
+	Incarnation uint64 `json:"incarnation"`
+	// Controls is set if the process is the service's controller.
+	Controls bool `json:"controls"`
+	// StoreAgeMs is how long ago the store last confirmed it, in milliseconds.
+	StoreAgeMs int64 `json:"storeAgeMs"`
+}
+
+// yieldRequest asks a controller to stop for a successor's term.
+type yieldRequest struct {
+	Service string `json:"service"`
+	Term    uint64 `json:"term"`
+}
+
+type yieldAnswer struct {
+	Incarnation uint64 `json:"incarnation"`
+	// Stopped is set if the process controls the service under no earlier term.
+	Stopped bool `json:"stopped"`
+}
+
+func newPeerClient() *http.Client {
+	dialer := net.Dialer{Timeout: peerTimeout}
+	const idle = 2
+	return &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DialContext: dialer.DialContext,
+		DisableCompression: true, MaxIdleConnsPerHost: idle, IdleConnTimeout: 5 * time.Second, ReadBufferSize: 2048, WriteBufferSize: 2048}}
+}
+
+// askPeer makes a call to another host.
+func (g *Gateway) askPeer(ctx context.Context, address, path string, body, into any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return eris.Wrap(err, "encoding a call to a host")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return eris.Wrap(err, "building a call to a host")
+	}
+	response, err := g.peers.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "call to a host")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return eris.Errorf("host %s answered with status %d", address, response.StatusCode)
+	}
+	return json.NewDecoder(io.LimitReader(response.Body, mostPeerBody)).Decode(into)
+}
+
+// reportEnded is the end of a report to a controller.
+type reportEnded struct {
+	controller *controller
+	to         keyspace.Controller
+	answer     loadAnswer
+	err        error
+}
+
+func (g *Gateway) sendReport(ctx context.Context, c *controller, to keyspace.Controller) {
+	report := loadReport{Service: c.service.name, Host: g.identity.Host, Busy: map[uint16]int64{}}
+	for key, busy := range c.service.takeBusy() {
+		report.Busy[key] = busy.Microseconds()
+	}
+	go func() {
+		ended := &reportEnded{controller: c, to: to}
+		ended.err = g.askPeer(ctx, to.Address, pathLoad, report, &ended.answer)
+		g.post(ctx, ended)
+	}()
+}
+
+// apply implements event.
+func (e *reportEnded) apply(g *Gateway, now time.Duration) {
+	c := e.controller
+	switch {
+	case e.err != nil:
+		g.log.Info("controller did not answer a report", "service", c.service.name, "controller", e.to.Host,
+			"unheard-ms", (now - c.heard).Milliseconds(), "error", e.err.Error())
+	case e.answer.Incarnation != e.to.Incarnation || !e.answer.Controls:
+		g.log.Info("controller is gone: another process answers, or it gave up", "service", c.service.name, "controller", e.to.Host)
+		c.heard = min(c.heard, now-silentAfter)
+	case time.Duration(e.answer.StoreAgeMs)*time.Millisecond > storelessAfter:
+		// It goes on renewing, but can't move keys. Whoever reaches the store can.
+	default:
+		c.heard = now
+	}
+}
+
+// yieldEnded is a predecessor's answer.
+type yieldEnded struct {
+	controller *controller
+	machine    *keyspace.Machine
+	asked      keyspace.Controller
+	answer     yieldAnswer
+	err        error
+}
+
+func (g *Gateway) startYield(ctx context.Context, c *controller, predecessor keyspace.Controller) {
+	machine := c.machine
+	request := yieldRequest{Service: c.service.name, Term: machine.Record().Term}
+	go func() {
+		ended := &yieldEnded{controller: c, machine: machine, asked: predecessor}
+		ended.err = g.askPeer(ctx, predecessor.Address, pathYield, request, &ended.answer)
+		g.post(ctx, ended)
+	}()
+}
+
+// apply implements event.
+func (e *yieldEnded) apply(g *Gateway, now time.Duration) {
+	c := e.controller
+	if c.machine != e.machine || c.yield == nil || e.err != nil {
+		return
+	}
+	if e.answer.Incarnation == e.asked.Incarnation && !e.answer.Stopped {
+		return
+	}
+	g.log.Info("predecessor has stopped", "service", c.service.name, "predecessor", e.asked.Host, "restarted", e.answer.Incarnation != e.asked.Incarnation)
+	c.machine.PredecessorStopped(now)
+	c.yield = nil
+}
+
+// peerCall is a call of another host that the control loop answers.
+type peerCall struct {
+	load   *loadReport
+	yield  *yieldRequest
+	answer chan any
+}
+
+// apply implements event.
+func (p *peerCall) apply(g *Gateway, now time.Duration) {
+	if p.load != nil {
+		p.answer <- g.takeReport(p.load, now)
+		return
+	}
+	p.answer <- g.yieldTo(p.yield)
+}
+
+func (g *Gateway) takeReport(report *loadReport, now time.Duration) loadAnswer {
+	answer := loadAnswer{Incarnation: g.identity.Incarnation}
+	c := g.control.services[report.Service]
+	if c == nil || c.machine == nil {
+		return answer
+	}
+	busy := make(map[uint16]time.Duration, len(report.Busy))
+	for key, micros := range report.Busy {
+		busy[key] = time.Duration(micros) * time.Microsecond
+	}
+	c.machine.Loads().Add(now, busy)
+	answer.Controls = true
+	answer.StoreAgeMs = c.machine.ConfirmedAge(now).Milliseconds()
+	return answer
+}
+
+func (g *Gateway) yieldTo(request *yieldRequest) yieldAnswer {
+	answer := yieldAnswer{Incarnation: g.identity.Incarnation}
+	c := g.control.services[request.Service]
+	if c != nil && c.machine != nil {
+		if c.machine.Record().Term >= request.Term {
+			return answer
+		}
+		g.stepDown(c, "a successor asked", "")
+	}
+	answer.Stopped = true
+	return answer
+}
+
+// PeerHandler answers other hosts.
+func (g *Gateway) PeerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathLoad, func(w http.ResponseWriter, r *http.Request) {
+		var report loadReport
+		if g.readPeer(w, r, &report) {
+			g.answerPeer(w, r, &peerCall{load: &report})
+		}
+	})
+	mux.HandleFunc("POST "+pathYield, func(w http.ResponseWriter, r *http.Request) {
+		var request yieldRequest
+		if g.readPeer(w, r, &request) {
+			g.answerPeer(w, r, &peerCall{yield: &request})
+		}
+	})
+	return mux
+}
+
+func (g *Gateway) readPeer(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostPeerBody)).Decode(into)
+	if err != nil {
+		g.log.Warn("call of a host can't be read", "path", r.URL.Path, "error", err.Error())
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+func (g *Gateway) answerPeer(w http.ResponseWriter, r *http.Request, call *peerCall) {
+	call.answer = make(chan any, 1)
+	if !g.control.events.Offer(call) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case answer := <-call.answer:
+		if err := json.NewEncoder(w).Encode(answer); err != nil {
+			g.log.Info("answer to a host not written", "error", err.Error())
+		}
+	case <-r.Context().Done():
+	}
+}
--- /dev/null
+++ b/gateway/request.go
@@ -0,0 +1,369 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"cicadarouter/balance"
+	"cicadarouter/contract/adapter"
+	"cicadarouter/link/backendlink"
+	"cicadarouter/routing"
+)
+
+// Limits of one request.
+const (
+	// defaultPatience bounds a request whose caller names no deadline and whose
+	// route no timeout.
+	defaultPatience = 30 * time.Second
+	// heldBody is how much of a request's body is read before a server is
+	// chosen, in bytes; longer bodies are streamed and sent once only.
+	heldBody = 64 << 10
+	// heldAnswer is how much of an answer is read before the caller gets its
+	// first byte, in bytes: an answer that breaks off within it can be replaced.
+	heldAnswer = 64 << 10
+	// retryAfterUnknown is told when nothing is known of when to come back.
+	retryAfterUnknown = 500 * time.Millisecond
+)
+
+// request is one request of a caller on its way through the host.
+type request struct {
+	adapter.Request
+	http          *http.Request
+	configuration *routing.Configuration
+	route         *routing.Route
+	service       *service
+	serviceName   string
+	arrived       time.Duration
+	deadline      time.Duration // when the final answer is due
+	body          []byte        // the first part, or all of it
+	rest          io.Reader     // what follows, or nil
+	tried         []string
+	sends         int
+}
+
+// key returns the key for a service that is divided by key, or nil.
+func (r *request) key() *uint16 {
+	if r.service == nil || r.service.view == nil {
+		return nil
+	}
+	return &r.Key
+}
+
+// ServeHTTP answers one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	req := &request{http: r, arrived: g.now()}
+	if g.stopping.Load() {
+		// The caller is to come back on another connection; this answer is whole.
+		w.Header().Set("Connection", "close")
+	}
+	reply := g.handle(w, r, req)
+	g.write(w, r, req, reply)
+}
+
+// handle returns the answer to a request. It is final: nothing of the request
+// is under way any more, except the rest of a streamed answer.
+func (g *Gateway) handle(w http.ResponseWriter, r *http.Request, req *request) *reply {
+	req.configuration = g.inForce.Current()
+	if req.configuration == nil {
+		return turnedAway("no-configuration", retryAfterUnknown)
+	}
+	meta, err := g.codec.ReadRequest(r.Header)
+	req.Request = meta
+	if err != nil {
+		return refusal(http.StatusBadRequest, "bad-header", err)
+	}
+	req.route = req.configuration.Match(hostOf(r.Host), r.URL.EscapedPath())
+	if req.route == nil {
+		return refusal(http.StatusNotFound, "no-route", nil)
+	}
+	req.deadline = req.arrived + patience(meta.Patience, req.route.Timeout)
+	if refused := g.readBody(w, r, req); refused != nil {
+		return refused
+	}
+	req.serviceName = req.route.Pick()
+	req.service = g.service(req.serviceName)
+	if req.service == nil {
+		return turnedAway("unknown-service", retryAfterUnknown)
+	}
+	if req.service.view != nil && !req.HasKey {
+		return refusal(http.StatusBadRequest, "no-key", nil)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), req.deadline-g.now())
+	defer cancel()
+	req.service.first()
+	return g.forward(ctx, req)
+}
+
+// patience is how long a request may take: what the caller waits, or the
+// route's timeout, whichever is shorter.
+func patience(caller, route time.Duration) time.Duration {
+	bound := defaultPatience
+	if caller > 0 {
+		bound = min(bound, caller)
+	}
+	if route > 0 {
+		bound = min(bound, route)
+	}
+	return bound
+}
+
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// readBody reads the first part of the body, so that a caller that sends
+// slowly does not hold a server's slot.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request) *reply {
+	limit := req.configuration.Limits.BodyBytes
+	if limit > 0 && r.ContentLength > limit {
+		return refusal(http.StatusRequestEntityTooLarge, "body-too-large", nil)
+	}
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil
+	}
+	body := io.Reader(r.Body)
+	if limit > 0 {
+		body = http.MaxBytesReader(w, r.Body, limit)
+	}
+	held, whole, err := backendlink.ReadWhole(body, heldBody)
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return refusal(http.StatusRequestEntityTooLarge, "body-too-large", err)
+		}
+		return refusal(http.StatusBadRequest, "body-broken-off", err)
+	}
+	req.body = held
+	if !whole {
+		req.rest = body
+	}
+	return nil
+}
+
+// forward sends the request to servers until it has a final answer.
+func (g *Gateway) forward(ctx context.Context, req *request) *reply {
+	for {
+		waiter := &balance.Waiter{Keyed: req.service.view != nil, Key: req.Key, Priority: req.route.Priority,
+			Arrived: req.arrived, Deadline: req.deadline, Tried: req.tried, Ready: make(chan struct{})}
+		server, link, err := req.service.acquire(ctx, waiter)
+		if err != nil {
+			return g.unplaced(req, err)
+		}
+		result := g.attempt(ctx, req, server, link)
+		if result.reply != nil && !g.again(ctx, req, result) {
+			return result.reply
+		}
+		if result.reply == nil {
+			return g.lastWord(ctx, req, result)
+		}
+	}
+}
+
+// unplaced answers a request that got no server.
+func (g *Gateway) unplaced(req *request, err error) *reply {
+	var rejected *balance.RejectedError
+	if errors.As(err, &rejected) {
+		return turnedAwayFor(rejected)
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return turnedAway(string(balance.Expired), retryAfterUnknown)
+	}
+	return &reply{outcome: outcomeCallerLeft}
+}
+
+// lastWord answers a request whose last attempt gave no reply: the caller has
+// left, or the time is over.
+func (g *Gateway) lastWord(ctx context.Context, req *request, result attemptResult) *reply {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refusal(http.StatusGatewayTimeout, "timeout", result.err)
+	}
+	return &reply{outcome: outcomeCallerLeft}
+}
+
+// again decides whether a request is sent once more after an attempt.
+func (g *Gateway) again(ctx context.Context, req *request, result attemptResult) bool {
+	repeatable := result.notRun || req.route.Idempotent && result.failed
+	if !repeatable || req.rest != nil || ctx.Err() != nil {
+		return false
+	}
+	sent := result.sent
+	if sent && req.sends >= req.route.MaxAttempts {
+		return false
+	}
+	if !sent && len(req.tried) >= mostUnsent {
+		return false
+	}
+	if g.now()+req.service.mean()/2 > req.deadline {
+		return false
+	}
+	if sent && !req.service.mayRetry() {
+		return false
+	}
+	g.logRetry(req, result)
+	g.counts.retries.Inc()
+	if req.service.view != nil {
+		return g.awaitOwner(ctx)
+	}
+	return true
+}
+
+const (
+	// mostUnsent bounds how many servers that can't be reached are tried.
+	mostUnsent = 4
+	// ownerPause is left before a request goes to the owner of its key once
+	// more: the owner that turned it away needs time to be renewed or replaced.
+	ownerPause = 40 * time.Millisecond
+)
+
+func (g *Gateway) awaitOwner(ctx context.Context) bool {
+	timer := time.NewTimer(ownerPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *service) mean() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Mean()
+}
+
+// reply is the final answer to a caller.
+type reply struct {
+	outcome    string
+	status     int
+	header     http.Header
+	body       []byte
+	rest       io.Reader // the rest of a long answer, or nil
+	finish     func(whole bool)
+	retryAfter time.Duration
+	expected   time.Duration
+	cause      error
+	server     string
+}
+
+// Outcomes of requests, as logged and counted.
+const (
+	outcomeAnswered   = "answered"
+	outcomeCallerLeft = "caller-left"
+)
+
+// turnedAway answers a request that has not run and will not.
+func turnedAway(why string, after time.Duration) *reply {
+	return &reply{outcome: why, status: http.StatusServiceUnavailable, retryAfter: after}
+}
+
+func turnedAwayFor(rejected *balance.RejectedError) *reply {
+	answer := turnedAway(string(rejected.Reason), rejected.RetryAfter)
+	answer.expected = rejected.Expected
+	return answer
+}
+
+func refusal(status int, why string, cause error) *reply {
+	return &reply{outcome: why, status: status, cause: cause}
+}
+
+// write sends the final answer.
+func (g *Gateway) write(w http.ResponseWriter, r *http.Request, req *request, answer *reply) {
+	defer g.logRequest(req, answer)
+	if answer.outcome == outcomeCallerLeft {
+		g.finished(req, answer)
+		panic(http.ErrAbortHandler)
+	}
+	header := w.Header()
+	// The standard library would guess a type and set the date.
+	header["Content-Type"] = nil
+	header["Date"] = nil
+	for name, values := range answer.header {
+		header[name] = values
+	}
+	if answer.retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(answer.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	if answer.rest == nil && answer.header.Get("Content-Length") == "" && bodyAllowed(r, answer.status) {
+		header.Set("Content-Length", strconv.Itoa(len(answer.body)))
+	}
+	g.finished(req, answer)
+	w.WriteHeader(answer.status)
+	_, err := w.Write(answer.body)
+	if err == nil && answer.rest != nil {
+		_, err = io.Copy(flushing{w}, answer.rest)
+	}
+	if answer.finish != nil {
+		answer.finish(err == nil)
+	}
+	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		answer.cause = err
+		// An answer that broke off must not look complete: the connection ends.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func bodyAllowed(r *http.Request, status int) bool {
+	return r.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified && status >= http.StatusOK
+}
+
+// flushing passes each part of a streamed answer on at once.
+type flushing struct{ http.ResponseWriter }
+
+// Write implements io.Writer.
+func (f flushing) Write(part []byte) (int, error) {
+	n, err := f.ResponseWriter.Write(part)
+	if flusher, ok := f.ResponseWriter.(http.Flusher); ok && err == nil {
+		flusher.Flush()
+	}
+	return n, err
+}
+
+// outgoing builds the request for a server.
+func (g *Gateway) outgoing(req *request, server *balance.Server) *http.Request {
+	in := req.http
+	out := &http.Request{Method: in.Method, URL: in.URL, Host: in.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: forwardable(in.Header), ContentLength: in.ContentLength}
+	if _, given := out.Header["User-Agent"]; !given {
+		out.Header["User-Agent"] = []string{""} // or the standard library adds its own
+	}
+	switch {
+	case req.rest != nil:
+		out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(req.body), req.rest))
+	case len(req.body) > 0:
+		out.Body = io.NopCloser(bytes.NewReader(req.body))
+		out.ContentLength = int64(len(req.body))
+	default:
+		out.ContentLength = 0
+	}
+	g.codec.WriteDispatch(out.Header, adapter.Dispatch{Server: server.ID, Patience: req.deadline - g.now()})
+	return out
+}
+
+// perConnection lists headers that concern one connection only.
+var perConnection = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
+
+// forwardable returns the headers that are passed on.
+func forwardable(in http.Header) http.Header {
+	out := in.Clone()
+	for _, list := range in["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range perConnection {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/service.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cicadarouter/balance"
+	"cicadarouter/dispatch"
+	"cicadarouter/fleet"
+	"cicadarouter/link/backendlink"
+)
+
+// Limits of a service's connections and retries.
+const (
+	// mostIdle bounds the idle connections to one server from this host. The
+	// servers' caps are shared by all hosts.
+	mostIdle = 8
+	// mostAnswer bounds answers that are read whole by backendlink's callers;
+	// the gateway streams longer ones.
+	mostAnswer = 1 << 20
+	// retryShare is the share of requests that may be sent once more. Half of
+	// what operators allow (0.2): the counts are taken over other windows.
+	retryShare = 0.1
+	// retryReserve is how many may be at once after a calm time.
+	retryReserve = 4
+	// pumpEvery is how often waiting requests are looked at when nothing else
+	// happens: estimates of load decay in hundreds of milliseconds.
+	pumpEvery = 20 * time.Millisecond
+)
+
+// service is a service's servers, waiting requests and connections on this host.
+type service struct {
+	name string
+	now  func() time.Duration
+	view *keyView // nil for a service without keys
+
+	mu      sync.Mutex
+	pool    *balance.Pool
+	links   map[string]*backendlink.Pool
+	budget  *dispatch.Budget
+	busy    map[uint16]time.Duration // by key, since the last report
+	pumping bool
+}
+
+func newService(name, domain string, keyed bool, now func() time.Duration) *service {
+	s := &service{name: name, now: now, links: map[string]*backendlink.Pool{},
+		budget: dispatch.NewBudget(retryShare, retryReserve), busy: map[uint16]time.Duration{}}
+	var owner balance.Owner
+	if keyed {
+		s.view = newKeyView(now)
+		owner = s.view
+	}
+	s.pool = balance.NewPool(domain, owner)
+	return s
+}
+
+// setServers takes the service's servers. Connections to others are closed.
+func (s *service) setServers(servers []fleet.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present := map[string]bool{}
+	for _, server := range servers {
+		present[server.ID] = true
+		if s.links[server.ID] == nil {
+			s.links[server.ID] = backendlink.NewPool(server.Address, mostIdle, mostAnswer)
+		}
+	}
+	for id, link := range s.links {
+		if !present[id] {
+			link.Close()
+			delete(s.links, id)
+		}
+	}
+	if s.view != nil {
+		s.view.setPresent(present)
+	}
+	s.pool.SetServers(s.now(), servers)
+}
+
+// first notes a request's first attempt.
+func (s *service) first() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.First()
+}
+
+// mayRetry takes the right to send a request once more.
+func (s *service) mayRetry() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Retry()
+}
+
+// acquire waits for a server. Errors: *balance.RejectedError, or the context's.
+func (s *service) acquire(ctx context.Context, waiter *balance.Waiter) (*balance.Server, *backendlink.Pool, error) {
+	s.mu.Lock()
+	s.pool.Enter(s.now(), waiter)
+	s.armPump()
+	s.mu.Unlock()
+	select {
+	case <-waiter.Ready:
+	case <-ctx.Done():
+		s.mu.Lock()
+		given := s.pool.Leave(waiter)
+		if given != nil {
+			s.pool.Done(s.now(), given, balance.Abandoned, 0, nil)
+		}
+		s.mu.Unlock()
+		return nil, nil, ctx.Err()
+	}
+	if waiter.Rejected != nil {
+		return nil, nil, waiter.Rejected
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	link := s.links[waiter.Server.ID]
+	if link == nil {
+		s.pool.Done(s.now(), waiter.Server, balance.Abandoned, 0, nil)
+		return nil, nil, &balance.RejectedError{Reason: balance.NoServer, RetryAfter: retryAfterUnknown}
+	}
+	return waiter.Server, link, nil
+}
+
+// done gives a server back.
+func (s *service) done(server *balance.Server, outcome balance.Outcome, took time.Duration, load *balance.Load, key *uint16) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Done(s.now(), server, outcome, took, load)
+	if key != nil && outcome != balance.Refused && outcome != balance.Unreachable {
+		s.busy[*key] += s.pool.Mean()
+	}
+	s.armPump()
+}
+
+// armPump sees to it that waiting requests are looked at again. s.mu is held.
+func (s *service) armPump() {
+	if s.pumping || s.pool.Waiting() == 0 {
+		return
+	}
+	s.pumping = true
+	time.AfterFunc(pumpEvery, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.pumping = false
+		s.pool.Pump(s.now())
+		s.armPump()
+	})
+}
+
+// pump looks at waiting requests after the owners of keys have changed.
+func (s *service) pump() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Pump(s.now())
+}
+
+// takeBusy returns the load by key since the last call.
+func (s *service) takeBusy() map[uint16]time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken := s.busy
+	s.busy = map[uint16]time.Duration{}
+	return taken
+}
+
+// serverState is what the controller of a service's keys needs of its servers.
+type serverState struct {
+	fleet.Server
+	Speed float64
+}
+
+func (s *service) serverStates() []serverState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var states []serverState
+	for _, server := range s.pool.Servers() {
+		states = append(states, serverState{Server: server.Server, Speed: 1 / server.Ratio()})
+	}
+	return states
+}
--- /dev/null
+++ b/gateway/start.go
@@ -0,0 +1,16 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+)
+
+// Start starts the gateway's duties. They end when the context does.
+func (g *Gateway) Start(ctx context.Context) *sync.WaitGroup {
+	var duties sync.WaitGroup
+	duties.Go(func() { g.followServers(ctx) })
+	duties.Go(func() { g.followConfiguration(ctx) })
+	duties.Go(func() { g.followAssignments(ctx) })
+	duties.Go(func() { g.runControl(ctx) })
+	return &duties
+}
--- /dev/null
+++ b/keyspace/record.go
@@ -0,0 +1,142 @@
+// Package keyspace decides which backend server holds which keys of a service,
+// and when they may pass to another. It is pure: time, answers and loads come
+// in, calls to make come out.
+//
+// # Authority
+//
+// One record a service lies in the store. It names the controller, its term,
+// and for each range of keys the owner and its fencing token. Whoever replaces
+// the record under its revision has authority over what it says.
+//
+// # Invariants
+//
+//  1. A server is granted a range only with the token that an acknowledged
+//     record gives it for that range.
+//  2. An owner is granted a range only when every former holder has confirmed
+//     its release, or the longest lease that it can hold has run out.
+//  3. A controller grants only for authorityBound after the start of the last
+//     call by which the store confirmed it.
+//  4. A successor plans no move, and takes no release as final, before the
+//     predecessor's authorityBound has run out, unless it is proven stopped.
+//     Renewing an unchanged assignment with the same token harms nobody.
+package keyspace
+
+import (
+	"slices"
+	"time"
+)
+
+// LastKey is the highest key.
+const LastKey = 65535
+
+// Times of leases.
+const (
+	// LeaseTerm is how long a grant holds. It bridges a controller that is
+	// lost or paused for up to 4 s, and is how long the keys of a server that
+	// fell silent stay without an owner.
+	LeaseTerm = 5 * time.Second
+	// renewEvery lets several renewals fail before a lease runs out.
+	renewEvery = 1200 * time.Millisecond
+	// slowClock is the most by which a server's clock may run slow, in percent.
+	slowClock = 2
+	// clockMargin covers the reading of clocks and the way of a message.
+	clockMargin = 250 * time.Millisecond
+	// underWay is how long a grant may be on its way before its sender drops it.
+	underWay = 700 * time.Millisecond
+	// AuthorityBound is how long a controller goes on renewing without the
+	// store. With LeaseTerm it bridges outages of the store of up to 9 s.
+	AuthorityBound = 5500 * time.Millisecond
+)
+
+// lapse returns when a lease granted by a call that ended at a time has surely
+// run out on the server's own clock.
+func lapse(ended time.Duration) time.Duration {
+	return ended + LeaseTerm*(100+slowClock)/100 + clockMargin
+}
+
+// Holder is a server with the token under which it holds or held keys.
+type Holder struct {
+	Server string `json:"server"`
+	Token  uint64 `json:"token"`
+}
+
+// Range is a range of keys, both ends included.
+type Range struct {
+	From uint16 `json:"from"`
+	To   uint16 `json:"to"`
+	Holder
+	// Former lists earlier holders that may still hold the keys.
+	Former []Holder `json:"former,omitempty"`
+}
+
+// Moving reports whether the keys are between owners.
+func (r *Range) Moving() bool { return len(r.Former) > 0 }
+
+// Controller identifies the process that has authority.
+type Controller struct {
+	Host string `json:"host"`
+	// Address is where hosts report the load of keys to it.
+	Address string `json:"address"`
+	// Incarnation is drawn anew at each start of the process.
+	Incarnation uint64 `json:"incarnation"`
+	// Resigned is set by a controller that has stopped granting.
+	Resigned bool `json:"resigned,omitempty"`
+}
+
+// Record is the assignment of a service's keys, as stored.
+type Record struct {
+	Term       uint64     `json:"term"`
+	Controller Controller `json:"controller"`
+	// LastToken is the highest fencing token given out.
+	LastToken uint64  `json:"lastToken"`
+	Ranges    []Range `json:"ranges"`
+}
+
+// Clone returns a deep copy.
+func (r *Record) Clone() *Record {
+	copied := *r
+	copied.Ranges = slices.Clone(r.Ranges)
+	for i := range copied.Ranges {
+		copied.Ranges[i].Former = slices.Clone(copied.Ranges[i].Former)
+	}
+	return &copied
+}
+
+// At returns the range that holds a key, or nil. Ranges are in order.
+func (r *Record) At(key uint16) *Range {
+	i, found := slices.BinarySearchFunc(r.Ranges, key, func(have Range, want uint16) int {
+		switch {
+		case have.To < want:
+			return -1
+		case have.From > want:
+			return 1
+		}
+		return 0
+	})
+	if !found {
+		return nil
+	}
+	return &r.Ranges[i]
+}
+
+// First returns a first assignment: ranges in proportion to the servers' slots.
+func First(controller Controller, servers []Server) *Record {
+	record := &Record{Term: 1, Controller: controller}
+	total := 0
+	for _, server := range servers {
+		total += server.Slots
+	}
+	given, from := 0, 0
+	for _, server := range servers {
+		given += server.Slots
+		end := (LastKey + 1) * given / total
+		if end <= from {
+			continue
+		}
+		record.LastToken++
+		record.Ranges = append(record.Ranges, Range{From: uint16(from), To: uint16(end - 1),
+			Holder: Holder{Server: server.ID, Token: record.LastToken}})
+		from = end
+	}
+	return record
+}
--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -50,6 +50,10 @@
 // connectTimeout bounds the opening of a connection, which takes about 1 ms.
 const connectTimeout = 300 * time.Millisecond
 
+// readBuffer is the size of a connection's read buffer in bytes: heads and
+// short answers fit, and a host with hundreds of connections stays small.
+const readBuffer = 2048
+
 // Pool holds the idle connections to one server. It is safe for concurrent use.
 // The number of connections in use is bounded by its callers.
 type Pool struct {
@@ -65,6 +69,10 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// used is set once the connection has carried a request.
+	used bool
+	// until is when the server may close the idle connection; zero if unknown.
+	until time.Time
 }
 
 // NewPool returns a pool for the server at an IP number and port. Answers with
@@ -141,7 +149,8 @@
 		if link == nil {
 			return p.open(ctx)
 		}
-		if alive(link.Conn) {
+		expired := !link.until.IsZero() && time.Now().After(link.until)
+		if !expired && alive(link.Conn) {
 			return link, nil
 		}
 		_ = link.Close()
@@ -166,7 +175,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReader(raw)}, nil
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
 func (p *Pool) put(link *conn) {
