Watches that missed changes are found out; waits are estimated from this host's share

Requests for a hot key waited until their deadline, because a host took all slots of the owner for its own. Change: controllers watch in turns of 1.2 s and tell the others at which revision each kind last changed; hosts nobody vouches for watch in short turns too. Expected waits use this host's own pace at a server; requests that would wait beyond the latency objective are turned away at once.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -26,6 +26,8 @@
 	Arrived  time.Duration
 	// Deadline is when the request is worthless.
 	Deadline time.Duration
+	// Objective is the latency objective.
+	Objective time.Duration
 	// Tried lists servers that have had the request.
 	Tried []string
 	// Ready is closed when Server or Rejected is set.
@@ -165,7 +167,7 @@
 	if capacity == 0 {
 		return &RejectedError{Reason: NoServer, RetryAfter: time.Second}
 	}
-	return p.crowded(now, waiter, p.ahead(waiter, ""), capacity)
+	return p.crowded(now, waiter, p.mean*time.Duration(p.ahead(waiter, ""))/time.Duration(capacity))
 }
 
 // ownerless checks a request whose key must have an owner.
@@ -176,7 +178,7 @@
 		return &RejectedError{Reason: NoOwner, RetryAfter: clampRetry(server.suspect - now), Expected: server.suspect - now}
 	}
 	if server != nil {
-		return p.crowded(now, waiter, p.ahead(waiter, id)+p.backlog(now, server), server.Slots)
+		return p.crowded(now, waiter, server.pace(p.mean)*time.Duration(p.ahead(waiter, id)))
 	}
 	expected := ownerWait
 	if back > 0 {
@@ -188,11 +190,6 @@
 	return nil
 }
 
-// backlog returns how many requests wait at a server that has no room.
-func (p *Pool) backlog(now time.Duration, server *Server) int {
-	return max(0, int(server.estimate(now))-server.Slots)
-}
-
 // ahead counts the waiting requests that go first, of one owner's if id is given.
 func (p *Pool) ahead(waiter *Waiter, id string) int {
 	n := 0
@@ -210,10 +207,13 @@
 	return n
 }
 
-// crowded rejects a request whose wait behind others doesn't fit its deadline.
-func (p *Pool) crowded(now time.Duration, waiter *Waiter, ahead, slots int) *RejectedError {
-	expected := p.mean * time.Duration(ahead) / time.Duration(max(slots, 1))
-	if now+expected+p.mean <= waiter.Deadline && len(p.waiting) < mostWaiting || ahead == 0 {
+// crowded rejects a request whose wait behind others doesn't fit its deadline,
+// or is so long that its turn is worth more to one that comes later: under
+// lasting overload as many are served either way, but those that are get their
+// answer within the objective.
+func (p *Pool) crowded(now time.Duration, waiter *Waiter, expected time.Duration) *RejectedError {
+	most := min(max(waiter.Objective-p.mean, p.mean/2), waiter.Deadline-now-p.mean)
+	if expected <= max(most, 0) && len(p.waiting) < mostWaiting {
 		return nil
 	}
 	return &RejectedError{Reason: Overload, RetryAfter: clampRetry(expected), Expected: expected}
@@ -342,4 +342,18 @@
 		}
 	}
 	p.Pump(now)
+	server.paced(now, p.waits(server))
+}
+
+// waits reports whether requests wait that the server could take.
+func (p *Pool) waits(server *Server) bool {
+	if p.owner == nil {
+		return len(p.waiting) > 0
+	}
+	for _, waiter := range p.waiting {
+		if id, _ := p.owner.OwnerOf(waiter.Key); id == server.ID {
+			return true
+		}
+	}
+	return false
 }
--- a/balance/server.go
+++ b/balance/server.go
@@ -40,6 +40,8 @@
 	// of the service time. Traffic between domains is dear; a queue of more
 	// than half a service time is dearer.
 	crossDomain = 0.6
+	// gapWeight is the weight of a new gap between completions.
+	gapWeight = 0.3
 	// failureWeight is the weight of a new outcome in the failure rate.
 	failureWeight = 0.12
 	// failureCost is how many service times a certain failure is worth. A
@@ -81,6 +83,9 @@
 	coldUntil time.Duration
 	suspect   time.Duration // passed over until
 	strikes   int
+	gap       time.Duration // smoothed time between this host's completions while others wait
+	endedAt   time.Duration // the last completion
+	crowded   bool          // requests waited for it at the last completion
 }
 
 // InFlight returns the host's own requests at the server.
@@ -145,6 +150,23 @@
 	s.strikes++
 }
 
+// paced takes a completion. While requests wait, the time since the one before
+// tells this host's share of a server that other hosts use as well.
+func (s *Server) paced(now time.Duration, waiting bool) {
+	if s.crowded && s.endedAt > 0 {
+		s.gap += time.Duration(gapWeight * float64(now-s.endedAt-s.gap))
+	} else if s.gap == 0 || !waiting {
+		s.gap = 0
+	}
+	s.endedAt, s.crowded = now, waiting
+}
+
+// pace returns the expected time between two of this host's completions.
+func (s *Server) pace(mean time.Duration) time.Duration {
+	alone := time.Duration(float64(mean) * s.ratio / float64(max(s.Slots, 1)))
+	return max(s.gap, alone)
+}
+
 // refused notes that a server had no room after all, whatever it was believed.
 func (s *Server) refused(now time.Duration) {
 	s.others = max(s.others, float64(s.Slots)*(1+queueShare))
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -191,7 +191,8 @@
 	}
 }
 
-// confirmed is the end of a read that confirms a controller.
+// confirmed is the end of a read that confirms a controller. A watch that heard
+// of no change doesn't: it may have missed one.
 type confirmed struct {
 	controller *controller
 	machine    *keyspace.Machine
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -126,6 +126,7 @@
 
 func (g *Gateway) stepControl(ctx context.Context) {
 	g.expireServers()
+	g.fresh.tend(g.now(), g.controls())
 	if g.stopping.Load() {
 		g.resignAll(ctx)
 		return
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -13,9 +13,6 @@
 
 // Times of following the store.
 const (
-	// watchWait is how long a watch waits: long, since each call has a price;
-	// keep-alive probes find a dead connection sooner.
-	watchWait = 25 * time.Second
 	// awayFirst and awayMost bound the pause after a failed call. A host that
 	// has lost the store must learn of its return within the time in which a
 	// configuration has to be in force.
@@ -45,12 +42,9 @@
 	var revision uint64
 	connected := false
 	for ctx.Err() == nil {
-		var listing objects.Listing
-		var err error
-		if connected {
-			listing, err = g.store.Watch(ctx, f.kind, revision, watchWait)
-		} else {
-			listing, err = g.store.List(ctx, f.kind)
+		listing, ended, err := g.next(ctx, f.kind, connected, revision)
+		if ended {
+			continue
 		}
 		if err != nil {
 			if ctx.Err() != nil {
@@ -67,6 +61,7 @@
 		} else if len(listing.Objects) > 0 {
 			f.change(listing)
 		}
+		g.fresh.known(f.kind, listing.Revision, !connected || len(listing.Objects) > 0)
 		connected, pause, revision = true, awayFirst, listing.Revision
 		if f.gather > 0 {
 			g.sleep(ctx, f.gather)
@@ -74,6 +69,19 @@
 	}
 }
 
+// next makes the next call. ended is set if the watch was ended because it may
+// be behind.
+func (g *Gateway) next(ctx context.Context, kind string, connected bool, revision uint64) (listing objects.Listing, ended bool, err error) {
+	if !connected {
+		listing, err = g.store.List(ctx, kind)
+		return listing, false, err
+	}
+	watching, cancel, wait := g.fresh.begin(ctx, kind, g.now())
+	defer cancel()
+	listing, err = g.store.Watch(watching, kind, revision, wait)
+	return listing, err != nil && watching.Err() != nil && ctx.Err() == nil, err
+}
+
 // lost notes a failed call, and reports whether the watch may go on from its
 // revision. A watch that was cut or turned away loses nothing by going on.
 func (g *Gateway) lost(f follower, err error, connected bool) bool {
--- /dev/null
+++ b/gateway/freshness.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+)
+
+// Times of watches.
+const (
+	// longWatch is how long a watch waits while a controller vouches for its
+	// freshness: long, since each call has a price.
+	longWatch = 25 * time.Second
+	// shortWatch is how long it waits otherwise. A watch can miss changes
+	// without an error, when its connection fell silent or the store dropped
+	// its history; a change must be in force within 2 s.
+	shortWatch = 1200 * time.Millisecond
+	// vouchedFor is how long a controller's word counts: two reports.
+	vouchedFor = 2200 * time.Millisecond
+)
+
+// freshness tells how long a host's watches may wait, and ends those that have
+// missed something. One controller a service watches in short turns and tells
+// the others, with its answers to their reports, at which revision each kind
+// last changed; so only one host pays for short turns.
+type freshness struct {
+	mu      sync.Mutex
+	leads   bool          // this host is a controller
+	vouched time.Duration // when a controller last answered
+	heard   bool
+	kinds   map[string]*kindState
+}
+
+// kindState is a watched kind.
+type kindState struct {
+	revision uint64 // up to which this host knows the kind
+	changed  uint64 // of the listing that last brought a change
+	cancel   context.CancelFunc
+	long     bool
+}
+
+func (f *freshness) kind(name string) *kindState {
+	if f.kinds == nil {
+		f.kinds = map[string]*kindState{}
+	}
+	state := f.kinds[name]
+	if state == nil {
+		state = &kindState{}
+		f.kinds[name] = state
+	}
+	return state
+}
+
+// begin returns the context and the wait for the next watch of a kind.
+func (f *freshness) begin(ctx context.Context, name string, now time.Duration) (context.Context, context.CancelFunc, time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.kind(name)
+	state.cancel = cancel
+	state.long = f.trusted(name, now)
+	if state.long {
+		return ctx, cancel, longWatch
+	}
+	return ctx, cancel, shortWatch
+}
+
+// trusted reports whether a kind's watch may wait long. A controller reads its
+// own record again and again, and nobody else changes it while it leads.
+func (f *freshness) trusted(name string, now time.Duration) bool {
+	if f.leads {
+		return name == assignments
+	}
+	return f.heard && now-f.vouched < vouchedFor
+}
+
+// known notes up to which revision a kind is known, and whether it changed.
+func (f *freshness) known(name string, revision uint64, changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.kind(name)
+	state.revision = max(state.revision, revision)
+	if changed {
+		state.changed = max(state.changed, revision)
+	}
+}
+
+// revisions returns at which revision each kind last changed, as this host knows.
+func (f *freshness) revisions() map[string]uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	revisions := make(map[string]uint64, len(f.kinds))
+	for name, state := range f.kinds {
+		revisions[name] = state.changed
+	}
+	return revisions
+}
+
+// told takes a controller's word, and returns the kinds whose watches it ended
+// because they are behind.
+func (f *freshness) told(now time.Duration, revisions map[string]uint64) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vouched, f.heard = now, true
+	var behind []string
+	for name, revision := range maps.All(revisions) {
+		state := f.kinds[name]
+		if state != nil && state.revision < revision && state.long && state.cancel != nil {
+			state.cancel()
+			behind = append(behind, name)
+		}
+	}
+	return behind
+}
+
+// tend ends long watches that nobody vouches for any more. leads tells whether
+// this host is a controller.
+func (f *freshness) tend(now time.Duration, leads bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leads = leads
+	for name, state := range f.kinds {
+		if f.trusted(name, now) {
+			continue
+		}
+		if state.long && state.cancel != nil {
+			state.cancel()
+			state.long = false
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,7 @@
 	services  map[string]*service
 
 	control control
+	fresh   freshness
 	peers   *http.Client
 	wake    chan struct{} // the controller has something to do
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -43,6 +43,8 @@
 	Controls bool `json:"controls"`
 	// StoreAgeMs is how long ago the store last confirmed it, in milliseconds.
 	StoreAgeMs int64 `json:"storeAgeMs"`
+	// Revisions tells at which revision each watched kind last changed.
+	Revisions map[string]uint64 `json:"revisions"`
 }
 
 // yieldRequest asks a controller to stop for a successor's term.
@@ -119,6 +121,9 @@
 		// It goes on renewing, but can't move keys. Whoever reaches the store can.
 	default:
 		c.heard = now
+		if behind := g.fresh.told(g.now(), e.answer.Revisions); len(behind) > 0 {
+			g.log.Warn("watches were behind", "kinds", behind, "controller", e.to.Host)
+		}
 	}
 }
 
@@ -183,6 +188,7 @@
 	}
 	c.machine.Loads().Add(now, busy)
 	answer.Controls = true
+	answer.Revisions = g.fresh.revisions()
 	answer.StoreAgeMs = c.machine.ConfirmedAge(now).Milliseconds()
 	return answer
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -154,7 +154,7 @@
 func (g *Gateway) forward(ctx context.Context, req *request) *reply {
 	for {
 		waiter := &balance.Waiter{Keyed: req.service.view != nil, Key: req.Key, Priority: req.route.Priority,
-			Arrived: req.arrived, Deadline: req.deadline, Tried: req.tried, Ready: make(chan struct{})}
+			Arrived: req.arrived, Deadline: req.deadline, Objective: req.route.TargetLatency, Tried: req.tried, Ready: make(chan struct{})}
 		server, link, err := req.service.acquire(ctx, waiter)
 		if err != nil {
 			return g.unplaced(req, err)
