Earlier controllers are remembered in the record; keyspace fuzzed, told and mutated

Cause, found by the fuzz: a controller that is cut off from the store may be two takeovers back; the newest only waited for its own predecessor. Change: the record lists earlier controllers not proven stopped; a successor waits for all of them. Release answers before that no longer need a rule of their own (their late lapse covers it).

--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -236,17 +236,16 @@
 
 // claimEnded is the end of an attempt to become the controller.
 type claimEnded struct {
-	controller  *controller
-	record      *keyspace.Record
-	predecessor *keyspace.Controller
-	stored      objects.Object
-	began       time.Duration
-	err         error
+	controller *controller
+	record     *keyspace.Record
+	stored     objects.Object
+	began      time.Duration
+	err        error
 }
 
-func (g *Gateway) claim(ctx context.Context, c *controller, record *keyspace.Record, revision uint64, predecessor *keyspace.Controller) {
+func (g *Gateway) claim(ctx context.Context, c *controller, record *keyspace.Record, revision uint64) {
 	go func() {
-		ended := &claimEnded{controller: c, record: record, predecessor: predecessor, began: g.boot.Now()}
+		ended := &claimEnded{controller: c, record: record, began: g.boot.Now()}
 		ended.stored, ended.err = g.putRecord(ctx, c, record, revision)
 		if ended.err != nil {
 			g.sleep(ctx, writePause)
@@ -272,13 +271,10 @@
 		return
 	}
 	c.revision, c.confirm, c.reported = e.stored.Revision, e.began, now
-	if e.predecessor == nil {
+	if e.record.Term == 1 {
 		c.machine = keyspace.New(e.record, e.began, now)
 	} else {
-		c.machine = keyspace.Adopt(e.record, e.began, now, e.predecessor.Resigned)
-		if !e.predecessor.Resigned {
-			c.yield = &yieldTarget{Controller: *e.predecessor}
-		}
+		c.machine = keyspace.Adopt(e.record, e.began, now)
 	}
 	g.log.Info("in control", "service", c.service.name, "term", e.record.Term, "revision", c.revision, "ranges", len(e.record.Ranges))
 	if c.service.view.offer(e.stored.Revision, e.record) {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -72,14 +72,8 @@
 	heard     time.Duration // when the controller last answered one, on the boot clock
 	wanted    time.Duration // since when a claim seems due; 0 if it does not
 	confirm   time.Duration // when the last confirmation began
-	yield     *yieldTarget
-	powerless bool // logged that authority ran out
-}
-
-// yieldTarget is a predecessor that has not been proven stopped.
-type yieldTarget struct {
-	keyspace.Controller
-	asked time.Duration
+	asked     time.Duration // when earlier controllers were last asked whether they have stopped
+	powerless bool          // logged that authority ran out
 }
 
 // runControl is the control loop.
@@ -196,16 +190,12 @@
 		return
 	}
 	c.wanted = 0
-	next := record.Clone()
-	next.Term++
-	next.Controller = g.self()
 	predecessor := record.Controller
-	// What this process itself granted is behind it.
-	predecessor.Resigned = predecessor.Resigned || g.own(record)
+	next := record.Succeed(g.self())
 	g.log.Info("claiming control", "service", c.service.name, "term", next.Term, "revision", revision,
 		"predecessor", predecessor.Host, "resigned", predecessor.Resigned, "unheard-ms", (now - c.heard).Milliseconds())
 	c.claiming = true
-	g.claim(ctx, c, next, revision, &predecessor)
+	g.claim(ctx, c, next, revision)
 }
 
 // claimFirst makes the first assignment of a service.
@@ -226,7 +216,7 @@
 	record := keyspace.First(g.self(), eligible)
 	g.log.Info("first assignment", "service", c.service.name, "servers", len(eligible))
 	c.claiming = true
-	g.claim(ctx, c, record, 0, nil)
+	g.claim(ctx, c, record, 0)
 }
 
 // holders returns the servers that may hold keys, and remembers their addresses.
@@ -263,7 +253,7 @@
 		c.confirm, c.reading = now, true
 		g.startConfirm(ctx, c)
 	}
-	g.askPredecessor(ctx, c, now)
+	g.askPredecessors(ctx, c, now)
 }
 
 // noteAuthority logs when the authority ran out and when it is back.
@@ -282,22 +272,20 @@
 
 func (g *Gateway) stepDown(c *controller, why, successor string) {
 	g.log.Info("control given up", "service", c.service.name, "why", why, "successor", successor)
-	c.machine, c.yield, c.writing, c.reading, c.powerless = nil, nil, false, false, false
+	c.machine, c.writing, c.reading, c.powerless = nil, false, false, false
 	c.heard = g.boot.Now()
 }
 
-// askPredecessor asks an earlier controller whether it has stopped, until it
-// has or its authority has run out in any case.
-func (g *Gateway) askPredecessor(ctx context.Context, c *controller, now time.Duration) {
-	if c.yield == nil || now-c.yield.asked < yieldEvery {
+// askPredecessors asks earlier controllers whether they have stopped, until
+// they have or their authority has run out in any case.
+func (g *Gateway) askPredecessors(ctx context.Context, c *controller, now time.Duration) {
+	if now-c.asked < yieldEvery {
 		return
 	}
-	if c.machine.Settled(now) {
-		c.yield = nil
-		return
+	c.asked = now
+	for _, earlier := range c.machine.Unproven(now) {
+		g.startYield(ctx, c, earlier)
 	}
-	c.yield.asked = now
-	g.startYield(ctx, c, c.yield.Controller)
 }
 
 // resignAll stops all controllers and tells the others through the store, so
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -149,15 +149,14 @@
 // apply implements event.
 func (e *yieldEnded) apply(g *Gateway, now time.Duration) {
 	c := e.controller
-	if c.machine != e.machine || c.yield == nil || e.err != nil {
+	if c.machine != e.machine || e.err != nil {
 		return
 	}
 	if e.answer.Incarnation == e.asked.Incarnation && !e.answer.Stopped {
 		return
 	}
 	g.log.Info("predecessor has stopped", "service", c.service.name, "predecessor", e.asked.Host, "restarted", e.answer.Incarnation != e.asked.Incarnation)
-	c.machine.PredecessorStopped(now)
-	c.yield = nil
+	c.machine.Stopped(now, e.asked)
 }
 
 // peerCall is a call of another host that the control loop answers.
--- /dev/null
+++ b/keyspace/faults_test.go
@@ -0,0 +1,196 @@
+package keyspace
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// bench is a machine for two servers, with the time in the test's hands.
+type bench struct {
+	t       *testing.T
+	m       *Machine
+	now     time.Duration
+	servers []Server
+	// answer decides how a call ends; nil means done at once.
+	answer func(Call) CallResult
+	grants map[string]time.Duration // by server: when a grant was last sent
+}
+
+func newBench(t *testing.T, m *Machine, now time.Duration) *bench {
+	return &bench{t: t, m: m, now: now, grants: map[string]time.Duration{},
+		servers: []Server{{ID: "a", Slots: 2, Speed: 1}, {ID: "b", Slots: 2, Speed: 1}}}
+}
+
+func twoServers() *Record {
+	return First(Controller{Host: "one", Incarnation: 1}, []Server{{ID: "a", Slots: 2}, {ID: "b", Slots: 2}})
+}
+
+// run steps the machine until a time, with the store confirming it.
+func (b *bench) run(until time.Duration) {
+	for ; b.now < until; b.now += tick {
+		b.m.Confirm(b.now)
+		b.step()
+	}
+}
+
+func (b *bench) step() {
+	for _, call := range b.m.Step(b.now, b.servers) {
+		if call.Kind == GrantCall {
+			b.grants[call.Server] = b.now
+		}
+		result := CallDone
+		if b.answer != nil {
+			result = b.answer(call)
+		}
+		b.m.Answered(call, result, "", b.now, b.now)
+	}
+	if b.m.Pending() != nil {
+		b.m.Written(b.now)
+	}
+}
+
+// owner returns who owns key 0 and whether it has confirmed.
+func (b *bench) owner() (string, bool) {
+	r := b.m.Record().At(0)
+	return r.Server, !r.Moving() && b.m.Granted(r)
+}
+
+// loseA lets server a fall silent and its entry go.
+func (b *bench) loseA() {
+	b.answer = func(call Call) CallResult {
+		if call.Server == "a" {
+			return CallUnanswered
+		}
+		return CallDone
+	}
+	b.servers = b.servers[1:]
+}
+
+// Symptom: two servers run requests for the same keys for a tenth of a second.
+// Sequence: a server falls silent but lives; its keys pass on when the lease has
+// run out on the controller's clock; the server's clock runs 2% slow.
+// Cause: the wait did not cover the slow clock.
+func TestSilentServersLeaseRunsOutOnItsOwnClock(t *testing.T) {
+	b := newBench(t, New(twoServers(), 0, 0), 0)
+	b.run(3 * time.Second)
+	last := b.grants["a"]
+	b.loseA()
+	delete(b.grants, "a")
+	for owner, held := b.owner(); owner != "b" || !held; owner, held = b.owner() {
+		b.run(b.now + tick)
+		assert.Assert(t, b.now < 20*time.Second)
+	}
+	const onSlowClock = LeaseTerm * 102 / 100
+	assert.Assert(t, b.grants["b"] >= last+onSlowClock, "b was granted the keys %v after a", b.grants["b"]-last)
+}
+
+// Symptom: two servers hold the same keys, seconds after a hand-over.
+// Sequence: a grant to a has no answer; a is to leave and confirms its release;
+// b gets the keys; then the first grant takes effect at a, late.
+// Cause: a release was taken to undo a grant that was still to take effect.
+func TestUnansweredGrantOutlivesRelease(t *testing.T) {
+	b := newBench(t, New(twoServers(), 0, 0), 0)
+	b.run(2 * time.Second)
+	b.answer = func(call Call) CallResult {
+		if call.Server == "a" && call.Kind == GrantCall {
+			return CallUnanswered
+		}
+		return CallDone
+	}
+	b.run(3500 * time.Millisecond)
+	lost := b.grants["a"]
+	b.servers[0].Leaving = true
+	b.run(lost + LeaseTerm - 2*tick)
+	_, held := b.owner()
+	assert.Assert(t, !held, "the keys have an owner while the lost grant may yet take effect")
+	b.run(lost + LeaseTerm + 2*time.Second)
+	owner, held := b.owner()
+	assert.Equal(t, owner, "b")
+	assert.Assert(t, held)
+}
+
+// Symptom: as above.
+// Sequence: a controller is cut off from the store for long; another takes over
+// and moves keys; the first renews the old owner's lease.
+// Cause: the controller went on granting without the store's word.
+func TestNoGrantWithoutTheStoresWord(t *testing.T) {
+	b := newBench(t, New(twoServers(), 0, 0), 0)
+	b.run(2 * time.Second)
+	for end := b.now + AuthorityBound + 4*time.Second; b.now < end; b.now += tick {
+		b.step()
+	}
+	assert.Assert(t, b.grants["a"] < 2*time.Second+AuthorityBound)
+	assert.Assert(t, !b.m.Authority(b.now))
+}
+
+// Symptom: as above.
+// Sequence: a controller is cut off from the store and goes on renewing; a
+// second takes over, asks a server to release its keys and passes them on; the
+// first renews the old owner's lease after the release.
+// Cause: a release was taken as final while an earlier controller could grant.
+func TestReleaseCountsOnceEarlierControllersHaveStopped(t *testing.T) {
+	record := twoServers()
+	record.Ranges[0].Former = []Holder{{Server: "a", Token: record.Ranges[0].Token}}
+	record.LastToken++
+	record.Ranges[0].Holder = Holder{Server: "b", Token: record.LastToken}
+	start := time.Minute
+	b := newBench(t, Adopt(record.Succeed(Controller{Host: "two", Incarnation: 2}), start, start), start)
+	b.run(start + AuthorityBound)
+	_, held := b.owner()
+	assert.Assert(t, !held)
+	b.run(start + AuthorityBound + LeaseTerm + 3*time.Second)
+	owner, held := b.owner()
+	assert.Equal(t, owner, "b")
+	assert.Assert(t, held)
+}
+
+// Symptom: as above.
+// Sequence: controller one is cut off; two takes over, and resigns at once;
+// three takes over from two and moves keys, while one still renews them.
+// Cause: three only asked whether its predecessor had stopped.
+func TestAllEarlierControllersMustHaveStopped(t *testing.T) {
+	second := twoServers().Succeed(Controller{Host: "two", Incarnation: 2})
+	third := second.Succeed(Controller{Host: "three", Incarnation: 3})
+	start := time.Minute
+	m := Adopt(third, start, start)
+	assert.Equal(t, len(m.Unproven(start)), 2)
+	m.Stopped(start, second.Controller)
+	assert.Assert(t, !m.Settled(start), "controller one may still grant")
+	m.Stopped(start, Controller{Host: "one", Incarnation: 1})
+	assert.Assert(t, m.Settled(start))
+
+	second.Controller.Resigned = true
+	afterResigning := second.Succeed(Controller{Host: "three", Incarnation: 3})
+	assert.Equal(t, len(afterResigning.Earlier), 1)
+}
+
+// Symptom: the keys of a live server pass to another while it runs requests.
+// Sequence: one grant to a server has no answer.
+// Cause: silence was taken for the end of the server.
+func TestSilenceIsNoProofOfTheEnd(t *testing.T) {
+	b := newBench(t, New(twoServers(), 0, 0), 0)
+	b.run(2 * time.Second)
+	registered := b.servers
+	b.loseA()
+	lost := b.servers
+	b.servers = registered
+	b.run(b.now + 1500*time.Millisecond)
+	b.servers = lost
+	b.run(b.now + 2*time.Second)
+	_, held := b.owner()
+	assert.Assert(t, !held, "the keys passed on within a's lease")
+}
+
+// The proof that a server's process has ended frees its keys at once.
+func TestEndedServersKeysPassOnAtOnce(t *testing.T) {
+	b := newBench(t, New(twoServers(), 0, 0), 0)
+	b.run(2 * time.Second)
+	b.loseA()
+	b.m.Ended("a")
+	b.run(b.now + 10*tick)
+	owner, held := b.owner()
+	assert.Equal(t, owner, "b")
+	assert.Assert(t, held)
+}
--- /dev/null
+++ b/keyspace/fuzz_test.go
@@ -0,0 +1,225 @@
+package keyspace
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever calls are lost, late or take effect long after they arrived, whoever
+// believes to be the controller, and whichever servers leave, end or are cut
+// off: no key is ever held by two servers that are up.
+func TestNoKeyIsHeldTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(w.actions())
+	})
+}
+
+func (w *world) actions() map[string]func(*rapid.T) {
+	pickHost := func(t *rapid.T) *trueHost { return rapid.SampledFrom(w.hosts).Draw(t, "host") }
+	pickServer := func(t *rapid.T) *trueServer { return rapid.SampledFrom(w.servers).Draw(t, "server") }
+	return map[string]func(*rapid.T){
+		"time passes": func(t *rapid.T) {
+			w.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "ticks")) * tick)
+		},
+		"all goes well for a while": func(t *rapid.T) {
+			for range rapid.IntRange(1, 160).Draw(t, "ticks") {
+				w.calmTick()
+			}
+		},
+		"a controller steps": func(t *rapid.T) { w.step(pickHost(t)) },
+		"a call arrives": func(t *rapid.T) {
+			if c := w.drawCall(t, func(c *trueCall) bool { return !c.here && !c.told }); c != nil {
+				c.here, c.arrived = true, w.now
+			}
+		},
+		"a call takes effect": func(t *rapid.T) {
+			if c := w.drawCall(t, func(c *trueCall) bool { return c.here && !c.done }); c != nil {
+				w.effect(c)
+			}
+		},
+		"a call is answered": func(t *rapid.T) {
+			if c := w.drawCall(t, func(c *trueCall) bool { return c.done && !c.told }); c != nil {
+				w.answer(c)
+			}
+		},
+		"a write lands": func(t *rapid.T) {
+			h := pickHost(t)
+			if h.write != nil {
+				w.settleWrite(h.write, w.land(h.write))
+			}
+		},
+		"a write lands and its answer is lost": func(t *rapid.T) {
+			if h := pickHost(t); h.write != nil {
+				w.land(h.write)
+			}
+		},
+		"the store confirms the controller": func(t *rapid.T) {
+			h := pickHost(t)
+			if h.machine == nil || h.frozen {
+				return
+			}
+			if w.stored.Controller.Incarnation != h.incarnation {
+				h.machine = nil
+				return
+			}
+			h.machine.Confirm(w.now)
+		},
+		"a host takes over, its predecessor being cut off": func(t *rapid.T) { w.claim(pickHost(t)) },
+		"a controller resigns, and a host takes over": func(t *rapid.T) {
+			w.resign()
+			w.claim(pickHost(t))
+		},
+		"an earlier controller is proven stopped": func(t *rapid.T) {
+			h := pickHost(t)
+			if h.machine == nil {
+				return
+			}
+			for _, earlier := range h.machine.Unproven(w.now) {
+				for _, other := range w.hosts {
+					if other != h && other.incarnation == earlier.Incarnation {
+						other.machine, other.write = nil, nil
+					}
+				}
+				h.machine.Stopped(w.now, earlier)
+				return
+			}
+		},
+		"the controller is cut off from the store, and another takes over": func(t *rapid.T) {
+			for _, h := range w.hosts {
+				h.cut = h.cut || h.machine != nil
+			}
+			w.claim(pickHost(t))
+			w.servers[rapid.IntRange(0, 2).Draw(t, "lost")].registered = false
+		},
+		"hosts reach the store again": func(*rapid.T) {
+			for _, h := range w.hosts {
+				h.cut = false
+			}
+		},
+		"a host freezes or thaws":                          func(t *rapid.T) { h := pickHost(t); h.frozen = !h.frozen },
+		"an entry comes or goes":                           func(t *rapid.T) { s := pickServer(t); s.registered = !s.registered },
+		"a server begins to leave, or thinks better of it": func(t *rapid.T) { s := pickServer(t); s.leaving = !s.leaving },
+		"a server ends and others know": func(t *rapid.T) {
+			s := pickServer(t)
+			s.up, s.registered, s.holds = false, false, nil
+			for _, h := range w.hosts {
+				if h.machine != nil {
+					h.machine.Ended(s.id)
+				}
+			}
+		},
+		"a key gets busy": func(t *rapid.T) {
+			h := pickHost(t)
+			if h.machine != nil {
+				key := uint16(rapid.SampledFrom([]int{0, 7, 20000, 65535}).Draw(t, "key"))
+				h.machine.Loads().Add(w.now, map[uint16]time.Duration{key: 6 * time.Second, key / 2: time.Second})
+			}
+		},
+		"": func(t *rapid.T) {
+			w.check()
+			for _, h := range w.hosts {
+				if h.machine != nil {
+					if err := h.machine.Record().Check(); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+		},
+	}
+}
+
+func (w *world) drawCall(t *rapid.T, fits func(*trueCall) bool) *trueCall {
+	var fitting []*trueCall
+	for _, c := range w.calls {
+		if fits(c) {
+			fitting = append(fitting, c)
+		}
+	}
+	if len(fitting) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(fitting).Draw(t, "call")
+}
+
+// answer tells a controller of a call that took effect.
+func (w *world) answer(c *trueCall) {
+	c.told = true
+	switch {
+	case !w.server(c.call.Server).up:
+		w.tell(c, CallUnanswered, "")
+	case c.refused:
+		w.tell(c, CallStale, "")
+	default:
+		w.tell(c, CallDone, "")
+	}
+}
+
+// calmTick lets everything that is under way succeed.
+func (w *world) calmTick() {
+	for _, h := range w.hosts {
+		if h.machine != nil && !h.frozen && !h.cut {
+			if w.stored.Controller.Incarnation != h.incarnation {
+				h.machine, h.write = nil, nil
+				continue
+			}
+			h.machine.Confirm(w.now)
+		}
+		w.step(h)
+		if h.write != nil && !h.cut {
+			w.settleWrite(h.write, w.land(h.write))
+		}
+	}
+	for _, c := range w.calls {
+		if c.here || c.told {
+			continue
+		}
+		c.here, c.arrived = true, w.now
+		w.effect(c)
+		w.answer(c)
+	}
+	w.advance(tick)
+}
+
+// Without faults, every key has an owner that holds it, also after a server
+// has left and another has come.
+func TestCalmAssignmentIsComplete(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range 40 {
+			w.calmTick()
+		}
+		w.complete(t, "at first")
+		w.servers[rapid.IntRange(0, 2).Draw(t, "leaves")].leaving = true
+		w.servers[3].registered = true
+		for range 200 {
+			w.calmTick()
+		}
+		w.complete(t, "after a change of servers")
+		for _, r := range w.stored.Ranges {
+			if w.server(r.Server).leaving {
+				t.Fatalf("a leaving server still owns %d-%d", r.From, r.To)
+			}
+		}
+	})
+}
+
+// complete fails unless every range is held by its owner.
+func (w *world) complete(t *rapid.T, when string) {
+	for _, r := range w.stored.Ranges {
+		if r.Moving() {
+			t.Fatalf("%s: %d-%d is still moving", when, r.From, r.To)
+		}
+		for _, key := range []uint16{r.From, r.To} {
+			held := false
+			for _, hold := range w.server(r.Server).holds {
+				held = held || hold.from <= key && key <= hold.to
+			}
+			if !held {
+				t.Fatalf("%s: %s does not hold key %d, which it owns", when, r.Server, key)
+			}
+		}
+	}
+}
--- a/keyspace/machine.go
+++ b/keyspace/machine.go
@@ -86,6 +86,7 @@
 	planned   time.Duration
 	leases    map[leaseKey]*lease
 	gone      map[string]bool // servers proven ended
+	stopped   map[uint64]bool // incarnations of earlier controllers proven stopped
 	loads     *KeyLoads
 }
 
@@ -93,15 +94,14 @@
 // acknowledged by a call begun at confirmed.
 func New(record *Record, confirmed, now time.Duration) *Machine {
 	return &Machine{record: record.Clone(), confirmed: confirmed, settled: now, calm: now,
-		leases: map[leaseKey]*lease{}, gone: map[string]bool{}, loads: NewKeyLoads()}
+		leases: map[leaseKey]*lease{}, gone: map[string]bool{}, stopped: map[uint64]bool{}, loads: NewKeyLoads()}
 }
 
-// Adopt returns a machine for an earlier controller's record, taken over by a
-// call begun at confirmed. predecessorStopped tells that it can't grant any
-// more.
-func Adopt(record *Record, confirmed, now time.Duration, predecessorStopped bool) *Machine {
+// Adopt returns a machine for a record taken over from an earlier controller by
+// a call begun at confirmed.
+func Adopt(record *Record, confirmed, now time.Duration) *Machine {
 	m := New(record, confirmed, now)
-	if !predecessorStopped {
+	if len(record.Earlier) > 0 {
 		m.settled = now + AuthorityBound + clockMargin
 	}
 	// A grant of the predecessor's that had no answer may take effect until its
@@ -117,10 +117,19 @@
 	return m
 }
 
-// PredecessorStopped notes the proof that no earlier controller can grant any
-// more: it said so, or another process runs at its address.
-func (m *Machine) PredecessorStopped(now time.Duration) {
-	if now >= m.settled {
+// Unproven returns the earlier controllers that may still grant.
+func (m *Machine) Unproven(now time.Duration) []Controller {
+	if m.Settled(now) {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(m.record.Earlier), func(c Controller) bool { return m.stopped[c.Incarnation] })
+}
+
+// Stopped notes the proof that an earlier controller can't grant any more: it
+// said so, or another process runs at its address.
+func (m *Machine) Stopped(now time.Duration, earlier Controller) {
+	m.stopped[earlier.Incarnation] = true
+	if m.Settled(now) || len(m.Unproven(now)) > 0 {
 		return
 	}
 	m.settled, m.calm = now, lapse(now+underWay)
@@ -301,11 +310,6 @@
 			return
 		}
 		l.released, l.handoff = true, handoff
-		if began < m.settled {
-			// The predecessor may renew the lease after this release.
-			l.released = false
-			l.next = m.settled
-		}
 	case ProbeCall:
 		l.next = ended + callRetry
 		l.silent = result == CallUnanswered
@@ -338,6 +342,8 @@
 	changed := m.finishMoves(next)
 	changed = m.renewStale(next) || changed
 	if now >= m.settled {
+		changed = changed || len(next.Earlier) > 0
+		next.Earlier = nil
 		moves := evacuations(next, live, servers, m.loads)
 		if len(moves) == 0 && now >= m.calm && now-m.planned >= planEvery && !anyMoving(next) {
 			moves = rebalance(next, servers, m.loads)
--- a/keyspace/record.go
+++ b/keyspace/record.go
@@ -87,6 +87,9 @@
 type Record struct {
 	Term       uint64     `json:"term"`
 	Controller Controller `json:"controller"`
+	// Earlier lists controllers that were replaced without proof that they
+	// have stopped. One that is cut off from the store may go on granting.
+	Earlier []Controller `json:"earlier,omitempty"`
 	// LastToken is the highest fencing token given out.
 	LastToken uint64  `json:"lastToken"`
 	Ranges    []Range `json:"ranges"`
@@ -95,6 +98,7 @@
 // Clone returns a deep copy.
 func (r *Record) Clone() *Record {
 	copied := *r
+	copied.Earlier = slices.Clone(r.Earlier)
 	copied.Ranges = slices.Clone(r.Ranges)
 	for i := range copied.Ranges {
 		copied.Ranges[i].Former = slices.Clone(copied.Ranges[i].Former)
@@ -102,6 +106,17 @@
 	return &copied
 }
 
+// Succeed returns the record under a new controller.
+func (r *Record) Succeed(controller Controller) *Record {
+	next := r.Clone()
+	next.Term++
+	if !r.Controller.Resigned {
+		next.Earlier = append(next.Earlier, r.Controller)
+	}
+	next.Controller = controller
+	return next
+}
+
 // At returns the range that holds a key, or nil. Ranges are in order.
 func (r *Record) At(key uint16) *Range {
 	i, found := slices.BinarySearchFunc(r.Ranges, key, func(have Range, want uint16) int {
--- /dev/null
+++ b/keyspace/world_test.go
@@ -0,0 +1,290 @@
+package keyspace
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// world is the truth that machines know only in part: a store, servers with
+// what they really hold, and calls on their way.
+type world struct {
+	t       *rapid.T
+	now     time.Duration
+	stored  *Record
+	version int
+	servers []*trueServer
+	hosts   []*trueHost
+	calls   []*trueCall
+	term    uint64
+}
+
+// trueServer is a backend server.
+type trueServer struct {
+	id         string
+	up         bool
+	registered bool
+	leaving    bool
+	// slow is by how much its clock runs slow, in percent.
+	slow  int
+	holds []trueHold
+}
+
+// trueHold is a lease that a server holds.
+type trueHold struct {
+	from, to uint16
+	token    uint64
+	until    time.Duration
+}
+
+// trueHost is a process that may be a controller.
+type trueHost struct {
+	id          int
+	incarnation uint64
+	machine     *Machine
+	version     int // of the machine's record
+	frozen      bool
+	cut         bool // from the store
+	write       *trueWrite
+}
+
+// trueWrite is a write on its way to the store.
+type trueWrite struct {
+	host    *trueHost
+	machine *Machine
+	record  *Record
+	version int
+	began   time.Duration
+}
+
+// trueCall is a call on its way to a server.
+type trueCall struct {
+	host    *trueHost
+	machine *Machine
+	call    Call
+	began   time.Duration
+	arrived time.Duration
+	here    bool // arrived
+	done    bool // took effect
+	told    bool // its end was told to the machine
+	refused bool
+}
+
+const tick = 50 * time.Millisecond
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, now: time.Second}
+	for i := range 4 {
+		w.servers = append(w.servers, &trueServer{id: fmt.Sprintf("s%d", i), up: true, registered: i < 3, slow: i % 3})
+	}
+	for i := range 3 {
+		w.hosts = append(w.hosts, &trueHost{id: i, incarnation: uint64(i + 1)})
+	}
+	first := w.hosts[0]
+	record := First(w.controller(first), w.eligible())
+	w.stored, w.version, w.term = record, 1, 1
+	first.machine, first.version = New(record, w.now, w.now), 1
+	return w
+}
+
+func (w *world) controller(h *trueHost) Controller {
+	return Controller{Host: fmt.Sprint(h.id), Incarnation: h.incarnation}
+}
+
+func (w *world) eligible() []Server {
+	var servers []Server
+	for _, s := range w.servers {
+		if s.registered {
+			servers = append(servers, Server{ID: s.id, Slots: 2, Speed: 1, Leaving: s.leaving})
+		}
+	}
+	return servers
+}
+
+func (w *world) server(id string) *trueServer {
+	for _, s := range w.servers {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// advance lets time pass in small steps, and checks the promise at each.
+func (w *world) advance(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.now += tick
+		w.abortOld()
+		w.check()
+	}
+}
+
+// abortOld gives up calls that have been under way for the longest time that a
+// call may take. One that has not arrived by then never does.
+func (w *world) abortOld() {
+	kept := w.calls[:0]
+	for _, c := range w.calls {
+		if w.now-c.began < underWay || c.told && c.done {
+			if !(c.told && c.done) {
+				kept = append(kept, c)
+			}
+			continue
+		}
+		if !c.told {
+			c.told = true
+			w.tell(c, CallUnanswered, "")
+		}
+		if c.here && !c.done {
+			kept = append(kept, c) // it may yet take effect
+		}
+	}
+	w.calls = kept
+}
+
+func (w *world) tell(c *trueCall, result CallResult, handoff string) {
+	if c.host.machine == c.machine {
+		c.machine.Answered(c.call, result, handoff, c.began, w.now)
+	}
+}
+
+// step lets a controller do what it would do now.
+func (w *world) step(h *trueHost) {
+	if h.machine == nil || h.frozen {
+		return
+	}
+	for _, call := range h.machine.Step(w.now, w.eligible()) {
+		w.calls = append(w.calls, &trueCall{host: h, machine: h.machine, call: call, began: w.now})
+	}
+	if pending := h.machine.Pending(); pending != nil && h.write == nil {
+		h.write = &trueWrite{host: h, machine: h.machine, record: pending.Clone(), version: h.version, began: w.now}
+	}
+}
+
+// effect lets an arrived call take effect.
+func (w *world) effect(c *trueCall) {
+	c.done = true
+	s := w.server(c.call.Server)
+	if !s.up {
+		c.refused = true
+		return
+	}
+	switch c.call.Kind {
+	case GrantCall:
+		for _, hold := range s.holds {
+			if hold.from <= c.call.To && hold.to >= c.call.From && hold.token > c.call.Token {
+				c.refused = true
+				return
+			}
+		}
+		until := c.arrived + LeaseTerm*time.Duration(100+s.slow)/100
+		s.holds = append(s.holds, trueHold{from: c.call.From, to: c.call.To, token: c.call.Token, until: until})
+	case ReleaseCall:
+		s.drop(c.call.From, c.call.To)
+	}
+}
+
+// drop ends what a server holds of a range.
+func (s *trueServer) drop(from, to uint16) {
+	var kept []trueHold
+	for _, hold := range s.holds {
+		if hold.to < from || hold.from > to {
+			kept = append(kept, hold)
+			continue
+		}
+		if hold.from < from {
+			left := hold
+			left.to = from - 1
+			kept = append(kept, left)
+		}
+		if hold.to > to {
+			right := hold
+			right.from = to + 1
+			kept = append(kept, right)
+		}
+	}
+	s.holds = kept
+}
+
+// check fails if two servers that are up hold the same key.
+func (w *world) check() {
+	for _, s := range w.servers {
+		live := s.holds[:0]
+		for _, hold := range s.holds {
+			if hold.until > w.now {
+				live = append(live, hold)
+			}
+		}
+		s.holds = live
+	}
+	for i, a := range w.servers {
+		for _, b := range w.servers[i+1:] {
+			if a.up && b.up {
+				w.apart(a, b)
+			}
+		}
+	}
+}
+
+func (w *world) apart(a, b *trueServer) {
+	for _, x := range a.holds {
+		for _, y := range b.holds {
+			if x.from <= y.to && y.from <= x.to {
+				record, _ := json.Marshal(w.stored)
+				w.t.Fatalf("at %v both %s (token %d, %d-%d, until %v) and %s (token %d, %d-%d, until %v) hold keys; stored: %s",
+					w.now, a.id, x.token, x.from, x.to, x.until, b.id, y.token, y.from, y.to, y.until, record)
+			}
+		}
+	}
+}
+
+// land lets a write reach the store. It reports whether it took effect.
+func (w *world) land(write *trueWrite) bool {
+	if write.version != w.version {
+		return false
+	}
+	w.stored, w.version = write.record.Clone(), w.version+1
+	return true
+}
+
+// settleWrite tells a controller how its write ended.
+func (w *world) settleWrite(write *trueWrite, took bool) {
+	h := write.host
+	h.write = nil
+	if h.machine != write.machine {
+		return
+	}
+	if !took && !sameAs(w.stored, write.record) {
+		h.machine = nil
+		return
+	}
+	h.machine.Written(write.began)
+	h.version = w.version
+}
+
+func sameAs(a, b *Record) bool {
+	x, _ := json.Marshal(a)
+	y, _ := json.Marshal(b)
+	return string(x) == string(y)
+}
+
+// claim makes a host the controller, as if its write had landed at once.
+func (w *world) claim(h *trueHost) {
+	h.incarnation += 100
+	w.stored, w.version = w.stored.Succeed(w.controller(h)), w.version+1
+	h.machine, h.version, h.write = Adopt(w.stored, w.now, w.now), w.version, nil
+	h.frozen, h.cut = false, false
+}
+
+// resign stops the controller, which tells so in the store.
+func (w *world) resign() {
+	for _, h := range w.hosts {
+		if h.machine != nil && h.incarnation == w.stored.Controller.Incarnation {
+			h.machine, h.write = nil, nil
+			w.stored = w.stored.Clone()
+			w.stored.Controller.Resigned = true
+			w.version++
+		}
+	}
+}
--- /dev/null
+++ b/tools/mutants/keyspace.go
@@ -0,0 +1,26 @@
+package main
+
+// keyspaceMutants break the rules by which keys pass from server to server.
+func keyspaceMutants() []mutant {
+	in := func(file, name, old, fresh string) mutant {
+		return mutant{name: "keyspace: " + name, file: "keyspace/" + file, old: old, new: fresh, pkg: "keyspace", run: "."}
+	}
+	return []mutant{
+		in("record.go", "trust servers' clocks", "LeaseTerm*(100+slowClock)/100 + clockMargin", "LeaseTerm"),
+		in("machine.go", "take keys from a silent server at once", "if m.gone[former.Server] || now >= l.until {", "if m.gone[former.Server] || l.silent || now >= l.until {"),
+		in("machine.go", "forget grants that had no answer", "return l.released && now >= l.late", "return l.released"),
+		in("machine.go", "do not count an unanswered grant", "		l.late = max(l.late, lapse(ended))\n", ""),
+		in("machine.go", "count an unanswered grant as never made", "	l.until = max(l.until, lapse(ended))\n	switch", "	if result == CallDone {\n		l.until = max(l.until, lapse(ended))\n	}\n	switch"),
+		in("machine.go", "grant without the store's word", "	if !m.Authority(now) {\n		return nil\n	}\n", ""),
+		in("machine.go", "believe every predecessor to have stopped", "	if len(record.Earlier) > 0 {", "	if false {"),
+		in("record.go", "forget controllers before the last", "next.Earlier = append(next.Earlier, r.Controller)", "next.Earlier = []Controller{r.Controller}"),
+		in("machine.go", "take one earlier controller's word for all", "if m.Settled(now) || len(m.Unproven(now)) > 0 {", "if m.Settled(now) {"),
+		in("machine.go", "take what a predecessor may still hold as free", "l.until, l.late = m.calm, m.calm", "l.until, l.late = now, now"),
+		in("machine.go", "grant what has not been written", "for i := range m.record.Ranges {\n		calls = m.stepRange(now, &m.record.Ranges[i]", "known := m.record\n	if m.pending != nil {\n		known = m.pending\n	}\n	for i := range known.Ranges {\n		calls = m.stepRange(now, &known.Ranges[i]"),
+		in("machine.go", "grant before former holders are free", "	if !free {\n		return calls\n	}\n", "	_ = free\n"),
+		in("machine.go", "cut a range while a call about it is under way", "		if m.calling(next, move) {\n			continue\n		}\n", ""),
+		in("machine.go", "forget the leases of a range that is cut", "			m.leases[keyOf(&part, holder)] = &copied\n", "			_ = copied\n			_ = part\n"),
+		in("machine.go", "take a predecessor's yield as the end of its calls", "m.settled, m.calm = now, lapse(now+underWay)", "m.settled, m.calm = now, now"),
+		in("machine.go", "leave the former holder out of the record", "			r.Former = append(r.Former, r.Holder)\n			r.Holder = Holder{Server: move.Server", "			r.Holder = Holder{Server: move.Server"),
+	}
+}
--- a/tools/mutants/main.go
+++ b/tools/mutants/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,7 +19,7 @@
 )
 
 // stateful names the packages whose tests take rapid's flags.
-var stateful = map[string]bool{"ownership": true, "dispatch": true, "directory": true}
+var stateful = map[string]bool{"ownership": true, "dispatch": true, "directory": true, "keyspace": true}
 
 // mutant is one broken rule.
 type mutant struct {
@@ -46,7 +47,7 @@
 		return code
 	}
 	var chosen []mutant
-	for _, m := range append(ownershipMutants(), pathMutants()...) {
+	for _, m := range slices.Concat(ownershipMutants(), pathMutants(), keyspaceMutants()) {
 		if strings.Contains(m.name, given.Only) {
 			chosen = append(chosen, m)
 		}
