Leaving owners get nothing after 1.5 s; a new controller is judged by its own silence

After the takeover each host judged the new controller by the old one's silence and took over in turn, 7 times in 4 s. Change: requests for keys of an owner that began to leave 1.5 s ago are turned away until the keys have moved; silence is counted anew for each controller.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -122,6 +122,9 @@
 			p.servers[listed.ID] = server
 		}
 		slots := server.Slots
+		if listed.Draining && !server.Draining {
+			server.leavingAt = now
+		}
 		server.Server = listed
 		if slots > 0 {
 			server.Slots = slots
@@ -174,6 +177,9 @@
 func (p *Pool) ownerless(now time.Duration, waiter *Waiter) *RejectedError {
 	id, back := p.owner.OwnerOf(waiter.Key)
 	server := p.servers[id]
+	if server != nil && server.left(now) {
+		server, back = nil, now+leaveWithin
+	}
 	if server != nil && server.silent(now) {
 		return &RejectedError{Reason: NoOwner, RetryAfter: clampRetry(server.suspect - now), Expected: server.suspect - now}
 	}
@@ -264,7 +270,8 @@
 		return false
 	}
 	id, back := p.owner.OwnerOf(waiter.Key)
-	if p.servers[id] != nil || now-waiter.Arrived < 2*ownerWait {
+	server := p.servers[id]
+	if server != nil && !server.left(now) || now-waiter.Arrived < 2*ownerWait {
 		return false
 	}
 	p.reject(waiter, &RejectedError{Reason: NoOwner, RetryAfter: clampRetry(back - now), Expected: back - now})
@@ -276,7 +283,7 @@
 	if waiter.Keyed && p.owner != nil {
 		id, _ := p.owner.OwnerOf(waiter.Key)
 		server := p.servers[id]
-		if server == nil || !server.room(now) {
+		if server == nil || server.left(now) || !server.room(now) {
 			return nil
 		}
 		return server
--- a/balance/server.go
+++ b/balance/server.go
@@ -81,6 +81,7 @@
 	ratio     float64 // its service time over the service's mean
 	failures  float64
 	coldUntil time.Duration
+	leavingAt time.Duration // when the server was first seen draining
 	suspect   time.Duration // passed over until
 	strikes   int
 	gap       time.Duration // smoothed time between this host's completions while others wait
@@ -102,6 +103,14 @@
 	return s.estimate(now)+1 <= float64(s.Slots)*(1+queueShare)
 }
 
+// leaveWithin is how long after a server began to leave its keys' requests may
+// still be sent to it, while they wait for another owner. Operators want none
+// sent 2 s after; the rest covers the way of the news and of the request.
+const leaveWithin = 1500 * time.Millisecond
+
+// left reports a server that must not get requests for the keys it owns either.
+func (s *Server) left(now time.Duration) bool { return s.Draining && now-s.leavingAt >= leaveWithin }
+
 // silent reports a server that several attempts in a row could not reach.
 func (s *Server) silent(now time.Duration) bool { return s.strikes > 1 && now < s.suspect }
 
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -29,7 +29,7 @@
 	silentAfter = 1300 * time.Millisecond
 	// storelessAfter is for how long a controller may be without the store
 	// before a host that reaches the store takes over.
-	storelessAfter = 2500 * time.Millisecond
+	storelessAfter = 2000 * time.Millisecond
 	// claimSpread spreads the hosts' claims, so that mostly one call is made.
 	claimSpread = 700 * time.Millisecond
 	// firstWait is how long after the first listing a first assignment is made:
@@ -70,6 +70,7 @@
 	firstAt   time.Duration // when the service was first seen
 	reported  time.Duration // when the last report was sent
 	heard     time.Duration // when the controller last answered one, on the boot clock
+	under     uint64        // incarnation of the controller that heard speaks of
 	wanted    time.Duration // since when a claim seems due; 0 if it does not
 	confirm   time.Duration // when the last confirmation began
 	asked     time.Duration // when earlier controllers were last asked whether they have stopped
@@ -155,6 +156,11 @@
 		return
 	}
 	record, revision := c.service.view.latest()
+	if record != nil && record.Controller.Incarnation != c.under {
+		// A new controller has its own time to be heard. Judging it by its
+		// predecessor's silence would let every host take over in turn.
+		c.under, c.heard, c.wanted, c.reported = record.Controller.Incarnation, now, 0, 0
+	}
 	switch {
 	case record == nil:
 		g.claimFirst(ctx, c, now)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -119,6 +119,7 @@
 		c.heard = min(c.heard, now-silentAfter)
 	case time.Duration(e.answer.StoreAgeMs)*time.Millisecond > storelessAfter:
 		// It goes on renewing, but can't move keys. Whoever reaches the store can.
+		c.heard = min(c.heard, now-silentAfter)
 	default:
 		c.heard = now
 		if behind := g.fresh.told(g.now(), e.answer.Revisions); len(behind) > 0 {
