--- /dev/null
+++ b/contract/objects/memobjects/memobjects.go
@@ -0,0 +1,104 @@
+// Package memobjects is an in-memory objects.Store, for tests and stand-ins. It
+// keeps its objects in the same store as the product's own platform stand-in.
+package memobjects
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"cicadarouter/contract/objects"
+	"cicadarouter/contract/platform"
+	"cicadarouter/contract/platform/memstore"
+	"cicadarouter/record"
+)
+
+// Store is an in-memory store. It is safe for concurrent use.
+type Store struct{ kept *memstore.Store }
+
+var _ objects.Store = (*Store)(nil)
+
+// New returns an empty store.
+func New() *Store { return &Store{kept: memstore.New()} }
+
+func ref(kind, name string) record.Ref { return record.Ref{Kind: record.Kind(kind), Name: name} }
+
+func object(from platform.Object) objects.Object {
+	return objects.Object{Kind: string(from.Kind), Name: from.Name, Revision: from.Version,
+		Spec: json.RawMessage(from.Spec), Deleted: from.Deleted}
+}
+
+// Get implements objects.Store.
+func (s *Store) Get(ctx context.Context, kind, name string) (objects.Object, error) {
+	found, err := s.kept.Get(ctx, ref(kind, name))
+	if err != nil {
+		return objects.Object{}, translate(err)
+	}
+	return object(found), nil
+}
+
+// List implements objects.Store.
+func (s *Store) List(ctx context.Context, kind string) (objects.Listing, error) {
+	snapshot, err := s.kept.List(ctx)
+	return ofKind(snapshot, kind), err
+}
+
+func ofKind(snapshot platform.Snapshot, kind string) objects.Listing {
+	listing := objects.Listing{Revision: snapshot.Revision}
+	for _, each := range snapshot.Objects {
+		if string(each.Kind) == kind {
+			listing.Objects = append(listing.Objects, object(each))
+		}
+	}
+	return listing
+}
+
+// Put implements objects.Store.
+func (s *Store) Put(ctx context.Context, given objects.Object) (objects.Object, error) {
+	envelope := record.Envelope{Kind: record.Kind(given.Kind), Name: given.Name, Schema: record.SchemaV2, Spec: given.Spec}
+	if given.Revision > 0 {
+		if _, err := s.Get(ctx, given.Kind, given.Name); err != nil {
+			return objects.Object{}, err
+		}
+	}
+	version, err := s.kept.Update(ctx, envelope, given.Revision)
+	if err != nil {
+		return objects.Object{}, translate(err)
+	}
+	given.Revision = version
+	return given, nil
+}
+
+// Delete implements objects.Store.
+func (s *Store) Delete(ctx context.Context, kind, name string, revision uint64) error {
+	return translate(s.kept.Delete(ctx, ref(kind, name), revision))
+}
+
+// Watch implements objects.Store.
+func (s *Store) Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (objects.Listing, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		snapshot, err := s.kept.Watch(ctx, revision, time.Until(deadline))
+		if err != nil {
+			return objects.Listing{}, translate(err)
+		}
+		listing := ofKind(snapshot, kind)
+		if len(listing.Objects) > 0 || len(snapshot.Objects) == 0 {
+			return listing, nil
+		}
+		revision = snapshot.Revision
+	}
+}
+
+func translate(err error) error {
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return &objects.ConflictError{Kind: string(conflict.Ref.Kind), Name: conflict.Ref.Name, Given: conflict.Given, Current: object(conflict.Current)}
+	}
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		return objects.ErrNotFound
+	}
+	return err
+}
