Waits that outlast the objective end at once; silence of a busy server is no good news

Change: reported load decays slower while an answer is due; a server without any answer for three service times gets no more; a wait that has outlasted the objective ends with 503.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -24,6 +24,8 @@
 	// Priority is the rank; 0 is the most urgent.
 	Priority int
 	Arrived  time.Duration
+	// Entered is when this wait began; Enter sets it.
+	Entered time.Duration
 	// Deadline is when the request is worthless.
 	Deadline time.Duration
 	// Objective is the latency objective.
@@ -73,6 +75,8 @@
 	// arrival. It bounds how long a less urgent request stands behind later
 	// ones: no kind of request is starved.
 	priorityStep = 80 * time.Millisecond
+	// givenUpSlack is by how much a wait may exceed what its objective allows.
+	givenUpSlack = 50 * time.Millisecond
 	// mostWaiting bounds the waiting requests of a service on one host.
 	mostWaiting = 512
 	// leastRetryAfter and mostRetryAfter bound what a rejected caller is told.
@@ -147,6 +151,7 @@
 // Enter asks for a server. The waiter's Ready is closed at once if there is one
 // or if the request is turned away.
 func (p *Pool) Enter(now time.Duration, waiter *Waiter) {
+	waiter.Entered = now
 	if rejected := p.hopeless(now, waiter); rejected != nil {
 		p.reject(waiter, rejected)
 		return
@@ -218,13 +223,19 @@
 // lasting overload as many are served either way, but those that are get their
 // answer within the objective.
 func (p *Pool) crowded(now time.Duration, waiter *Waiter, expected time.Duration) *RejectedError {
-	most := min(max(waiter.Objective-p.mean, p.mean/2), waiter.Deadline-now-p.mean)
+	most := min(p.longest(waiter), waiter.Deadline-now-p.mean)
 	if expected <= max(most, 0) && len(p.waiting) < mostWaiting {
 		return nil
 	}
 	return &RejectedError{Reason: Overload, RetryAfter: clampRetry(expected), Expected: expected}
 }
 
+// longest is how long a request may wait for a server and still be answered
+// within its objective.
+func (p *Pool) longest(waiter *Waiter) time.Duration {
+	return max(waiter.Objective-p.mean, p.mean/2)
+}
+
 func clampRetry(d time.Duration) time.Duration { return min(max(d, leastRetryAfter), mostRetryAfter) }
 
 // rank orders waiting requests: by arrival, with a head start by priority.
@@ -255,7 +266,10 @@
 	}
 	server := p.choose(now, waiter)
 	if server == nil {
-		return p.giveUpOnOwner(now, waiter)
+		return p.giveUpOnOwner(now, waiter) || p.giveUp(now, waiter)
+	}
+	if server.inFlight == 0 {
+		server.newsAt = now
 	}
 	server.inFlight++
 	waiter.Server = server
@@ -278,12 +292,22 @@
 	return true
 }
 
+// giveUp turns a request away that has waited longer than was expected when it
+// came, so that its caller can come back while it still has time.
+func (p *Pool) giveUp(now time.Duration, waiter *Waiter) bool {
+	if now-waiter.Entered < p.longest(waiter)+givenUpSlack {
+		return false
+	}
+	p.reject(waiter, &RejectedError{Reason: Overload, RetryAfter: clampRetry(p.mean), Expected: now - waiter.Entered})
+	return true
+}
+
 // choose returns the server for a request, or nil while it has to wait.
 func (p *Pool) choose(now time.Duration, waiter *Waiter) *Server {
 	if waiter.Keyed && p.owner != nil {
 		id, _ := p.owner.OwnerOf(waiter.Key)
 		server := p.servers[id]
-		if server == nil || server.left(now) || !server.room(now) {
+		if server == nil || server.left(now) || !server.room(now, p.mean) {
 			return nil
 		}
 		return server
@@ -300,7 +324,7 @@
 	var best *Server
 	least := 0.0
 	for _, server := range p.order {
-		if server.Draining || !server.room(now) {
+		if server.Draining || !server.room(now, p.mean) {
 			continue
 		}
 		if strict && (!server.usable(now) || slices.Contains(waiter.Tried, server.ID)) {
@@ -334,6 +358,9 @@
 func (p *Pool) Done(now time.Duration, server *Server, outcome Outcome, took time.Duration, load *Load) {
 	queued := server.estimate(now) > float64(server.Slots)
 	server.inFlight--
+	if outcome != Abandoned && outcome != Unreachable {
+		server.newsAt = now
+	}
 	if load != nil {
 		server.report(now, *load)
 	}
--- a/balance/server.go
+++ b/balance/server.go
@@ -26,6 +26,12 @@
 	// loadHalfLife is the age at which a reported load counts half: about the
 	// time in which a server turns over its queue.
 	loadHalfLife = 400 * time.Millisecond
+	// busyHalfLife holds while the host waits for an answer of the server: no
+	// news of a full server is no good news.
+	busyHalfLife = 1500 * time.Millisecond
+	// stuckAfter is after how many service times without any answer a server
+	// that has requests of this host gets no more.
+	stuckAfter = 3
 	// queueShare is how many requests may wait at a server for each of its
 	// slots. Servers queue a few more than they have slots; what hosts send
 	// without knowing of each other must fit above this.
@@ -78,7 +84,8 @@
 	inFlight  int
 	others    float64 // load by other hosts at reportAt
 	reportAt  time.Duration
-	ratio     float64 // its service time over the service's mean
+	newsAt    time.Duration // the last answer, or the first request sent when none was under way
+	ratio     float64       // its service time over the service's mean
 	failures  float64
 	coldUntil time.Duration
 	leavingAt time.Duration // when the server was first seen draining
@@ -94,12 +101,20 @@
 
 // estimate returns the requests believed to be at the server, from all hosts.
 func (s *Server) estimate(now time.Duration) float64 {
-	age := float64(now-s.reportAt) / float64(loadHalfLife)
+	halfLife := loadHalfLife
+	if s.inFlight > 0 {
+		halfLife = busyHalfLife
+	}
+	age := float64(now-s.reportAt) / float64(halfLife)
 	return float64(s.inFlight) + s.others*math.Exp2(-age)
 }
 
-// room reports whether the server is believed to have space for one more.
-func (s *Server) room(now time.Duration) bool {
+// room reports whether the server is believed to have space for one more. A
+// server whose queue is full may never answer, and then tells no load either.
+func (s *Server) room(now, mean time.Duration) bool {
+	if s.inFlight > 0 && now-s.newsAt > time.Duration(stuckAfter*s.ratio*float64(mean)) {
+		return false
+	}
 	return s.estimate(now)+1 <= float64(s.Slots)*(1+queueShare)
 }
 
