--- a/gateway/control.go
+++ b/gateway/control.go
@@ -23,7 +23,7 @@
 	confirmEvery = 1200 * time.Millisecond
 	// reportEvery is how often a host tells a controller the load of keys. It
 	// is also how the host learns that the controller lives.
-	reportEvery = time.Second
+	reportEvery = 500 * time.Millisecond
 	// silentAfter is how long a controller may leave reports unanswered before
 	// another host takes over. Leases outlast this and the takeover.
 	silentAfter = 1300 * time.Millisecond
--- a/keyspace/machine.go
+++ b/keyspace/machine.go
@@ -63,7 +63,8 @@
 	released bool
 	handoff  string
 	calling  bool
-	next     time.Duration // not called again before
+	next     time.Duration // not granted again before
+	retry    time.Duration // not asked to release again before
 	silent   bool          // the last grant had no answer: probe before granting again
 	granted  bool
 	stale    bool // refused: the server has seen a higher token
@@ -244,7 +245,7 @@
 			continue
 		}
 		free = false
-		if !l.calling && !l.released && now >= l.next {
+		if !l.calling && !l.released && now >= l.retry {
 			l.calling = true
 			calls = append(calls, Call{Kind: ReleaseCall, Server: former.Server, From: r.From, To: r.To, Token: former.Token})
 		}
@@ -306,7 +307,7 @@
 		m.grantAnswered(l, result, began, ended)
 	case ReleaseCall:
 		if result == CallUnanswered {
-			l.next = ended + callRetry
+			l.retry = ended + callRetry
 			return
 		}
 		l.released, l.handoff = true, handoff
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -18,7 +18,7 @@
 const (
 	// planEvery is the least time between plans for balance: a move takes
 	// effect and is measured within it.
-	planEvery = 1500 * time.Millisecond
+	planEvery = 700 * time.Millisecond
 	// tolerance is the load over the fair share that is left alone.
 	tolerance = 1.25
 	// busyShare is the share of its slots that the fullest server must have
