Hosts learn of the store's changes through the controller while it vouches for itself

Change: a controller passes what it learns on to the hosts that report to it; they ask the store themselves as soon as it is silent, behind, or without the store.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -61,6 +61,7 @@
 		} else if len(listing.Objects) > 0 {
 			f.change(listing)
 		}
+		g.relay.note(f.kind, listing, !connected)
 		g.fresh.known(f.kind, listing.Revision, !connected || len(listing.Objects) > 0)
 		connected, pause, revision = true, awayFirst, listing.Revision
 		if f.gather > 0 {
@@ -76,10 +77,21 @@
 		listing, err = g.store.List(ctx, kind)
 		return listing, false, err
 	}
-	watching, cancel, wait := g.fresh.begin(ctx, kind, g.now())
+	watching, cancel, plan := g.fresh.begin(ctx, kind, g.now())
 	defer cancel()
-	listing, err = g.store.Watch(watching, kind, revision, wait)
-	return listing, err != nil && watching.Err() != nil && ctx.Err() == nil, err
+	if plan.controller == "" {
+		listing, err = g.store.Watch(watching, kind, revision, plan.wait)
+		return listing, err != nil && watching.Err() != nil && ctx.Err() == nil, err
+	}
+	listing, err = g.relayedWatch(watching, plan.controller, kind, revision, plan.wait)
+	if err == nil || errors.Is(err, objects.ErrCompacted) || ctx.Err() != nil {
+		return listing, false, err
+	}
+	if watching.Err() == nil {
+		g.fresh.doubt()
+		g.log.Info("controller does not pass on what the store holds; asking the store", "kind", kind, "controller", plan.controller, "error", err.Error())
+	}
+	return listing, true, err
 }
 
 // lost notes a failed call, and reports whether the watch may go on from its
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -28,6 +28,7 @@
 	mu      sync.Mutex
 	leads   bool          // this host is a controller
 	vouched time.Duration // when a controller last answered
+	address string        // that controller's
 	heard   bool
 	kinds   map[string]*kindState
 }
@@ -52,18 +53,43 @@
 	return state
 }
 
-// begin returns the context and the wait for the next watch of a kind.
-func (f *freshness) begin(ctx context.Context, name string, now time.Duration) (context.Context, context.CancelFunc, time.Duration) {
+// watchPlan says how the next watch of a kind is made.
+type watchPlan struct {
+	wait time.Duration
+	// controller is whom to ask in place of the store; empty for the store.
+	controller string
+}
+
+// begin returns the context and the plan for the next watch of a kind.
+func (f *freshness) begin(ctx context.Context, name string, now time.Duration) (context.Context, context.CancelFunc, watchPlan) {
 	ctx, cancel := context.WithCancel(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	state := f.kind(name)
 	state.cancel = cancel
 	state.long = f.trusted(name, now)
-	if state.long {
-		return ctx, cancel, longWatch
+	switch {
+	case !state.long:
+		return ctx, cancel, watchPlan{wait: shortWatch}
+	case f.leads:
+		return ctx, cancel, watchPlan{wait: longWatch}
 	}
-	return ctx, cancel, shortWatch
+	return ctx, cancel, watchPlan{wait: longWatch, controller: f.address}
+}
+
+// leading reports whether this host is a controller.
+func (f *freshness) leading() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leads
+}
+
+// doubt notes that a controller failed as a relay: the store is asked until it
+// vouches again.
+func (f *freshness) doubt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard = false
 }
 
 // trusted reports whether a kind's watch may wait long. A controller reads its
@@ -99,10 +125,10 @@
 
 // told takes a controller's word, and returns the kinds whose watches it ended
 // because they are behind.
-func (f *freshness) told(now time.Duration, revisions map[string]uint64) []string {
+func (f *freshness) told(now time.Duration, controller string, revisions map[string]uint64) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.vouched, f.heard = now, true
+	f.vouched, f.heard, f.address = now, true, controller
 	var behind []string
 	for name, revision := range maps.All(revisions) {
 		state := f.kinds[name]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,7 @@
 
 	control control
 	fresh   freshness
+	relay   relay
 	peers   *http.Client
 	wake    chan struct{} // the controller has something to do
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,6 +19,7 @@
 const (
 	pathLoad  = "/keys/load"
 	pathYield = "/keys/yield"
+	pathWatch = "/store/watch"
 )
 
 const (
@@ -61,13 +63,26 @@
 
 func newPeerClient() *http.Client {
 	dialer := net.Dialer{Timeout: peerTimeout}
-	const idle = 2
-	return &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DialContext: dialer.DialContext,
+	const idle = 4
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext,
 		DisableCompression: true, MaxIdleConnsPerHost: idle, IdleConnTimeout: 5 * time.Second, ReadBufferSize: 2048, WriteBufferSize: 2048}}
 }
 
+// peerStatusError reports an answer of another host that is not a success.
+type peerStatusError struct {
+	Host   string
+	Status int
+}
+
+// Error implements error.
+func (e *peerStatusError) Error() string {
+	return fmt.Sprintf("host %s answered with status %d", e.Host, e.Status)
+}
+
 // askPeer makes a call to another host.
-func (g *Gateway) askPeer(ctx context.Context, address, path string, body, into any) error {
+func (g *Gateway) askPeer(ctx context.Context, timeout time.Duration, address, path string, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		return eris.Wrap(err, "encoding a call to a host")
@@ -82,7 +97,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return eris.Errorf("host %s answered with status %d", address, response.StatusCode)
+		return &peerStatusError{Host: address, Status: response.StatusCode}
 	}
 	return json.NewDecoder(io.LimitReader(response.Body, mostPeerBody)).Decode(into)
 }
@@ -102,7 +117,7 @@
 	}
 	go func() {
 		ended := &reportEnded{controller: c, to: to}
-		ended.err = g.askPeer(ctx, to.Address, pathLoad, report, &ended.answer)
+		ended.err = g.askPeer(ctx, peerTimeout, to.Address, pathLoad, report, &ended.answer)
 		g.post(ctx, ended)
 	}()
 }
@@ -122,7 +137,7 @@
 		c.heard = min(c.heard, now-silentAfter)
 	default:
 		c.heard = now
-		if behind := g.fresh.told(g.now(), e.answer.Revisions); len(behind) > 0 {
+		if behind := g.fresh.told(g.now(), e.to.Address, e.answer.Revisions); len(behind) > 0 {
 			g.log.Warn("watches were behind", "kinds", behind, "controller", e.to.Host)
 		}
 	}
@@ -142,7 +157,7 @@
 	request := yieldRequest{Service: c.service.name, Term: machine.Record().Term}
 	go func() {
 		ended := &yieldEnded{controller: c, machine: machine, asked: predecessor}
-		ended.err = g.askPeer(ctx, predecessor.Address, pathYield, request, &ended.answer)
+		ended.err = g.askPeer(ctx, peerTimeout, predecessor.Address, pathYield, request, &ended.answer)
 		g.post(ctx, ended)
 	}()
 }
@@ -221,6 +236,7 @@
 			g.answerPeer(w, r, &peerCall{yield: &request})
 		}
 	})
+	mux.HandleFunc("POST "+pathWatch, g.answerWatch)
 	return mux
 }
 
