A controller watches anew when it does not hear of its own writes; tests of the new packages

Change: a write that has not come back by the watch after 0.15 s ends the watch. Waits may take 0.35 of a caller's patience: what can be answered late is better than nothing. Own pace is measured before waiting requests are let in.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -75,6 +75,9 @@
 	// arrival. It bounds how long a less urgent request stands behind later
 	// ones: no kind of request is starved.
 	priorityStep = 80 * time.Millisecond
+	// waitShare is the share of a caller's patience that may be spent waiting
+	// for a server: a caller that is turned away then still has time to return.
+	waitShare = 0.35
 	// givenUpSlack is by how much a wait may exceed what its objective allows.
 	givenUpSlack = 50 * time.Millisecond
 	// mostWaiting bounds the waiting requests of a service on one host.
@@ -230,10 +233,12 @@
 	return &RejectedError{Reason: Overload, RetryAfter: clampRetry(expected), Expected: expected}
 }
 
-// longest is how long a request may wait for a server and still be answered
-// within its objective.
+// longest is how long a request may wait for a server: as long as it can be
+// answered within its objective, or, since a late answer is better than none,
+// within a share of the time that its caller waits.
 func (p *Pool) longest(waiter *Waiter) time.Duration {
-	return max(waiter.Objective-p.mean, p.mean/2)
+	patience := time.Duration(float64(waiter.Deadline-waiter.Arrived) * waitShare)
+	return max(waiter.Objective-p.mean, patience-p.mean, p.mean/2)
 }
 
 func clampRetry(d time.Duration) time.Duration { return min(max(d, leastRetryAfter), mostRetryAfter) }
@@ -375,8 +380,8 @@
 			server.ratio += meanWeight * (sample - server.ratio)
 		}
 	}
-	p.Pump(now)
 	server.paced(now, p.waits(server))
+	p.Pump(now)
 }
 
 // waits reports whether requests wait that the server could take.
--- /dev/null
+++ b/balance/pool_test.go
@@ -0,0 +1,220 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/fleet"
+)
+
+const ms = time.Millisecond
+
+func pool(servers ...fleet.Server) *Pool {
+	p := NewPool("home", nil)
+	p.SetServers(0, servers)
+	return p
+}
+
+func enter(p *Pool, now time.Duration, w Waiter) *Waiter {
+	w.Ready = make(chan struct{})
+	w.Arrived = now
+	if w.Deadline == 0 {
+		w.Deadline = now + time.Second
+	}
+	if w.Objective == 0 {
+		w.Objective = 300 * ms
+	}
+	p.Enter(now, &w)
+	return &w
+}
+
+func (w *Waiter) settled() bool {
+	select {
+	case <-w.Ready:
+		return true
+	default:
+		return false
+	}
+}
+
+func TestOwnDomainFirstUntilItIsBusy(t *testing.T) {
+	p := pool(fleet.Server{ID: "far", Domain: "away", Slots: 2}, fleet.Server{ID: "near", Domain: "home", Slots: 2})
+	var went []string
+	for range 6 {
+		went = append(went, enter(p, 0, Waiter{}).Server.ID)
+	}
+	assert.DeepEqual(t, went[:3], []string{"near", "near", "near"})
+	assert.Equal(t, went[3], "far")
+}
+
+func TestFullServersMakeRequestsWait(t *testing.T) {
+	p := pool(fleet.Server{ID: "a", Domain: "home", Slots: 1})
+	first := enter(p, 0, Waiter{})
+	second := enter(p, 0, Waiter{})
+	third := enter(p, 0, Waiter{})
+	assert.Assert(t, first.Server != nil && second.Server != nil && !third.settled())
+	p.Done(50*ms, first.Server, Answered, 50*ms, nil)
+	assert.Equal(t, third.Server.ID, "a")
+}
+
+// A load reported by the server holds requests back, and is forgotten with time.
+func TestReportedLoad(t *testing.T) {
+	p := pool(fleet.Server{ID: "a", Domain: "home", Slots: 1})
+	first := enter(p, 0, Waiter{})
+	p.Done(10*ms, first.Server, Answered, 10*ms, &Load{Running: 1, Waiting: 3, Slots: 1})
+	waiting := enter(p, 10*ms, Waiter{})
+	assert.Assert(t, !waiting.settled())
+	p.Pump(600 * ms)
+	assert.Assert(t, waiting.settled())
+}
+
+// Symptom: under overload all requests are answered, but all of them late.
+// Sequence: a burst of 40 requests meets one slot of 100 ms.
+// Cause: requests joined a line whose end was beyond their objective.
+func TestBurstIsTurnedAwayAtOnce(t *testing.T) {
+	p := pool(fleet.Server{ID: "a", Domain: "home", Slots: 1})
+	rejected := 0
+	for range 40 {
+		w := enter(p, 0, Waiter{})
+		if w.Rejected == nil {
+			continue
+		}
+		rejected++
+		assert.Equal(t, w.Rejected.Reason, Overload)
+		assert.Assert(t, w.Rejected.RetryAfter >= leastRetryAfter && w.Rejected.RetryAfter <= mostRetryAfter)
+	}
+	assert.Assert(t, rejected > 30, "%d of 40 were turned away", rejected)
+	assert.Assert(t, p.Waiting() <= 4)
+}
+
+// Symptom: requests for a busy key wait in the hosts until their deadline.
+// Sequence: several hosts send to one owner, each taking its slots for its own.
+// Cause: the expected wait left the other hosts out.
+func TestPaceOfASharedServer(t *testing.T) {
+	p := keyedPool(&owners{id: "a"})
+	now := time.Duration(0)
+	var under []*Waiter
+	for range 5 {
+		under = append(under, enter(p, now, Waiter{Keyed: true}))
+	}
+	for range 6 { // a completion each 200 ms, though the service takes 100 ms
+		now += 200 * ms
+		p.Done(now, under[0].Server, Answered, 100*ms, nil)
+		under = append(under[1:], enter(p, now, Waiter{Keyed: true, Objective: 10 * time.Second, Deadline: now + 10*time.Second}))
+	}
+	late := enter(p, now, Waiter{Keyed: true, Objective: 250 * ms})
+	assert.Assert(t, late.Rejected != nil, "a wait of 200 ms or more was not expected")
+}
+
+// A wait that turned out longer than expected ends; the caller may come back.
+func TestWaitThatOutlastsItsObjectiveEnds(t *testing.T) {
+	p := pool(fleet.Server{ID: "a", Domain: "home", Slots: 1})
+	enter(p, 0, Waiter{})
+	enter(p, 0, Waiter{})
+	waiting := enter(p, 0, Waiter{})
+	p.Pump(200 * ms)
+	assert.Assert(t, !waiting.settled())
+	p.Pump(300 * ms)
+	assert.Equal(t, waiting.Rejected.Reason, Overload)
+}
+
+func TestUrgentFirstWithoutStarving(t *testing.T) {
+	p := pool(fleet.Server{ID: "a", Domain: "home", Slots: 1})
+	running := enter(p, 0, Waiter{})
+	enter(p, 0, Waiter{})
+	patient := Waiter{Priority: 2, Objective: time.Second, Deadline: 5 * time.Second}
+	old := enter(p, 0, patient)
+	urgent := enter(p, 100*ms, Waiter{Objective: time.Second})
+	p.Done(110*ms, running.Server, Answered, 100*ms, nil)
+	assert.Assert(t, urgent.settled() && !old.settled())
+	enter(p, 200*ms, Waiter{Objective: time.Second})
+	p.Done(210*ms, urgent.Server, Answered, 100*ms, nil)
+	assert.Assert(t, old.settled(), "an old request stands behind every urgent one")
+}
+
+// Servers that fail are used less, but never all of them shut out.
+func TestFailingServers(t *testing.T) {
+	p := pool(fleet.Server{ID: "a", Domain: "home", Slots: 4}, fleet.Server{ID: "b", Domain: "home", Slots: 4})
+	for i := range 20 {
+		w := enter(p, time.Duration(i)*ms, Waiter{})
+		outcome := Answered
+		if w.Server.ID == "a" {
+			outcome = Failed
+		}
+		p.Done(time.Duration(i)*ms, w.Server, outcome, ms, nil)
+	}
+	assert.Equal(t, enter(p, 30*ms, Waiter{}).Server.ID, "b")
+	for _, server := range p.Servers() {
+		p.Done(30*ms, server, Unreachable, 0, nil)
+		server.inFlight++
+	}
+	assert.Assert(t, enter(p, 31*ms, Waiter{}).Server != nil, "both are passed over")
+}
+
+func TestNoServer(t *testing.T) {
+	p := pool(fleet.Server{ID: "a", Slots: 2, Draining: true})
+	assert.Equal(t, enter(p, 0, Waiter{}).Rejected.Reason, NoServer)
+}
+
+// owners is an assignment for tests.
+type owners struct {
+	id   string
+	back time.Duration
+}
+
+func (o *owners) OwnerOf(uint16) (string, time.Duration) { return o.id, o.back }
+
+func keyedPool(o *owners) *Pool {
+	p := NewPool("home", o)
+	p.SetServers(0, []fleet.Server{{ID: "a", Slots: 2}, {ID: "b", Slots: 2}})
+	return p
+}
+
+func TestKeyGoesToItsOwnerOnly(t *testing.T) {
+	o := &owners{id: "b"}
+	p := keyedPool(o)
+	assert.Equal(t, enter(p, 0, Waiter{Keyed: true, Tried: []string{"b"}}).Server.ID, "b")
+	o.id = ""
+	moving := enter(p, 0, Waiter{Keyed: true})
+	assert.Assert(t, !moving.settled(), "a planned move is waited for")
+	o.id = "a"
+	p.Pump(10 * ms)
+	assert.Equal(t, moving.Server.ID, "a")
+}
+
+// A key whose owner is lost has none for seconds: its callers are told at once.
+func TestLostOwner(t *testing.T) {
+	o := &owners{back: 4 * time.Second}
+	w := enter(keyedPool(o), 0, Waiter{Keyed: true})
+	assert.Equal(t, w.Rejected.Reason, NoOwner)
+	assert.Equal(t, w.Rejected.RetryAfter, mostRetryAfter)
+	o.back = 0
+	p := keyedPool(o)
+	w = enter(p, 0, Waiter{Keyed: true, Deadline: 10 * time.Second})
+	p.Pump(time.Second)
+	assert.Equal(t, w.Rejected.Reason, NoOwner)
+}
+
+// Symptom: a server gets requests more than 2 s after it said that it leaves.
+// Sequence: it begins to leave while nobody can move its keys.
+// Cause: the owner of a key was used for as long as it was the owner.
+func TestLeavingOwner(t *testing.T) {
+	p := keyedPool(&owners{id: "a"})
+	leaving := []fleet.Server{{ID: "a", Slots: 2, Draining: true}, {ID: "b", Slots: 2}}
+	p.SetServers(time.Second, leaving)
+	assert.Equal(t, enter(p, 2*time.Second, Waiter{Keyed: true, Deadline: 9 * time.Second}).Server.ID, "a")
+	p.SetServers(2*time.Second, leaving)
+	assert.Equal(t, enter(p, 2600*ms, Waiter{Keyed: true, Deadline: 9 * time.Second}).Rejected.Reason, NoOwner)
+}
+
+// Symptom: requests time out at a server that never answers.
+// Sequence: its queue is full; it leaves requests unanswered and tells no load.
+// Cause: the last load it told was forgotten while answers were due.
+func TestSilentServerGetsNoMore(t *testing.T) {
+	p := pool(fleet.Server{ID: "a", Domain: "home", Slots: 8})
+	enter(p, 0, Waiter{})
+	waiting := enter(p, 400*ms, Waiter{})
+	assert.Assert(t, !waiting.settled())
+}
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -167,7 +167,7 @@
 }
 
 // apply implements event.
-func (e *writeEnded) apply(g *Gateway, _ time.Duration) {
+func (e *writeEnded) apply(g *Gateway, now time.Duration) {
 	c := e.controller
 	if c.machine != e.machine {
 		return
@@ -184,7 +184,7 @@
 		return
 	}
 	c.machine.Written(e.began)
-	c.revision, c.confirm = e.stored.Revision, e.began
+	c.revision, c.confirm, c.written = e.stored.Revision, e.began, now
 	g.log.Info("assignment written", "service", c.service.name, "revision", c.revision, "ranges", len(e.record.Ranges), "last-token", e.record.LastToken)
 	if c.service.view.offer(e.stored.Revision, e.record) {
 		c.service.pump()
@@ -270,7 +270,7 @@
 		c.heard = now - silentAfter
 		return
 	}
-	c.revision, c.confirm, c.reported = e.stored.Revision, e.began, now
+	c.revision, c.confirm, c.written, c.reported = e.stored.Revision, e.began, now, now
 	if e.record.Term == 1 {
 		c.machine = keyspace.New(e.record, e.began, now)
 	} else {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -73,6 +73,7 @@
 	under     uint64        // incarnation of the controller that heard speaks of
 	wanted    time.Duration // since when a claim seems due; 0 if it does not
 	confirm   time.Duration // when the last confirmation began
+	written   time.Duration // when the last write was acknowledged
 	asked     time.Duration // when earlier controllers were last asked whether they have stopped
 	powerless bool          // logged that authority ran out
 }
@@ -260,6 +261,21 @@
 		g.startConfirm(ctx, c)
 	}
 	g.askPredecessors(ctx, c, now)
+	g.hearOwnWrites(c, now)
+}
+
+// ownWriteWait is how long a controller's own write may take to come back by
+// its watch.
+const ownWriteWait = 150 * time.Millisecond
+
+// hearOwnWrites sees to it that the controller's watch brings what it wrote: a
+// watch that the store has forgotten brings nothing, and the other hosts, who
+// learn of assignments through this one, would go on sending to old owners.
+func (g *Gateway) hearOwnWrites(c *controller, now time.Duration) {
+	if now-c.written < ownWriteWait || !g.fresh.recheck(assignments, c.revision) {
+		return
+	}
+	g.log.Warn("own write not heard of; watching anew", "service", c.service.name, "revision", c.revision)
 }
 
 // noteAuthority logs when the authority ran out and when it is back.
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -140,6 +140,20 @@
 	return behind
 }
 
+// recheck ends a kind's watch if it is behind a revision, and reports whether
+// it was.
+func (f *freshness) recheck(name string, revision uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.kind(name)
+	if state.revision >= revision || !state.long || state.cancel == nil {
+		return false
+	}
+	state.cancel()
+	state.long = false
+	return true
+}
+
 // tend ends long watches that nobody vouches for any more. leads tells whether
 // this host is a controller.
 func (f *freshness) tend(now time.Duration, leads bool) {
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,147 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/platform/platformtest"
+)
+
+// calm is a site with two servers a service and one host.
+func calm(t *testing.T) (*site, *hostUnderTest) {
+	s := newSite(t)
+	s.serve("f1", "free", false)
+	s.serve("f2", "free", false)
+	s.serve("k1", "owned", true)
+	s.serve("k2", "owned", true)
+	s.configure(3, "")
+	return s, s.host("one")
+}
+
+// Method, path, query and body reach a server, and its answer the caller, as
+// they were sent.
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	s, h := calm(t)
+	got := s.call(h, http.MethodPost, "/once/a%2Fb?x=1&y=%20", "", "some body")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Assert(t, strings.HasSuffix(got.body, " POST /once/a%2Fb?x=1&y=%20 some body"), got.body)
+	assert.Assert(t, strings.HasPrefix(got.header.Get(platformtest.Signature), "signed by f"))
+	assert.Assert(t, strings.HasPrefix(got.header.Get("X-Request-Id"), "request-"))
+}
+
+func TestRoutes(t *testing.T) {
+	s, h := calm(t)
+	assert.Equal(t, s.call(h, http.MethodGet, "/nowhere/", "", "").status, http.StatusNotFound)
+	assert.Equal(t, s.call(h, http.MethodGet, "/keyed/x", "", "").status, http.StatusBadRequest)
+	assert.Equal(t, s.call(h, http.MethodPost, "/once/x", "", strings.Repeat("x", 100001)).status, http.StatusRequestEntityTooLarge)
+
+	s.configure(4, `,{"name":"more","path-prefix":"/free/more/","kind":"safe","timeout":"5000ms","service":"none-such"}`)
+	s.configure(5, `,{"name":"more","path-prefix":"/more/","kind":"safe","timeout":"5000ms","service":"free","max-attempts":1}`)
+	s.eventually("a route that was added serves", func() bool { return s.call(h, http.MethodGet, "/more/", "", "").status == http.StatusOK })
+	s.configure(2, "")
+	assert.Equal(t, s.call(h, http.MethodGet, "/more/", "", "").status, http.StatusOK, "an older version came back in force")
+}
+
+// A host that knows no configuration yet doesn't deny routes.
+func TestWithoutConfiguration(t *testing.T) {
+	s := newSite(t)
+	s.store.SetFaults(platformtest.Faults{Refuse: true})
+	h := s.unready("one")
+	got := s.call(h, http.MethodGet, "/free/x", "", "")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+}
+
+// Symptom: a registration is entered twice.
+// Sequence: the server runs the request and its answer is lost.
+// Cause: the request was sent once more although it might have run.
+func TestRequestThatMayHaveRunIsNotRepeated(t *testing.T) {
+	s, h := calm(t)
+	for _, server := range s.servers {
+		server.SetFaults(platformtest.ServerFaults{LoseAnswers: 1})
+	}
+	got := s.call(h, http.MethodPost, "/once/x", "", "")
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, s.runs("f1")+s.runs("f2"), 1)
+}
+
+// An idempotent request is sent once more when its answer is lost or breaks off.
+func TestIdempotentRequestIsRepeated(t *testing.T) {
+	for name, faults := range map[string]platformtest.ServerFaults{
+		"answer lost": {LoseAnswers: 1}, "answer broken off": {BreakOff: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, h := calm(t)
+			s.servers["f1"].SetFaults(faults)
+			s.servers["f2"].SetFaults(faults)
+			first := s.call(h, http.MethodGet, "/free/x", "", "")
+			// Both servers may fail once each; the next request is whole.
+			second := s.call(h, http.MethodGet, "/free/x", "", "")
+			assert.Equal(t, second.status, http.StatusOK)
+			assert.Assert(t, first.status == http.StatusOK || first.status == http.StatusBadGateway)
+			assert.Equal(t, s.runs("f1")+s.runs("f2"), 3)
+		})
+	}
+}
+
+// Symptom: a caller gets another caller's data.
+// Sequence: a server answers with another request's id.
+// Cause: the answer was passed on unchecked.
+func TestAnswerToAnotherRequestIsNotPassedOn(t *testing.T) {
+	s, h := calm(t)
+	s.servers["f1"].SetFaults(platformtest.ServerFaults{OtherID: true})
+	s.servers["f2"].SetFaults(platformtest.ServerFaults{OtherID: true})
+	got := s.call(h, http.MethodPost, "/once/x", "", "")
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, got.header.Get(platformtest.Signature), "")
+}
+
+// A request that every server turned away has not run, and its caller is told so.
+func TestRequestTurnedAwayByServers(t *testing.T) {
+	s, h := calm(t)
+	s.servers["f1"].SetFaults(platformtest.ServerFaults{Shed: true})
+	s.servers["f2"].SetFaults(platformtest.ServerFaults{Shed: true})
+	got := s.call(h, http.MethodPost, "/once/x", "", "")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, s.runs("f1")+s.runs("f2"), 0)
+}
+
+// Symptom: a request runs at a server of another service.
+// Sequence: a server ends; its address goes to another; its entry is still there.
+// Cause: servers were told apart by their addresses.
+func TestAddressOfAnotherServer(t *testing.T) {
+	s := newSite(t)
+	other := &platformtest.Server{ID: "new", Slots: 8}
+	s.register("old", "free", s.listen(other), "ready")
+	s.configure(3, "")
+	h := s.host("one")
+	got := s.call(h, http.MethodPost, "/once/x", "", "")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(other.Runs()), 0)
+}
+
+// Draining servers get nothing new.
+func TestDrainingServerGetsNothing(t *testing.T) {
+	s := newSite(t)
+	leaving := &platformtest.Server{ID: "f1", Slots: 8}
+	address := s.listen(leaving)
+	s.register("f1", "free", address, "ready")
+	s.serve("f2", "free", false)
+	s.configure(3, "")
+	h := s.host("one")
+	s.register("f1", "free", address, "draining")
+	s.eventually("the host knows that the server leaves", func() bool {
+		before := len(leaving.Runs())
+		for range 8 {
+			assert.Equal(t, s.call(h, http.MethodGet, "/free/x", "", "").status, http.StatusOK)
+		}
+		return len(leaving.Runs()) == before
+	})
+}
+
+func (s *site) runs(id string) int { return len(s.servers[id].Runs()) }
--- /dev/null
+++ b/gateway/keys_test.go
@@ -0,0 +1,130 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/platform/platformtest"
+)
+
+// served reports whether a host serves a key.
+func (s *site) served(h *hostUnderTest, key int) bool {
+	return s.call(h, http.MethodGet, "/keyed/x", strconv.Itoa(key), "").status == http.StatusOK
+}
+
+// heldOnce fails if two servers that are up hold one of some keys.
+func (s *site) heldOnce(servers ...string) {
+	s.t.Helper()
+	for key := 0; key <= 65535; key += 4369 {
+		holders := 0
+		for _, id := range servers {
+			if s.servers[id].Holds(uint16(key)) {
+				holders++
+			}
+		}
+		assert.Assert(s.t, holders <= 1, "key %d is held by %d servers", key, holders)
+	}
+}
+
+func (s *site) allServed(h *hostUnderTest) bool {
+	for key := 0; key <= 65535; key += 4369 {
+		if !s.served(h, key) {
+			return false
+		}
+	}
+	return true
+}
+
+// Every key has one owner, and each host finds it. A server that joins gets
+// keys; one that leaves is emptied, by hand-over.
+func TestKeysFollowServers(t *testing.T) {
+	s, h := calm(t)
+	second := s.host("two")
+	s.eventually("all keys are served", func() bool { return s.allServed(h) && s.allServed(second) })
+	s.heldOnce("k1", "k2")
+
+	s.serve("k3", "owned", true)
+	s.eventually("the server that joined runs requests", func() bool { return s.allServed(h) && s.runs("k3") > 0 })
+	s.heldOnce("k1", "k2", "k3")
+
+	s.remove("servers", "k1")
+	s.eventually("the server that left holds nothing", func() bool {
+		for key := 0; key <= 65535; key += 4369 {
+			if s.servers["k1"].Holds(uint16(key)) {
+				return false
+			}
+		}
+		return s.allServed(second)
+	})
+	s.heldOnce("k1", "k2", "k3")
+}
+
+// Symptom: after the loss of a host, keys of servers that leave stay with them.
+// Sequence: the controller is killed; a server leaves.
+// Cause: nobody took over.
+func TestControllerIsReplaced(t *testing.T) {
+	s, first := calm(t)
+	s.eventually("all keys are served", func() bool { return s.allServed(first) })
+	second := s.host("two")
+	first.kill()
+	s.eventually("keys are still served", func() bool { return s.allServed(second) })
+	s.remove("servers", "k1")
+	s.eventually("the other server has taken over", func() bool { return s.allServed(second) && !s.servers["k1"].Holds(0) })
+	s.heldOnce("k1", "k2")
+}
+
+// Symptom: all keys are without an owner as long as the store is away.
+// Sequence: the store turns every call away for longer than a lease.
+// Cause: leases were not renewed without the store.
+func TestKeysAreServedWithoutTheStore(t *testing.T) {
+	s, h := calm(t)
+	s.eventually("all keys are served", func() bool { return s.allServed(h) })
+	before := s.store.Calls()
+	s.store.SetFaults(platformtest.Faults{Refuse: true})
+	s.eventually("the host has noticed", func() bool { return s.store.Calls() > before+10 })
+	assert.Assert(t, s.allServed(h))
+	s.store.SetFaults(platformtest.Faults{})
+	s.serve("k3", "owned", true)
+	s.eventually("a server that joined later gets keys", func() bool { return s.allServed(h) && s.runs("k3") > 0 })
+}
+
+// Symptom: a host keeps an old configuration for as long as its watch waits.
+// Sequence: a change is made while the store's watches hear nothing.
+// Cause: the host relied on its own watch alone.
+func TestMissedChangeIsFoundOut(t *testing.T) {
+	s, h := calm(t)
+	s.eventually("all keys are served", func() bool { return s.allServed(h) })
+	second := s.host("two")
+	s.store.SetFaults(platformtest.Faults{Deaf: true})
+	s.configure(9, `,{"name":"more","path-prefix":"/more/","kind":"safe","timeout":"5000ms","service":"free","max-attempts":1}`)
+	s.store.SetFaults(platformtest.Faults{})
+	s.eventually("both hosts serve the new route", func() bool {
+		return s.call(h, http.MethodGet, "/more/", "", "").status == http.StatusOK &&
+			s.call(second, http.MethodGet, "/more/", "", "").status == http.StatusOK
+	})
+}
+
+// Symptom: one server gets three times what it can do, and turns most of it
+// away, for ten seconds.
+// Sequence: the controller's own watch hears nothing any more; it moves keys; the
+// other hosts, who learn of it through the controller, keep the old owners.
+// Cause: the controller knew what it had written and did not miss it.
+func TestMovesReachHostsThoughTheControllersWatchIsDeaf(t *testing.T) {
+	s, h := calm(t)
+	s.eventually("all keys are served", func() bool { return s.allServed(h) })
+	second := s.host("two")
+	s.eventually("the second host serves them too", func() bool { return s.allServed(second) })
+	s.store.SetFaults(platformtest.Faults{Deaf: true})
+	s.eventually("a watch has become deaf", func() bool { return s.store.DeafWatches() > 0 })
+	s.serve("k3", "owned", true)
+	s.store.SetFaults(platformtest.Faults{})
+	s.eventually("both hosts send to the server that joined", func() bool {
+		before := s.runs("k3")
+		ok := s.allServed(h)
+		between := s.runs("k3")
+		return ok && s.allServed(second) && between > before && s.runs("k3") > between
+	})
+}
--- /dev/null
+++ b/gateway/site_test.go
@@ -0,0 +1,192 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/contract/objects"
+	"cicadarouter/gateway"
+	"cicadarouter/host/logs"
+	"cicadarouter/platform"
+	"cicadarouter/platform/platformtest"
+)
+
+// patience bounds what a test waits for something that must come.
+const patience = 20 * time.Second
+
+// site is a store, servers and hosts, all in this process on loopback.
+type site struct {
+	t       *testing.T
+	store   *platformtest.Store
+	address string
+	servers map[string]*platformtest.Server
+	hosts   []*hostUnderTest
+}
+
+// hostUnderTest is one gateway with its listeners.
+type hostUnderTest struct {
+	gateway *gateway.Gateway
+	callers *httptest.Server
+	peers   *httptest.Server
+	cancel  context.CancelFunc
+	done    func()
+}
+
+func newSite(t *testing.T) *site {
+	t.Parallel()
+	s := &site{t: t, store: platformtest.NewStore(), servers: map[string]*platformtest.Server{}}
+	s.address = s.listen(s.store)
+	return s
+}
+
+func (s *site) listen(handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	s.t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// put writes an object as the platform or an operator does.
+func (s *site) put(kind, name, spec string) {
+	s.t.Helper()
+	ctx := context.Background()
+	var revision uint64
+	if current, err := s.store.Kept().Get(ctx, kind, name); err == nil {
+		revision = current.Revision
+	}
+	_, err := s.store.Kept().Put(ctx, objects.Object{Kind: kind, Name: name, Revision: revision, Spec: []byte(spec)})
+	assert.NilError(s.t, err)
+}
+
+// remove deletes an object.
+func (s *site) remove(kind, name string) {
+	s.t.Helper()
+	ctx := context.Background()
+	current, err := s.store.Kept().Get(ctx, kind, name)
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, s.store.Kept().Delete(ctx, kind, name, current.Revision))
+}
+
+// serve starts a server and registers it.
+func (s *site) serve(id, service string, keyed bool) *platformtest.Server {
+	server := &platformtest.Server{ID: id, Keyed: keyed, Slots: 8, Work: time.Millisecond}
+	s.servers[id] = server
+	s.register(id, service, s.listen(server), "ready")
+	return server
+}
+
+func (s *site) register(id, service, address, state string) {
+	s.put("servers", id, fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":8,"state":%q,"cold-remaining":"0ms","seq":1}`, service, address, state))
+}
+
+// configure writes a version of the configuration. "/free/" goes to a service
+// without keys, "/keyed/" to one with, "/once/" may run once only.
+func (s *site) configure(version int, extra string) {
+	s.put("config", "main", fmt.Sprintf(`{"version":"r%d",
+		"services":[{"name":"free","health-path":"/healthz","max-conns":100},{"name":"owned","health-path":"/healthz","max-conns":100,"sharded":true,"warmup":"1s"}],
+		"limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout":"3000ms","idle-timeout":"15000ms"},
+		"virtual-hosts":[{"host":"site.example","paths":[
+			{"name":"free","path-prefix":"/free/","kind":"safe","timeout":"5000ms","target-latency":"1000ms","priority":1,"service":"free","max-attempts":2},
+			{"name":"once","path-prefix":"/once/","kind":"unsafe","timeout":"5000ms","target-latency":"1000ms","priority":1,"service":"free","max-attempts":2},
+			{"name":"keyed","path-prefix":"/keyed/","kind":"safe","timeout":"5000ms","target-latency":"1000ms","priority":1,"service":"owned","max-attempts":2}%s]}]}`, version, extra))
+}
+
+// host starts a gateway and waits until it is ready.
+func (s *site) host(name string) *hostUnderTest {
+	s.t.Helper()
+	h := s.unready(name)
+	s.eventually("the host is ready", h.gateway.Ready)
+	return h
+}
+
+// unready starts a gateway.
+func (s *site) unready(name string) *hostUnderTest {
+	h := &hostUnderTest{}
+	store := platform.NewStore(s.address)
+	peers := httptest.NewUnstartedServer(nil)
+	identity := gateway.Identity{Host: name, Domain: "a", Peers: peers.Listener.Addr().String(), Incarnation: uint64(len(s.hosts) + 1)}
+	h.gateway = gateway.New(identity, gateway.Platform{Store: store, Registry: platform.Registry{}, Codec: platform.Codec{}, Keys: platform.NewKeys()}, logs.Discard())
+	peers.Config.Handler = h.gateway.PeerHandler()
+	peers.Start()
+	h.peers = peers
+	h.callers = httptest.NewServer(h.gateway)
+	ctx, cancel := context.WithCancel(context.Background())
+	duties := h.gateway.Start(ctx)
+	h.cancel = cancel
+	h.done = func() {
+		h.callers.Close()
+		cancel()
+		duties.Wait()
+		h.peers.CloseClientConnections()
+		h.peers.Close()
+	}
+	s.t.Cleanup(func() {
+		if h.done != nil {
+			h.done()
+		}
+	})
+	s.hosts = append(s.hosts, h)
+	return h
+}
+
+// kill ends a host without its doing anything about it.
+func (h *hostUnderTest) kill() {
+	h.done()
+	h.done = nil
+}
+
+// eventually waits for something that must come.
+func (s *site) eventually(what string, holds func() bool) {
+	s.t.Helper()
+	timeout := time.After(patience)
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-timeout:
+			s.t.Fatalf("did not come: %s", what)
+		}
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+var requests atomic.Int64
+
+// call sends a request as a caller does.
+func (s *site) call(h *hostUnderTest, method, path, key, body string) answer {
+	s.t.Helper()
+	id := fmt.Sprintf("request-%d", requests.Add(1))
+	request, err := http.NewRequest(method, h.callers.URL+path, strings.NewReader(body))
+	assert.NilError(s.t, err)
+	request.Host = "site.example"
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", "4000")
+	if key != "" {
+		request.Header.Set("X-Shard-Key", key)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,64 @@
+package routing
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func configuration(version uint64) *Configuration {
+	return &Configuration{Version: version,
+		Services: map[string]Service{"s": {Name: "s"}, "other": {Name: "other"}},
+		Hosts: map[string][]Route{"h": {
+			{Name: "short", Prefix: "/a/", Targets: []Target{{Service: "s", Weight: 1}}},
+			{Name: "long", Prefix: "/a/b/", Targets: []Target{{Service: "s", Weight: 9}, {Service: "other", Weight: 1}}},
+		}}}
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	c := configuration(1)
+	assert.Equal(t, c.Match("h", "/a/b/c").Name, "long")
+	assert.Equal(t, c.Match("h", "/a/bc").Name, "short")
+	assert.Assert(t, c.Match("h", "/b/") == nil)
+	assert.Assert(t, c.Match("other", "/a/") == nil)
+}
+
+func TestWeights(t *testing.T) {
+	route := &configuration(1).Hosts["h"][1]
+	const draws = 20000
+	others := 0
+	for range draws {
+		if route.Pick() == "other" {
+			others++
+		}
+	}
+	// Ten standard deviations of a draw of 2000 in 20000 are 424.
+	assert.Assert(t, others > 1500 && others < 2500, "%d of %d went to a part of a tenth", others, draws)
+}
+
+func TestNeverBack(t *testing.T) {
+	var inForce InForce
+	assert.Assert(t, inForce.Current() == nil)
+	assert.Assert(t, inForce.Offer(configuration(4)))
+	assert.Assert(t, !inForce.Offer(configuration(4)))
+	assert.Assert(t, !inForce.Offer(configuration(3)))
+	assert.Equal(t, inForce.Current().Version, uint64(4))
+}
+
+func TestFaultsAreNamed(t *testing.T) {
+	for name, spoil := range map[string]func(*Route){
+		"prefix": func(r *Route) { r.Prefix = "/a" }, "targets": func(r *Route) { r.Targets = nil },
+		"service": func(r *Route) { r.Targets = []Target{{Service: "none", Weight: 1}} },
+		"weight":  func(r *Route) { r.Targets = []Target{{Service: "s"}} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := configuration(1)
+			spoil(&c.Hosts["h"][0])
+			var invalid *InvalidError
+			assert.Assert(t, errors.As(c.Check(), &invalid))
+			assert.Equal(t, invalid.Field, "route h short "+name)
+		})
+	}
+	assert.NilError(t, configuration(1).Check())
+}
