--- a/gateway/control.go
+++ b/gateway/control.go
@@ -32,9 +32,12 @@
 	storelessAfter = 2000 * time.Millisecond
 	// claimSpread spreads the hosts' claims, so that mostly one call is made.
 	claimSpread = 700 * time.Millisecond
-	// firstWait is how long after the first listing a first assignment is made:
-	// servers that start together register within it.
-	firstWait = 1200 * time.Millisecond
+	// firstWait is for how long no server may have come before a first assignment
+	// is made. Servers that start together register over some seconds, and keys
+	// that are dealt out once more are cold or held back.
+	firstWait = 1500 * time.Millisecond
+	// firstWaitMost bounds the wait while requests come, or servers.
+	firstWaitMost = 4500 * time.Millisecond
 	// yieldEvery is how often a predecessor is asked whether it has stopped.
 	yieldEvery = 400 * time.Millisecond
 	// mostEvents bounds answers that wait for the controller.
@@ -60,22 +63,24 @@
 // controller is one keyed service as the control loop sees it. Only that loop
 // touches it.
 type controller struct {
-	service   *service
-	machine   *keyspace.Machine // nil unless this process is the controller
-	revision  uint64            // of the machine's record
-	known     map[string]fleet.Server
-	writing   bool
-	reading   bool
-	claiming  bool
-	firstAt   time.Duration // when the service was first seen
-	reported  time.Duration // when the last report was sent
-	heard     time.Duration // when the controller last answered one, on the boot clock
-	under     uint64        // incarnation of the controller that heard speaks of
-	wanted    time.Duration // since when a claim seems due; 0 if it does not
-	confirm   time.Duration // when the last confirmation began
-	written   time.Duration // when the last write was acknowledged
-	asked     time.Duration // when earlier controllers were last asked whether they have stopped
-	powerless bool          // logged that authority ran out
+	service    *service
+	machine    *keyspace.Machine // nil unless this process is the controller
+	revision   uint64            // of the machine's record
+	known      map[string]fleet.Server
+	writing    bool
+	reading    bool
+	claiming   bool
+	firstAt    time.Duration // when the service was first seen
+	firstCount int           // servers when they were last counted, before the first assignment
+	countedAt  time.Duration // since when their number is the same
+	reported   time.Duration // when the last report was sent
+	heard      time.Duration // when the controller last answered one, on the boot clock
+	under      uint64        // incarnation of the controller that heard speaks of
+	wanted     time.Duration // since when a claim seems due; 0 if it does not
+	confirm    time.Duration // when the last confirmation began
+	written    time.Duration // when the last write was acknowledged
+	asked      time.Duration // when earlier controllers were last asked whether they have stopped
+	powerless  bool          // logged that authority ran out
 }
 
 // runControl is the control loop.
@@ -207,10 +212,15 @@
 
 // claimFirst makes the first assignment of a service.
 func (g *Gateway) claimFirst(ctx context.Context, c *controller, now time.Duration) {
-	if now-c.firstAt < firstWait+g.claimDelay(c, 0) || !g.Ready() {
+	servers := g.holders(c)
+	if len(servers) != c.firstCount {
+		c.firstCount, c.countedAt = len(servers), now
+	}
+	delay := g.claimDelay(c, 0)
+	settled := now-c.countedAt >= firstWait+delay || now-c.firstAt >= firstWaitMost+delay
+	if !settled || !g.Ready() {
 		return
 	}
-	servers := g.holders(c)
 	var eligible []keyspace.Server
 	for _, server := range servers {
 		if !server.Leaving {
