Keys are dealt out in slices; neighbouring ranges of one owner are joined

Change: two slices a slot at first; joined again under a new token when a record is written anyway or eight can be; lost ranges are cut only if they are busy; idle keys at the ends of a range move with it.

--- a/keyspace/machine.go
+++ b/keyspace/machine.go
@@ -351,6 +351,7 @@
 			m.planned = now
 		}
 		changed = m.apply(next, moves) || changed
+		changed = m.merge(next, changed) || changed
 	}
 	if changed {
 		m.pending = next
@@ -434,6 +435,49 @@
 	return changed
 }
 
+// mergeAt is how many ranges must be superfluous before they are joined for
+// that alone; each range costs a call for every renewal.
+const mergeAt = 8
+
+// merge joins neighbouring ranges of one owner under a new token. The owner
+// holds the keys already, so nothing has to be released.
+func (m *Machine) merge(next *Record, writing bool) bool {
+	joinable := 0
+	for i := 1; i < len(next.Ranges); i++ {
+		if m.joinable(&next.Ranges[i-1], &next.Ranges[i]) {
+			joinable++
+		}
+	}
+	if joinable == 0 || !writing && joinable < mergeAt {
+		return false
+	}
+	kept := next.Ranges[:1]
+	for _, r := range next.Ranges[1:] {
+		last := &kept[len(kept)-1]
+		if !m.joinable(last, &r) {
+			kept = append(kept, r)
+			continue
+		}
+		left, right := *m.lease(last, last.Holder), *m.lease(&r, r.Holder)
+		next.LastToken++
+		last.To = r.To
+		last.Token = next.LastToken
+		m.leases[keyOf(last, last.Holder)] = &lease{until: max(left.until, right.until), late: max(left.late, right.late), granted: true}
+	}
+	next.Ranges = kept
+	return true
+}
+
+// joinable reports whether two neighbouring ranges can become one now.
+func (m *Machine) joinable(a, b *Range) bool {
+	if a.Server != b.Server || a.Moving() || b.Moving() || m.gone[a.Server] {
+		return false
+	}
+	left, right := m.lease(a, a.Holder), m.lease(b, b.Holder)
+	return left.granted && right.granted && !left.calling && !right.calling &&
+		!left.silent && !right.silent && !left.stale && !right.stale
+}
+
 // cut makes a range begin at a key.
 func (m *Machine) cut(next *Record, at uint16) {
 	r := next.At(at)
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -142,8 +142,13 @@
 	return moves
 }
 
-// partsOfLost is into how many parts a lost server's range is cut.
-const partsOfLost = 3
+const (
+	// partsOfLost is into how many parts a busy range of a lost server is cut.
+	partsOfLost = 3
+	// wholeShare is the share of a server's mean load up to which a range is
+	// left whole.
+	wholeShare = 0.25
+)
 
 // spread divides a range among the lightest servers.
 func (l *ledger) spread(r *Range, loads *KeyLoads) []Move {
@@ -156,6 +161,9 @@
 		}
 	}
 	slices.SortFunc(busy, func(a, b keyRate) int { return cmp.Compare(a.key, b.key) })
+	if total <= wholeShare*l.mean()*l.capacity[l.lightest()] {
+		busy = nil
+	}
 	var moves []Move
 	from, sum := r.From, 0.0
 	give := func(to uint16) {
@@ -171,6 +179,9 @@
 			from, sum = k.key+1, 0
 		}
 	}
+	if len(busy) == 0 {
+		sum = total
+	}
 	give(r.To)
 	return moves
 }
@@ -243,7 +254,8 @@
 }
 
 // span returns the run of a server's keys within one of its ranges whose load
-// comes nearest to what is wanted without more than doubling it.
+// comes nearest to what is wanted without exceeding it by much. Idle keys at the
+// ends of the range go with it, so that ranges don't crumble.
 func (l *ledger) span(record *Record, name string, want float64) (keySpan, bool) {
 	keys := l.keys[name]
 	var best keySpan
@@ -257,6 +269,12 @@
 			}
 			if sum > best.load {
 				best = keySpan{from: keys[first].key, to: keys[last].key, load: sum, first: first, n: last - first + 1}
+				if first == 0 || keys[first-1].key < r.From {
+					best.from = r.From
+				}
+				if last+1 == len(keys) || keys[last+1].key > r.To {
+					best.to = r.To
+				}
 			}
 		}
 	}
--- a/keyspace/record.go
+++ b/keyspace/record.go
@@ -134,24 +134,40 @@
 	return &r.Ranges[i]
 }
 
-// First returns a first assignment: ranges in proportion to the servers' slots.
+// slicesPerSlot is into how many ranges a first assignment divides the keys, for
+// each slot. Busy keys lie close together, nobody knows where yet, and a server
+// that owned a tenth of all keys in one piece could own half of the load.
+const slicesPerSlot = 2
+
+// First returns a first assignment: ranges dealt out in turn, in proportion to
+// the servers' slots.
 func First(controller Controller, servers []Server) *Record {
 	record := &Record{Term: 1, Controller: controller}
-	total := 0
-	for _, server := range servers {
-		total += server.Slots
-	}
-	given, from := 0, 0
-	for _, server := range servers {
-		given += server.Slots
-		end := (LastKey + 1) * given / total
-		if end <= from {
-			continue
+	var turns []string
+	for left := true; left; {
+		left = false
+		for _, server := range servers {
+			if have := count(turns, server.ID); have < server.Slots*slicesPerSlot {
+				turns = append(turns, server.ID)
+				left = true
+			}
 		}
+	}
+	for i, id := range turns {
 		record.LastToken++
-		record.Ranges = append(record.Ranges, Range{From: uint16(from), To: uint16(end - 1),
-			Holder: Holder{Server: server.ID, Token: record.LastToken}})
-		from = end
+		record.Ranges = append(record.Ranges, Range{
+			From: uint16((LastKey + 1) * i / len(turns)), To: uint16((LastKey+1)*(i+1)/len(turns) - 1),
+			Holder: Holder{Server: id, Token: record.LastToken}})
 	}
 	return record
 }
+
+func count(turns []string, id string) int {
+	n := 0
+	for _, turn := range turns {
+		if turn == id {
+			n++
+		}
+	}
+	return n
+}
