A controller's word counts from when the store confirmed it

Change: its word counts for 1.5 s from the start of its last confirmation, which it asks for every 0.6 s.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -19,8 +19,9 @@
 	// idleEvery is how often a host that controls nothing looks whether it should.
 	idleEvery = 250 * time.Millisecond
 	// confirmEvery is how often a controller has the store confirm it. Several
-	// may fail before its authority runs out.
-	confirmEvery = 1200 * time.Millisecond
+	// may fail before its authority runs out, but not before the other hosts go
+	// to the store themselves.
+	confirmEvery = 600 * time.Millisecond
 	// reportEvery is how often a host tells a controller the load of keys. It
 	// is also how the host learns that the controller lives.
 	reportEvery = 500 * time.Millisecond
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -16,9 +16,10 @@
 	// without an error, when its connection fell silent or the store dropped
 	// its history; a change must be in force within 2 s.
 	shortWatch = 1200 * time.Millisecond
-	// vouchedFor is how long a controller's word counts: two reports. With a
-	// short watch after it, a change is known well within 2 s.
-	vouchedFor = 1100 * time.Millisecond
+	// vouchedFor is how long a controller's word counts, from when the store had
+	// last confirmed the controller: one confirmation and two reports. A change
+	// that the controller can't hear of is then known by own watches in 2 s.
+	vouchedFor = 1500 * time.Millisecond
 )
 
 // freshness tells how long a host's watches may wait, and ends those that have
@@ -28,7 +29,7 @@
 type freshness struct {
 	mu      sync.Mutex
 	leads   bool          // this host is a controller
-	vouched time.Duration // when a controller last answered
+	vouched time.Duration // when the store had last confirmed the controller that answered
 	address string        // that controller's
 	heard   bool
 	kinds   map[string]*kindState
@@ -124,12 +125,12 @@
 	return revisions
 }
 
-// told takes a controller's word, and returns the kinds whose watches it ended
-// because they are behind.
-func (f *freshness) told(now time.Duration, controller string, revisions map[string]uint64) []string {
+// told takes a controller's word, which the store confirmed at a time, and
+// returns the kinds whose watches it ended because they are behind.
+func (f *freshness) told(confirmed time.Duration, controller string, revisions map[string]uint64) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.vouched, f.heard, f.address = now, true, controller
+	f.vouched, f.heard, f.address = confirmed, true, controller
 	var behind []string
 	for name, revision := range maps.All(revisions) {
 		state := f.kinds[name]
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -35,6 +35,11 @@
 	const mostForAChange = 2 * time.Second
 	assert.Assert(t, vouchedFor < mostForAChange-idleEvery)
 
+	// Sequence: the controller is cut off from the store, and still answers.
+	f.told(time.Second, "controller", nil)
+	made, _ = plan(&f, "things", time.Second+vouchedFor)
+	assert.Equal(t, made, watchPlan{wait: shortWatch}, "the word of a controller counts though the store no longer confirms it")
+
 	f.told(3*time.Second, "controller", nil)
 	_, watching = plan(&f, "things", 3*time.Second)
 	f.doubt()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -138,7 +138,8 @@
 		c.heard = min(c.heard, now-silentAfter)
 	default:
 		c.heard = now
-		if behind := g.fresh.told(g.now(), e.to.Address, e.answer.Revisions); len(behind) > 0 {
+		confirmed := g.now() - time.Duration(e.answer.StoreAgeMs)*time.Millisecond
+		if behind := g.fresh.told(confirmed, e.to.Address, e.answer.Revisions); len(behind) > 0 {
 			g.log.Warn("watches were behind", "kinds", behind, "controller", e.to.Host)
 		}
 	}
--- a/tools/mutants/keyspace.go
+++ b/tools/mutants/keyspace.go
@@ -21,7 +21,7 @@
 		in("machine.go", "cut a range while a call about it is under way", "		if m.calling(next, move) {\n			continue\n		}\n", ""),
 		in("machine.go", "forget the leases of a range that is cut", "			m.leases[keyOf(&part, holder)] = &copied\n", "			_ = copied\n			_ = part\n"),
 		in("machine.go", "take a predecessor's yield as the end of its calls", "m.settled, m.calm = now, lapse(now+underWay)", "m.settled, m.calm = now, now"),
-		in("machine.go", "forget the leases of ranges that are joined", "&lease{until: max(left.until, right.until), late: max(left.late, right.late), granted: true}", "&lease{granted: true}"),
+		in("machine.go", "forget the leases of ranges that are joined", "&lease{until: max(left.until, right.until), late: max(left.late, right.late), granted: true}", "&lease{granted: left.granted || right.granted}"),
 		in("machine.go", "join ranges of different owners", "if a.Server != b.Server || a.Moving()", "if a.Moving()"),
 		in("machine.go", "leave the former holder out of the record", "			r.Former = append(r.Former, r.Holder)\n			r.Holder = Holder{Server: move.Server", "			r.Holder = Holder{Server: move.Server"),
 	}
