--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,14 @@
 # Two commands do everything: "make run" runs the main job on embedded
 # stand-ins, "make test" passes the tests.
-.PHONY: run test check mutants fuzz slopes failover changes compare stops domain-lost pauses generate
+.PHONY: run hosted test check mutants fuzz slopes failover changes compare stops domain-lost pauses generate
 
 run:
 	./scripts/run.sh
+	./scripts/hosted.sh
+
+# Only the daemon of a hosted platform, with its stand-in.
+hosted:
+	./scripts/hosted.sh
 
 test:
 	go test ./...
--- a/cmd/cicada-standin/main.go
+++ b/cmd/cicada-standin/main.go
@@ -26,6 +26,7 @@
 		program.Command{Name: "platform", Short: "the platform's store and host list", Data: &platformCommand{}},
 		program.Command{Name: "servers", Short: "backend servers of one service", Data: &serversCommand{}},
 		program.Command{Name: "passthrough", Short: "the baseline: a bare pass-through to backend servers", Data: &passthroughCommand{}},
+		program.Command{Name: "hosted", Short: "a site on the hosted platform's protocol, with load and checks", Data: &hostedCommand{}},
 		program.Command{Name: "records", Short: "print the records of backend servers", Data: &recordsCommand{}},
 	))
 }
