--- /dev/null
+++ b/gateway/daemon/daemon_test.go
@@ -0,0 +1,159 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/host/settings"
+	"cicadarouter/platform"
+	"cicadarouter/platform/platformtest"
+	"cicadarouter/routing"
+)
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "settings.ini")
+	assert.NilError(t, os.WriteFile(name, []byte(text), 0o600))
+	return name
+}
+
+// free returns an address that nobody listens on.
+func free(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func text(addresses [4]string, store string) string {
+	return fmt.Sprintf("[host]\nname = one\ndomain = a\n[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[store]\naddress = %s\n[stop]\nleave-for = 0s\nwithin = 2s\n",
+		addresses[0], addresses[1], addresses[2], addresses[3], store)
+}
+
+func TestBadSettingsNameTheOption(t *testing.T) {
+	good := text([4]string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"}, "127.0.0.1:5")
+	_, err := Load(file(t, good))
+	assert.NilError(t, err)
+	for broken, option := range map[string]string{
+		strings.Replace(good, "name = one", "name = ", 1):                 "name",
+		strings.Replace(good, "callers = 127.0.0.1:1", "callers = x", 1):  "callers",
+		strings.Replace(good, "within = 2s", "within = soon", 1):          "within",
+		strings.Replace(good, "domain = a", "domain = a\nregion = b", 1):  "region",
+		strings.Replace(good, "address = 127.0.0.1:5", "# address = ", 1): "address",
+	} {
+		_, err := Load(file(t, broken))
+		var named *settings.Error
+		assert.Assert(t, errors.As(err, &named), "got %v", err)
+		assert.Equal(t, named.Option, option)
+	}
+}
+
+// A daemon starts, is ready when it knows the configuration, and stops by itself.
+func TestDaemonRunsAndStops(t *testing.T) {
+	site := platformtest.NewSite("127.0.0.1", 0)
+	store := free(t)
+	serving, end := context.WithCancel(context.Background())
+	defer end()
+	assert.NilError(t, site.Start(serving, store, 0))
+	addresses := [4]string{free(t), free(t), free(t), free(t)}
+	s, err := Load(file(t, text(addresses, store)))
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- New(s).Run(ctx) }()
+	const patience = 10 * time.Second
+	for begin := time.Now(); !answers(addresses[1], platform.ReadyPath); time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Since(begin) < patience, "the daemon is not ready")
+	}
+	assert.Assert(t, answers(addresses[3], "/metrics"))
+	stop()
+	select {
+	case err := <-ended:
+		assert.NilError(t, err)
+	case <-time.After(patience):
+		t.Fatal("the daemon does not stop")
+	}
+}
+
+func answers(address, path string) bool {
+	response, err := http.Get("http://" + address + path)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// A change of the store's address takes effect; a broken file changes nothing.
+func TestReload(t *testing.T) {
+	first, second := platformtest.NewStore(), platformtest.NewStore()
+	one, two := httptest.NewServer(first), httptest.NewServer(second)
+	defer one.Close()
+	defer two.Close()
+	address := func(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
+	addresses := [4]string{free(t), free(t), free(t), free(t)}
+	name := file(t, text(addresses, address(one)))
+	s, err := Load(name)
+	assert.NilError(t, err)
+	d := New(s)
+	call := func() {
+		_, _ = d.store.List(context.Background(), "things") // only who is called matters
+	}
+	assert.NilError(t, os.WriteFile(name, []byte("nonsense"), 0o600))
+	d.reload()
+	call()
+	assert.Equal(t, first.Calls(), 1)
+	assert.NilError(t, os.WriteFile(name, []byte(text(addresses, address(two))), 0o600))
+	d.reload()
+	call()
+	assert.Equal(t, first.Calls(), 1)
+	assert.Equal(t, second.Calls(), 1)
+}
+
+// Callers' connections are held to the limits in force, which may change.
+func TestCallersAreHeldToTheLimits(t *testing.T) {
+	limits := routing.Limits{HeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	noted := &deadlines{Conn: near}
+	conn := &callerConn{Conn: noted, limits: func() routing.Limits { return limits }}
+	within := func(least, most time.Duration) {
+		t.Helper()
+		left := time.Until(noted.last)
+		assert.Assert(t, left > least && left <= most, "%v is left", left)
+	}
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Hour)))
+	within(0, time.Second)
+	noteState(conn, http.StateIdle)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Hour)))
+	within(time.Second, 10*time.Second)
+	limits = routing.Limits{}
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Hour)))
+	within(10*time.Second, firstIdleTimeout)
+	assert.NilError(t, conn.SetReadDeadline(time.Time{}))
+	assert.Assert(t, noted.last.IsZero())
+}
+
+// deadlines notes the read deadline of a connection.
+type deadlines struct {
+	net.Conn
+	last time.Time
+}
+
+func (d *deadlines) SetReadDeadline(t time.Time) error {
+	d.last = t
+	return nil
+}
--- /dev/null
+++ b/gateway/log_test.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/host/logs"
+)
+
+// hand is a clock that a test moves.
+type hand struct{ now time.Duration }
+
+func (h *hand) Now() time.Duration { return h.now }
+
+// Lines about requests are bounded, and what is left out is told.
+func TestLinesAboutRequestsAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	clock := &hand{now: time.Minute}
+	lines := newRequestLog(logs.New(&out, "p", "h", log.InfoLevel), clock)
+	taken := 0
+	for range 3 * requestLines {
+		if lines.take() {
+			taken++
+		}
+	}
+	assert.Equal(t, taken, requestLines)
+	clock.now += time.Second
+	assert.Assert(t, lines.take())
+	assert.Assert(t, strings.Contains(out.String(), `"count":800`), out.String())
+}
