--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -96,8 +96,8 @@
 	default:
 		e.result = keyspace.CallUnanswered
 	}
-	if e.err != nil || e.call.Kind == keyspace.ReleaseCall {
-		g.log.Info("call about keys", "service", e.controller.service.name, "kind", int(e.call.Kind), "server", e.call.Server,
+	if (e.err != nil || e.call.Kind == keyspace.ReleaseCall) && g.callLines.take() {
+		g.log.Info("call about keys", "service", e.controller.service.name, "kind", e.call.Kind.String(), "server", e.call.Server,
 			"from", e.call.From, "to", e.call.To, "token", e.call.Token, "ms", (e.ended - e.began).Milliseconds(),
 			"handoff", e.handoff, "error", errorText(e.err))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,9 +49,12 @@
 	clock    clock.Clock
 	boot     clock.Clock
 	log      *log.Logger
-	requests *requestLog
 	counts   *counts
 
+	// Lines that come with the load are bounded, each kind by itself: those of
+	// requests that failed must not be crowded out by those that went well.
+	requestLines, failureLines, callLines *lineQuota
+
 	inForce  routing.InForce
 	stopping atomic.Bool
 	listed   atomic.Bool // the registry has been read once
@@ -75,7 +78,9 @@
 		directory: fleet.NewDirectory(), services: map[string]*service{},
 		control: newControl(), peers: newPeerClient(), wake: make(chan struct{}, 1),
 	}
-	g.requests = newRequestLog(logger, g.clock)
+	g.requestLines = newLineQuota(logger, g.clock, "request")
+	g.failureLines = newLineQuota(logger, g.clock, "request that failed")
+	g.callLines = newLineQuota(logger, g.clock, "call about keys")
 	return g
 }
 
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -42,14 +43,15 @@
 	g.counts.latency.Update((g.now() - req.arrived).Seconds())
 }
 
-// requestLines is the most lines about requests that are written each second:
-// some five times what a host answers at its planned load. The rest is counted.
-const requestLines = 400
+// linesPerSecond is the most lines of one kind that are written each second:
+// some three times what a host answers at its planned load. The rest is counted.
+const linesPerSecond = 250
 
-// requestLog bounds the lines about requests.
-type requestLog struct {
+// lineQuota bounds the lines of one kind.
+type lineQuota struct {
 	log   *log.Logger
 	clock clock.Clock
+	kind  string
 
 	mu      sync.Mutex
 	second  time.Duration
@@ -57,22 +59,22 @@
 	skipped int
 }
 
-func newRequestLog(logger *log.Logger, clock clock.Clock) *requestLog {
-	return &requestLog{log: logger, clock: clock}
+func newLineQuota(logger *log.Logger, clock clock.Clock, kind string) *lineQuota {
+	return &lineQuota{log: logger, clock: clock, kind: kind}
 }
 
 // take reports whether a line may be written now.
-func (l *requestLog) take() bool {
+func (l *lineQuota) take() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	second := l.clock.Now() / time.Second
 	if second != l.second {
 		if l.skipped > 0 {
-			l.log.Warn("lines about requests left out", "count", l.skipped)
+			l.log.Warn("lines left out", "kind", l.kind, "count", l.skipped)
 		}
 		l.second, l.lines, l.skipped = second, 0, 0
 	}
-	if l.lines >= requestLines {
+	if l.lines >= linesPerSecond {
 		l.skipped++
 		return false
 	}
@@ -82,7 +84,11 @@
 
 // logRequest writes the line that tells how a request ended, and on what ground.
 func (g *Gateway) logRequest(req *request, answer *reply) {
-	if !g.requests.take() {
+	quota := g.failureLines
+	if answer.outcome == outcomeAnswered && answer.status < http.StatusInternalServerError {
+		quota = g.requestLines
+	}
+	if !quota.take() {
 		return
 	}
 	fields := []any{"request", req.ID, "outcome", answer.outcome, "status", answer.status,
@@ -108,7 +114,7 @@
 
 // logRetry writes the line of an attempt that did not settle a request.
 func (g *Gateway) logRetry(req *request, result attemptResult) {
-	if !g.requests.take() {
+	if !g.failureLines.take() {
 		return
 	}
 	fields := []any{"request", req.ID, "server", result.server, "sent", result.sent, "not-run", result.notRun,
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -18,18 +18,18 @@
 func (h *hand) Now() time.Duration { return h.now }
 
 // Lines about requests are bounded, and what is left out is told.
-func TestLinesAboutRequestsAreBounded(t *testing.T) {
+func TestLinesOfAKindAreBounded(t *testing.T) {
 	var out bytes.Buffer
 	clock := &hand{now: time.Minute}
-	lines := newRequestLog(logs.New(&out, "p", "h", log.InfoLevel), clock)
+	lines := newLineQuota(logs.New(&out, "p", "h", log.InfoLevel), clock, "request")
 	taken := 0
-	for range 3 * requestLines {
+	for range 3 * linesPerSecond {
 		if lines.take() {
 			taken++
 		}
 	}
-	assert.Equal(t, taken, requestLines)
+	assert.Equal(t, taken, linesPerSecond)
 	clock.now += time.Second
 	assert.Assert(t, lines.take())
-	assert.Assert(t, strings.Contains(out.String(), `"count":800`), out.String())
+	assert.Assert(t, strings.Contains(out.String(), `"count":500`), out.String())
 }
--- a/keyspace/machine.go
+++ b/keyspace/machine.go
@@ -29,6 +29,17 @@
 	ProbeCall
 )
 
+// String returns the kind's name.
+func (k CallKind) String() string {
+	switch k {
+	case GrantCall:
+		return "grant"
+	case ReleaseCall:
+		return "release"
+	}
+	return "probe"
+}
+
 // Call is a call to make to a server.
 type Call struct {
 	Kind   CallKind
