--- a/cmd/cicadactl/commands.go
+++ b/cmd/cicadactl/commands.go
@@ -31,6 +31,7 @@
 		{Name: "delete", Short: "delete a record", Long: "Deletes a record, if it is still at the version given.", Data: &deleteCommand{globals: shared}},
 		{Name: "status", Short: "where the configuration is in force", Long: "Shows for each failure domain which configuration all its daemons have in force, and who lags.", Data: &statusCommand{globals: shared}},
 		{Name: "report", Short: "service-level burn", Long: "Shows how fast each service spends the budget of its objectives, by failure domain.", Data: &reportCommand{globals: shared}},
+		{Name: "hosted", Short: "state on a hosted platform", Long: "Shows what the store of a hosted platform holds: configuration, servers by service, who controls and owns which keys.", Data: &hostedCommand{globals: shared}},
 		{Name: "watch", Short: "print changes as they come", Long: "Prints each change of a record until interrupted.", Data: &watchCommand{globals: shared}},
 	}
 }
--- /dev/null
+++ b/cmd/cicadactl/hosted.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"cicadarouter/contract/objects"
+	"cicadarouter/gateway"
+	"cicadarouter/keyspace"
+	"cicadarouter/platform"
+	"cicadarouter/routing"
+)
+
+// hostedCommand shows what lies in the store of a hosted platform.
+type hostedCommand struct {
+	globals *globals
+}
+
+// hostedState is what the store of a hosted platform holds for the gateways.
+type hostedState struct {
+	Configuration uint64                `json:"configuration"`
+	Services      []hostedService       `json:"services"`
+	Assignments   map[string]hostedKeys `json:"assignments"`
+	// Faults lists objects that can't be read.
+	Faults []string `json:"faults,omitempty"`
+}
+
+type hostedService struct {
+	Name     string `json:"name"`
+	Keyed    bool   `json:"keyed"`
+	Servers  int    `json:"servers"`
+	Draining int    `json:"draining"`
+	Slots    int    `json:"slots"`
+}
+
+// hostedKeys is who owns a service's keys.
+type hostedKeys struct {
+	Revision uint64          `json:"revision"`
+	Record   keyspace.Record `json:"record"`
+	// Moving is the number of keys between owners.
+	Moving int `json:"moving"`
+	// KeysOf is the number of keys by owner.
+	KeysOf map[string]int `json:"keysOf"`
+}
+
+// Execute implements flags.Commander.
+func (c *hostedCommand) Execute([]string) error {
+	ctx, cancel := callContext()
+	defer cancel()
+	state, err := readHosted(ctx, platform.NewStore(c.globals.Store))
+	if err != nil {
+		return err
+	}
+	return c.globals.print(state, state.table)
+}
+
+func readHosted(ctx context.Context, store objects.Store) (*hostedState, error) {
+	registry := platform.Registry{}
+	state := &hostedState{Assignments: map[string]hostedKeys{}}
+	object, err := store.Get(ctx, registry.Configurations(), registry.Current())
+	if err != nil {
+		return nil, eris.Wrap(err, "reading the configuration")
+	}
+	configuration, err := registry.Configuration(object)
+	if err != nil {
+		return nil, eris.Wrap(err, "the configuration in the store is not valid")
+	}
+	state.Configuration = configuration.Version
+	servers, err := store.List(ctx, registry.Servers())
+	if err != nil {
+		return nil, eris.Wrap(err, "reading the registry")
+	}
+	state.count(configuration, servers)
+	records, err := store.List(ctx, gateway.Assignments)
+	if err != nil {
+		return nil, eris.Wrap(err, "reading the assignments")
+	}
+	for _, record := range records.Objects {
+		state.add(record)
+	}
+	return state, nil
+}
+
+func (s *hostedState) count(configuration *routing.Configuration, listing objects.Listing) {
+	byName := map[string]*hostedService{}
+	for name, service := range configuration.Services {
+		byName[name] = &hostedService{Name: name, Keyed: service.Keyed}
+	}
+	for _, object := range listing.Objects {
+		server, err := platform.Registry{}.Server(object)
+		if err != nil {
+			s.Faults = append(s.Faults, err.Error())
+			continue
+		}
+		service := byName[server.Service]
+		if service == nil {
+			service = &hostedService{Name: server.Service}
+			byName[server.Service] = service
+		}
+		service.Servers++
+		service.Slots += server.Slots
+		if server.Draining {
+			service.Draining++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		s.Services = append(s.Services, *byName[name])
+	}
+}
+
+func (s *hostedState) add(object objects.Object) {
+	keys := hostedKeys{Revision: object.Revision, KeysOf: map[string]int{}}
+	if err := json.Unmarshal(object.Spec, &keys.Record); err != nil {
+		s.Faults = append(s.Faults, "assignment "+object.Name+": "+err.Error())
+		return
+	}
+	if err := keys.Record.Check(); err != nil {
+		s.Faults = append(s.Faults, "assignment "+object.Name+": "+err.Error())
+	}
+	for i := range keys.Record.Ranges {
+		r := &keys.Record.Ranges[i]
+		n := int(r.To) - int(r.From) + 1
+		keys.KeysOf[r.Server] += n
+		if r.Moving() {
+			keys.Moving += n
+		}
+	}
+	s.Assignments[object.Name] = keys
+}
+
+// table writes the state for people.
+func (s *hostedState) table(out io.Writer) {
+	fmt.Fprintf(out, "configuration\t%d\n\nSERVICE\tKEYED\tSERVERS\tDRAINING\tSLOTS\n", s.Configuration)
+	for _, service := range s.Services {
+		fmt.Fprintf(out, "%s\t%t\t%d\t%d\t%d\n", service.Name, service.Keyed, service.Servers, service.Draining, service.Slots)
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Assignments)) {
+		keys := s.Assignments[name]
+		controller := keys.Record.Controller
+		fmt.Fprintf(out, "\n%s\tcontroller %s at %s, term %d, revision %d\n", name, controller.Host, controller.Address, keys.Record.Term, keys.Revision)
+		fmt.Fprintf(out, "\t%d ranges, %d keys between owners, resigned %t, earlier controllers not proven stopped: %d\n",
+			len(keys.Record.Ranges), keys.Moving, controller.Resigned, len(keys.Record.Earlier))
+		for _, server := range slices.Sorted(maps.Keys(keys.KeysOf)) {
+			fmt.Fprintf(out, "\t%s\t%d keys\n", server, keys.KeysOf[server])
+		}
+	}
+	for _, fault := range s.Faults {
+		fmt.Fprintf(out, "\nFAULT\t%s\n", fault)
+	}
+}
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -143,7 +143,7 @@
 	}
 	writing, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	stored, err := g.store.Put(writing, objects.Object{Kind: assignments, Name: c.service.name, Revision: revision, Spec: spec})
+	stored, err := g.store.Put(writing, objects.Object{Kind: Assignments, Name: c.service.name, Revision: revision, Spec: spec})
 	var conflict *objects.ConflictError
 	if errors.As(err, &conflict) && sameRecord(conflict.Current, record) {
 		return conflict.Current, nil
@@ -205,7 +205,7 @@
 	machine := c.machine
 	go func() {
 		ended := &confirmed{controller: c, machine: machine, began: g.boot.Now()}
-		ended.object, ended.err = g.store.Get(ctx, assignments, c.service.name)
+		ended.object, ended.err = g.store.Get(ctx, Assignments, c.service.name)
 		g.post(ctx, ended)
 	}()
 }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -283,7 +283,7 @@
 // watch that the store has forgotten brings nothing, and the other hosts, who
 // learn of assignments through this one, would go on sending to old owners.
 func (g *Gateway) hearOwnWrites(c *controller, now time.Duration) {
-	if now-c.written < ownWriteWait || !g.fresh.recheck(assignments, c.revision) {
+	if now-c.written < ownWriteWait || !g.fresh.recheck(Assignments, c.revision) {
 		return
 	}
 	g.log.Warn("own write not heard of; watching anew", "service", c.service.name, "revision", c.revision)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -21,8 +21,8 @@
 	// gather is left between two watches of a kind that changes often, so that
 	// one call brings several changes. A tenth of the time to obey them.
 	gather = 200 * time.Millisecond
-	// assignments is the kind of the records in which owners of keys lie.
-	assignments = "cicada-assignments"
+	// Assignments is the kind of the records in which owners of keys lie.
+	Assignments = "cicada-assignments"
 )
 
 // follower keeps this host's copy of one kind up to date.
@@ -216,7 +216,7 @@
 		g.control.listed.Store(true)
 		g.nudge()
 	}
-	g.follow(ctx, follower{kind: assignments, replace: take, change: take, away: func() {}})
+	g.follow(ctx, follower{kind: Assignments, replace: take, change: take, away: func() {}})
 }
 
 func (g *Gateway) takeAssignment(object objects.Object) {
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -98,7 +98,7 @@
 // own record again and again, and nobody else changes it while it leads.
 func (f *freshness) trusted(name string, now time.Duration) bool {
 	if f.leads {
-		return name == assignments
+		return name == Assignments
 	}
 	return f.heard && now-f.vouched < vouchedFor
 }
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -66,8 +66,8 @@
 func TestControllerMissesItsOwnWrites(t *testing.T) {
 	g := New(Identity{}, Platform{}, logs.Discard())
 	g.fresh.tend(0, true)
-	_, watching := plan(&g.fresh, assignments, 0)
-	g.fresh.known(assignments, 7, true)
+	_, watching := plan(&g.fresh, Assignments, 0)
+	g.fresh.known(Assignments, 7, true)
 	c := &controller{service: newService("s", "", true, g.now), revision: 9, written: time.Second}
 	g.hearOwnWrites(c, time.Second)
 	assert.NilError(t, watching.Err())
