--- a/balance/pool.go
+++ b/balance/pool.go
@@ -246,13 +246,25 @@
 // rank orders waiting requests: by arrival, with a head start by priority.
 func rank(w *Waiter) time.Duration { return w.Arrived + time.Duration(w.Priority)*priorityStep }
 
+// missed is 1 for a request that can't be answered within its objective any
+// more, else 0. Under lasting overload requests would otherwise reach a server
+// in the order in which they came, each just too late.
+func (p *Pool) missed(now time.Duration, w *Waiter) int {
+	if now-w.Arrived > w.Objective-p.mean {
+		return 1
+	}
+	return 0
+}
+
 // Pump gives servers to the waiting requests in their order, and turns away
 // those that can't be answered in time any more.
 func (p *Pool) Pump(now time.Duration) {
 	if len(p.waiting) == 0 {
 		return
 	}
-	slices.SortStableFunc(p.waiting, func(a, b *Waiter) int { return cmp.Compare(rank(a), rank(b)) })
+	slices.SortStableFunc(p.waiting, func(a, b *Waiter) int {
+		return cmp.Or(cmp.Compare(p.missed(now, a), p.missed(now, b)), cmp.Compare(rank(a), rank(b)))
+	})
 	kept := p.waiting[:0]
 	for _, waiter := range p.waiting {
 		if !p.decide(now, waiter) {
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -104,7 +104,7 @@
 		p.Done(now, under[0].Server, Answered, 100*ms, nil)
 		under = append(under[1:], enter(p, now, Waiter{Keyed: true, Objective: 10 * time.Second, Deadline: now + 10*time.Second}))
 	}
-	late := enter(p, now, Waiter{Keyed: true, Objective: 250 * ms})
+	late := enter(p, now, Waiter{Keyed: true, Objective: 250 * ms, Deadline: now + 500*ms})
 	assert.Assert(t, late.Rejected != nil, "a wait of 200 ms or more was not expected")
 }
 
@@ -218,3 +218,17 @@
 	waiting := enter(p, 400*ms, Waiter{})
 	assert.Assert(t, !waiting.settled())
 }
+
+// Symptom: under lasting overload nearly all requests are answered, each a
+// little too late.
+// Sequence: requests wait for a server in the order in which they came.
+// Cause: one that had missed its objective went before one that had not.
+func TestWhatIsLateAlreadyGoesLast(t *testing.T) {
+	p := pool(fleet.Server{ID: "a", Domain: "home", Slots: 1})
+	running := enter(p, 0, Waiter{})
+	enter(p, 0, Waiter{})
+	old := enter(p, 0, Waiter{Deadline: 3 * time.Second})
+	fresh := enter(p, 190*ms, Waiter{Deadline: 3 * time.Second})
+	p.Done(220*ms, running.Server, Answered, 100*ms, nil)
+	assert.Assert(t, fresh.settled() && !old.settled())
+}
