--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -232,3 +232,34 @@
 	p.Done(220*ms, running.Server, Answered, 100*ms, nil)
 	assert.Assert(t, fresh.settled() && !old.settled())
 }
+
+// A request that waits for a leaving owner does not go there once it has left.
+func TestWaitingForALeavingOwner(t *testing.T) {
+	p := keyedPool(&owners{id: "a"})
+	patient := Waiter{Keyed: true, Objective: 5 * time.Second, Deadline: 9 * time.Second}
+	var under []*Waiter
+	for range 4 {
+		under = append(under, enter(p, 0, patient))
+	}
+	waiting := enter(p, 0, patient)
+	p.SetServers(10*ms, []fleet.Server{{ID: "a", Slots: 2, Draining: true}, {ID: "b", Slots: 2}})
+	p.Done(10*ms+leaveWithin, under[0].Server, Answered, 100*ms, nil)
+	assert.Assert(t, waiting.Server == nil)
+}
+
+// Draining servers take nothing, however full the others are.
+func TestDrainingServerStaysEmpty(t *testing.T) {
+	p := pool(fleet.Server{ID: "a", Domain: "home", Slots: 1}, fleet.Server{ID: "b", Domain: "home", Slots: 4, Draining: true})
+	for range 2 {
+		assert.Equal(t, enter(p, 0, Waiter{}).Server.ID, "a")
+	}
+	assert.Assert(t, !enter(p, 0, Waiter{}).settled())
+}
+
+// A request goes to a server that has not had it, as long as there is one.
+func TestRepeatedRequestGoesElsewhere(t *testing.T) {
+	p := pool(fleet.Server{ID: "a", Domain: "home", Slots: 4}, fleet.Server{ID: "b", Domain: "away", Slots: 4})
+	assert.Equal(t, enter(p, 0, Waiter{}).Server.ID, "a")
+	assert.Equal(t, enter(p, 0, Waiter{Tried: []string{"a"}}).Server.ID, "b")
+	assert.Equal(t, enter(p, 0, Waiter{Tried: []string{"a", "b"}}).Server.ID, "a")
+}
