--- a/keyspace/fuzz_test.go
+++ b/keyspace/fuzz_test.go
@@ -77,15 +77,16 @@
 			if h.machine == nil {
 				return
 			}
-			for _, earlier := range h.machine.Unproven(w.now) {
-				for _, other := range w.hosts {
-					if other != h && other.incarnation == earlier.Incarnation {
-						other.machine, other.write = nil, nil
-					}
-				}
-				h.machine.Stopped(w.now, earlier)
+			unproven := h.machine.Unproven(w.now)
+			if len(unproven) == 0 {
 				return
 			}
+			for _, other := range w.hosts {
+				if other != h && other.incarnation == unproven[0].Incarnation {
+					other.machine, other.write = nil, nil
+				}
+			}
+			h.machine.Stopped(w.now, unproven[0])
 		},
 		"the controller is cut off from the store, and another takes over": func(t *rapid.T) {
 			for _, h := range w.hosts {
