Fewer calls while a system starts; a success needs the server's proof

Change: a host that has just started waits 5 s in a watch and leaves 0.8 s between two, until it has heard of a controller or missed one. Answers of success without the server's signature count as failures; a server whose address answers for another is passed over.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -305,7 +305,8 @@
 	if server != nil && !server.left(now) || now-waiter.Arrived < 2*ownerWait {
 		return false
 	}
-	p.reject(waiter, &RejectedError{Reason: NoOwner, RetryAfter: clampRetry(back - now), Expected: back - now})
+	expected := max(back-now, 0)
+	p.reject(waiter, &RejectedError{Reason: NoOwner, RetryAfter: clampRetry(expected), Expected: expected})
 	return true
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -102,9 +102,6 @@
 	return true
 }
 
-// Pending reports whether servers wait for their entries to return.
-func (d *Directory) Pending() bool { return len(d.missing) > 0 }
-
 // Snapshot returns the servers in order of their IDs.
 func (d *Directory) Snapshot() []Server {
 	servers := make([]Server, 0, len(d.servers))
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -41,7 +41,6 @@
 	assert.Assert(t, d.Expire(12100*time.Millisecond))
 	assert.DeepEqual(t, ids(d), []string{"a"})
 	assert.Assert(t, d.Snapshot()[0].Draining)
-	assert.Assert(t, !d.Pending())
 }
 
 // While the store is still away, nothing expires.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -32,6 +32,7 @@
 var (
 	errOtherAnswer = errors.New("the answer belongs to another request")
 	errBrokenOff   = errors.New("the answer broke off")
+	errUnproven    = errors.New("the answer says success without the server's signature")
 )
 
 // mostStray bounds answers to earlier requests that are read past.
@@ -150,9 +151,16 @@
 	}
 	if meta.NotRun {
 		result.notRun, result.failed, result.outcome = true, true, balance.Refused
+		if meta.WrongServer {
+			result.outcome = balance.Unreachable // the server has ended
+		}
 		result.reply = &reply{outcome: "server-refused", status: http.StatusServiceUnavailable, retryAfter: g.whenFree(req)}
 		return result, response
 	}
+	if response.StatusCode < http.StatusMultipleChoices && !meta.Proven {
+		// Spoilt bytes may still parse as an answer.
+		return g.unanswered(ctx, errUnproven), nil
+	}
 	result.reply = &reply{outcome: outcomeAnswered, status: response.StatusCode, header: forwardable(response.Header), body: data}
 	if !whole {
 		result.reply.rest = response.Body
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -21,6 +21,9 @@
 	// gather is left between two watches of a kind that changes often, so that
 	// one call brings several changes. A tenth of the time to obey them.
 	gather = 200 * time.Millisecond
+	// firstGather takes its place while the system starts and all servers
+	// register: each change wakes every host.
+	firstGather = 800 * time.Millisecond
 	// Assignments is the kind of the records in which owners of keys lie.
 	Assignments = "cicada-assignments"
 )
@@ -65,11 +68,19 @@
 		g.fresh.known(f.kind, listing.Revision, !connected || len(listing.Objects) > 0)
 		connected, pause, revision = true, awayFirst, listing.Revision
 		if f.gather > 0 {
-			g.sleep(ctx, f.gather)
+			g.sleep(ctx, g.gatherFor(f.gather))
 		}
 	}
 }
 
+// gatherFor returns the pause after a call of a kind that changes often.
+func (g *Gateway) gatherFor(usual time.Duration) time.Duration {
+	if g.now() < firstWatches && !g.fresh.vouchedOnce() {
+		return max(usual, firstGather)
+	}
+	return usual
+}
+
 // next makes the next call. ended is set if the watch was ended because it may
 // be behind.
 func (g *Gateway) next(ctx context.Context, kind string, connected bool, revision uint64) (listing objects.Listing, ended bool, err error) {
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -16,6 +16,11 @@
 	// without an error, when its connection fell silent or the store dropped
 	// its history; a change must be in force within 2 s.
 	shortWatch = 1200 * time.Millisecond
+	// firstWatch is how long it waits while the system starts and has no
+	// controller yet: hundreds of hosts would make short turns at once.
+	firstWatch = 5 * time.Second
+	// firstWatches is how long after the start of the process that is.
+	firstWatches = 8 * time.Second
 	// vouchedFor is how long a controller's word counts, from when the store had
 	// last confirmed the controller: one confirmation and two reports. A change
 	// that the controller can't hear of is then known by own watches in 2 s.
@@ -32,6 +37,7 @@
 	vouched time.Duration // when the store had last confirmed the controller that answered
 	address string        // that controller's
 	heard   bool
+	doubted bool // a controller's word has ended once: the system is under way
 	kinds   map[string]*kindState
 }
 
@@ -73,6 +79,8 @@
 	switch {
 	case !state.long:
 		return ctx, cancel, watchPlan{wait: shortWatch}
+	case f.starting(now):
+		return ctx, cancel, watchPlan{wait: firstWatch}
 	case f.leads:
 		return ctx, cancel, watchPlan{wait: longWatch}
 	}
@@ -86,12 +94,19 @@
 	return f.leads
 }
 
+// vouchedOnce reports whether a controller has ever vouched for itself.
+func (f *freshness) vouchedOnce() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard || f.doubted
+}
+
 // doubt notes that a controller failed as a relay: the store is asked until it
 // vouches again.
 func (f *freshness) doubt() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.heard = false
+	f.heard, f.doubted = false, true
 }
 
 // trusted reports whether a kind's watch may wait long. A controller reads its
@@ -100,7 +115,13 @@
 	if f.leads {
 		return name == Assignments
 	}
-	return f.heard && now-f.vouched < vouchedFor
+	return f.starting(now) || f.heard && now-f.vouched < vouchedFor
+}
+
+// starting reports whether the process has just started and has neither heard
+// of a controller nor missed one.
+func (f *freshness) starting(now time.Duration) bool {
+	return !f.leads && !f.heard && !f.doubted && now < firstWatches
 }
 
 // known notes up to which revision a kind is known, and whether it changed.
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -24,7 +24,17 @@
 func TestSilentControllerIsDoubted(t *testing.T) {
 	var f freshness
 	made, _ := plan(&f, "things", 0)
+	assert.Equal(t, made, watchPlan{wait: firstWatch})
+	made, _ = plan(&f, "things", firstWatches)
 	assert.Equal(t, made, watchPlan{wait: shortWatch})
+
+	// Sequence: a host starts while the controller is cut off; the store drops
+	// its history; the host's first watch hears nothing.
+	var started freshness
+	_, first := plan(&started, "things", time.Second)
+	started.doubt()
+	started.tend(time.Second, false)
+	assert.Assert(t, first.Err() != nil, "the first watch outlives the doubt")
 	f.told(time.Second, "controller", nil)
 	made, watching := plan(&f, "things", time.Second)
 	assert.Equal(t, made, watchPlan{wait: longWatch, controller: "controller"})
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -100,6 +100,16 @@
 	assert.Equal(t, got.header.Get(platformtest.Signature), "")
 }
 
+// Symptom: a caller takes spoilt bytes for its answer.
+// Sequence: a server's answer is damaged, and what is left parses as a success.
+// Cause: a success was passed on without the server's proof.
+func TestSuccessNeedsTheServersProof(t *testing.T) {
+	s, h := calm(t)
+	s.servers["f1"].SetFaults(platformtest.ServerFaults{Unsigned: true})
+	s.servers["f2"].SetFaults(platformtest.ServerFaults{Unsigned: true})
+	assert.Equal(t, s.call(h, http.MethodPost, "/once/x", "", "").status, http.StatusBadGateway)
+}
+
 // A request that every server turned away has not run, and its caller is told so.
 func TestRequestTurnedAwayByServers(t *testing.T) {
 	s, h := calm(t)
