--- a/balance/pool.go
+++ b/balance/pool.go
@@ -2,73 +2,12 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
 	"cicadarouter/fleet"
 )
 
-// Owner tells which server owns a key.
-type Owner interface {
-	// OwnerOf returns the owner's ID; empty while the key is between owners.
-	// back is when the key is expected to have an owner; 0 if it is not known.
-	OwnerOf(key uint16) (id string, back time.Duration)
-}
-
-// Waiter is a request that wants a server.
-type Waiter struct {
-	// Keyed requests go to the owner of Key only.
-	Keyed bool
-	Key   uint16
-	// Priority is the rank; 0 is the most urgent.
-	Priority int
-	Arrived  time.Duration
-	// Entered is when this wait began; Enter sets it.
-	Entered time.Duration
-	// Deadline is when the request is worthless.
-	Deadline time.Duration
-	// Objective is the latency objective.
-	Objective time.Duration
-	// Tried lists servers that have had the request.
-	Tried []string
-	// Ready is closed when Server or Rejected is set.
-	Ready chan struct{}
-	// Server is the server that the request is to be sent to.
-	Server *Server
-	// Rejected is set when the request was turned away.
-	Rejected *RejectedError
-}
-
-// Reason says why a request was turned away.
-type Reason string
-
-// The reasons.
-const (
-	// NoServer: the service has no server that may take requests.
-	NoServer Reason = "no-server"
-	// NoOwner: the key has no owner, and will not have one in time.
-	NoOwner Reason = "no-owner"
-	// Overload: the wait for a server does not fit the deadline.
-	Overload Reason = "overload"
-	// Expired: the deadline came while the request waited.
-	Expired Reason = "expired"
-)
-
-// RejectedError reports a request that was turned away and has not run.
-type RejectedError struct {
-	Reason Reason
-	// RetryAfter is when a server is expected to have room.
-	RetryAfter time.Duration
-	// Expected is the wait on which the decision rests.
-	Expected time.Duration
-}
-
-// Error implements error.
-func (e *RejectedError) Error() string {
-	return fmt.Sprintf("rejected: %s, expected wait %v, retry after %v", e.Reason, e.Expected, e.RetryAfter)
-}
-
 // Limits of waiting.
 const (
 	// priorityStep is the head start of a rank over the next, in time of
@@ -163,89 +102,6 @@
 	p.Pump(now)
 }
 
-// hopeless reports a request that can't be served in time: to let it wait
-// until its deadline would keep its caller from trying elsewhere.
-func (p *Pool) hopeless(now time.Duration, waiter *Waiter) *RejectedError {
-	if waiter.Keyed && p.owner != nil {
-		return p.ownerless(now, waiter)
-	}
-	capacity := 0
-	for _, server := range p.order {
-		if !server.Draining {
-			capacity += server.Slots
-		}
-	}
-	if capacity == 0 {
-		return &RejectedError{Reason: NoServer, RetryAfter: time.Second}
-	}
-	return p.crowded(now, waiter, p.mean*time.Duration(p.ahead(waiter, ""))/time.Duration(capacity))
-}
-
-// ownerless checks a request whose key must have an owner.
-func (p *Pool) ownerless(now time.Duration, waiter *Waiter) *RejectedError {
-	id, back := p.owner.OwnerOf(waiter.Key)
-	server := p.servers[id]
-	if server != nil && server.left(now) {
-		server, back = nil, now+leaveWithin
-	}
-	if server != nil && server.silent(now) {
-		return &RejectedError{Reason: NoOwner, RetryAfter: clampRetry(server.suspect - now), Expected: server.suspect - now}
-	}
-	if server != nil {
-		return p.crowded(now, waiter, server.pace(p.mean)*time.Duration(p.ahead(waiter, id)))
-	}
-	expected := ownerWait
-	if back > 0 {
-		expected = back - now
-	}
-	if now+expected+p.mean/2 > waiter.Deadline || back > 0 && expected > ownerWait {
-		return &RejectedError{Reason: NoOwner, RetryAfter: clampRetry(expected), Expected: expected}
-	}
-	return nil
-}
-
-// ahead counts the waiting requests that go first, of one owner's if id is given.
-func (p *Pool) ahead(waiter *Waiter, id string) int {
-	n := 0
-	for _, other := range p.waiting {
-		if rank(other) > rank(waiter) {
-			continue
-		}
-		if id != "" {
-			if owner, _ := p.owner.OwnerOf(other.Key); owner != id {
-				continue
-			}
-		}
-		n++
-	}
-	return n
-}
-
-// crowded rejects a request whose wait behind others doesn't fit its deadline,
-// or is so long that its turn is worth more to one that comes later: under
-// lasting overload as many are served either way, but those that are get their
-// answer within the objective.
-func (p *Pool) crowded(now time.Duration, waiter *Waiter, expected time.Duration) *RejectedError {
-	most := min(p.longest(waiter), waiter.Deadline-now-p.mean)
-	if expected <= max(most, 0) && len(p.waiting) < mostWaiting {
-		return nil
-	}
-	return &RejectedError{Reason: Overload, RetryAfter: clampRetry(expected), Expected: expected}
-}
-
-// longest is how long a request may wait for a server: as long as it can be
-// answered within its objective, or, since a late answer is better than none,
-// within a share of the time that its caller waits.
-func (p *Pool) longest(waiter *Waiter) time.Duration {
-	patience := time.Duration(float64(waiter.Deadline-waiter.Arrived) * waitShare)
-	return max(waiter.Objective-p.mean, patience-p.mean, p.mean/2)
-}
-
-func clampRetry(d time.Duration) time.Duration { return min(max(d, leastRetryAfter), mostRetryAfter) }
-
-// rank orders waiting requests: by arrival, with a head start by priority.
-func rank(w *Waiter) time.Duration { return w.Arrived + time.Duration(w.Priority)*priorityStep }
-
 // missed is 1 for a request that can't be answered within its objective any
 // more, else 0. Under lasting overload requests would otherwise reach a server
 // in the order in which they came, each just too late.
--- /dev/null
+++ b/balance/reject.go
@@ -0,0 +1,86 @@
+package balance
+
+import "time"
+
+// hopeless reports a request that can't be served in time: to let it wait
+// until its deadline would keep its caller from trying elsewhere.
+func (p *Pool) hopeless(now time.Duration, waiter *Waiter) *RejectedError {
+	if waiter.Keyed && p.owner != nil {
+		return p.ownerless(now, waiter)
+	}
+	capacity := 0
+	for _, server := range p.order {
+		if !server.Draining {
+			capacity += server.Slots
+		}
+	}
+	if capacity == 0 {
+		return &RejectedError{Reason: NoServer, RetryAfter: time.Second}
+	}
+	return p.crowded(now, waiter, p.mean*time.Duration(p.ahead(waiter, ""))/time.Duration(capacity))
+}
+
+// ownerless checks a request whose key must have an owner.
+func (p *Pool) ownerless(now time.Duration, waiter *Waiter) *RejectedError {
+	id, back := p.owner.OwnerOf(waiter.Key)
+	server := p.servers[id]
+	if server != nil && server.left(now) {
+		server, back = nil, now+leaveWithin
+	}
+	if server != nil && server.silent(now) {
+		return &RejectedError{Reason: NoOwner, RetryAfter: clampRetry(server.suspect - now), Expected: server.suspect - now}
+	}
+	if server != nil {
+		return p.crowded(now, waiter, server.pace(p.mean)*time.Duration(p.ahead(waiter, id)))
+	}
+	expected := ownerWait
+	if back > 0 {
+		expected = back - now
+	}
+	if now+expected+p.mean/2 > waiter.Deadline || back > 0 && expected > ownerWait {
+		return &RejectedError{Reason: NoOwner, RetryAfter: clampRetry(expected), Expected: expected}
+	}
+	return nil
+}
+
+// ahead counts the waiting requests that go first, of one owner's if id is given.
+func (p *Pool) ahead(waiter *Waiter, id string) int {
+	n := 0
+	for _, other := range p.waiting {
+		if rank(other) > rank(waiter) {
+			continue
+		}
+		if id != "" {
+			if owner, _ := p.owner.OwnerOf(other.Key); owner != id {
+				continue
+			}
+		}
+		n++
+	}
+	return n
+}
+
+// crowded rejects a request whose wait behind others doesn't fit its deadline,
+// or is so long that its turn is worth more to one that comes later: under
+// lasting overload as many are served either way, but those that are get their
+// answer within the objective.
+func (p *Pool) crowded(now time.Duration, waiter *Waiter, expected time.Duration) *RejectedError {
+	most := min(p.longest(waiter), waiter.Deadline-now-p.mean)
+	if expected <= max(most, 0) && len(p.waiting) < mostWaiting {
+		return nil
+	}
+	return &RejectedError{Reason: Overload, RetryAfter: clampRetry(expected), Expected: expected}
+}
+
+// longest is how long a request may wait for a server: as long as it can be
+// answered within its objective, or, since a late answer is better than none,
+// within a share of the time that its caller waits.
+func (p *Pool) longest(waiter *Waiter) time.Duration {
+	patience := time.Duration(float64(waiter.Deadline-waiter.Arrived) * waitShare)
+	return max(waiter.Objective-p.mean, patience-p.mean, p.mean/2)
+}
+
+func clampRetry(d time.Duration) time.Duration { return min(max(d, leastRetryAfter), mostRetryAfter) }
+
+// rank orders waiting requests: by arrival, with a head start by priority.
+func rank(w *Waiter) time.Duration { return w.Arrived + time.Duration(w.Priority)*priorityStep }
--- /dev/null
+++ b/gateway/reply.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cicadarouter/balance"
+)
+
+// reply is the final answer to a caller.
+type reply struct {
+	outcome    string
+	status     int
+	header     http.Header
+	body       []byte
+	rest       io.Reader // the rest of a long answer, or nil
+	finish     func(whole bool)
+	retryAfter time.Duration
+	expected   time.Duration
+	cause      error
+	server     string
+}
+
+// Outcomes of requests, as logged and counted.
+const (
+	outcomeAnswered   = "answered"
+	outcomeCallerLeft = "caller-left"
+)
+
+// turnedAway answers a request that has not run and will not.
+func turnedAway(why string, after time.Duration) *reply {
+	return &reply{outcome: why, status: http.StatusServiceUnavailable, retryAfter: after}
+}
+
+func turnedAwayFor(rejected *balance.RejectedError) *reply {
+	answer := turnedAway(string(rejected.Reason), rejected.RetryAfter)
+	answer.expected = rejected.Expected
+	return answer
+}
+
+func refusal(status int, why string, cause error) *reply {
+	return &reply{outcome: why, status: status, cause: cause}
+}
+
+// write sends the final answer.
+func (g *Gateway) write(w http.ResponseWriter, r *http.Request, req *request, answer *reply) {
+	defer g.logRequest(req, answer)
+	if answer.outcome == outcomeCallerLeft {
+		g.finished(req, answer)
+		panic(http.ErrAbortHandler)
+	}
+	header := w.Header()
+	// The standard library would guess a type and set the date.
+	header["Content-Type"] = nil
+	header["Date"] = nil
+	for name, values := range answer.header {
+		header[name] = values
+	}
+	if answer.retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(answer.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	if answer.rest == nil && answer.header.Get("Content-Length") == "" && bodyAllowed(r, answer.status) {
+		header.Set("Content-Length", strconv.Itoa(len(answer.body)))
+	}
+	g.finished(req, answer)
+	w.WriteHeader(answer.status)
+	_, err := w.Write(answer.body)
+	if err == nil && answer.rest != nil {
+		_, err = io.Copy(flushing{w}, answer.rest)
+	}
+	if answer.finish != nil {
+		answer.finish(err == nil)
+	}
+	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		answer.cause = err
+		// An answer that broke off must not look complete: the connection ends.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func bodyAllowed(r *http.Request, status int) bool {
+	return r.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified && status >= http.StatusOK
+}
+
+// flushing passes each part of a streamed answer on at once.
+type flushing struct{ http.ResponseWriter }
+
+// Write implements io.Writer.
+func (f flushing) Write(part []byte) (int, error) {
+	n, err := f.ResponseWriter.Write(part)
+	if flusher, ok := f.ResponseWriter.(http.Flusher); ok && err == nil {
+		flusher.Flush()
+	}
+	return n, err
+}
--- /dev/null
+++ b/keyspace/change.go
@@ -0,0 +1,170 @@
+package keyspace
+
+import (
+	"slices"
+	"time"
+)
+
+// propose sets the pending record if something has to change: finished moves
+// first, then servers that left, then balance.
+func (m *Machine) propose(now time.Duration, servers []Server, live map[string]Server) {
+	next := m.record.Clone()
+	changed := m.finishMoves(next)
+	changed = m.renewStale(next) || changed
+	if now >= m.settled {
+		changed = changed || len(next.Earlier) > 0
+		next.Earlier = nil
+		moves := evacuations(next, live, servers, m.loads)
+		if len(moves) == 0 && now >= m.calm && now-m.planned >= planEvery && !anyMoving(next) {
+			moves = rebalance(next, servers, m.loads)
+			m.planned = now
+		}
+		changed = m.apply(next, moves) || changed
+		changed = m.merge(next, changed) || changed
+	}
+	if changed {
+		m.pending = next
+	}
+}
+
+func anyMoving(record *Record) bool {
+	return slices.ContainsFunc(record.Ranges, func(r Range) bool { return r.Moving() })
+}
+
+// finishMoves takes the former holders out of ranges whose owner holds them.
+func (m *Machine) finishMoves(next *Record) bool {
+	changed := false
+	for i := range next.Ranges {
+		r := &next.Ranges[i]
+		if !r.Moving() || !m.lease(r, r.Holder).granted {
+			continue
+		}
+		r.Former = nil
+		changed = true
+	}
+	return changed
+}
+
+// apply changes the record by the moves. Leases of ranges that are cut apart
+// pass to the parts.
+func (m *Machine) apply(next *Record, moves []Move) bool {
+	changed := false
+	for _, move := range moves {
+		if m.calling(next, move) {
+			continue
+		}
+		m.cut(next, move.From)
+		if move.To < LastKey {
+			m.cut(next, move.To+1)
+		}
+		for i := range next.Ranges {
+			r := &next.Ranges[i]
+			if r.From < move.From || r.To > move.To || r.Server == move.Server {
+				continue
+			}
+			changed = true
+			next.LastToken++
+			r.Former = append(r.Former, r.Holder)
+			r.Holder = Holder{Server: move.Server, Token: next.LastToken}
+		}
+	}
+	return changed
+}
+
+// calling reports whether a call about the keys to move is under way. Its
+// answer speaks of the range as it was, so the range is not cut meanwhile.
+func (m *Machine) calling(next *Record, move Move) bool {
+	for i := range next.Ranges {
+		r := &next.Ranges[i]
+		if r.To < move.From || r.From > move.To {
+			continue
+		}
+		if m.lease(r, r.Holder).calling {
+			return true
+		}
+	}
+	return false
+}
+
+// renewStale gives a new token to owners that have seen a higher one than the
+// record gives them: they refuse every renewal.
+func (m *Machine) renewStale(next *Record) bool {
+	changed := false
+	for i := range next.Ranges {
+		r := &next.Ranges[i]
+		l := m.lease(r, r.Holder)
+		if !l.stale || l.calling {
+			continue
+		}
+		next.LastToken++
+		r.Former = append(r.Former, r.Holder)
+		r.Holder.Token = next.LastToken
+		changed = true
+	}
+	return changed
+}
+
+// mergeAt is how many ranges must be superfluous before they are joined for
+// that alone; each range costs a call for every renewal.
+const mergeAt = 8
+
+// merge joins neighbouring ranges of one owner under a new token. The owner
+// holds the keys already, so nothing has to be released.
+func (m *Machine) merge(next *Record, writing bool) bool {
+	joinable := 0
+	for i := 1; i < len(next.Ranges); i++ {
+		if m.joinable(&next.Ranges[i-1], &next.Ranges[i]) {
+			joinable++
+		}
+	}
+	if joinable == 0 || !writing && joinable < mergeAt {
+		return false
+	}
+	kept := next.Ranges[:1]
+	for _, r := range next.Ranges[1:] {
+		last := &kept[len(kept)-1]
+		if !m.joinable(last, &r) {
+			kept = append(kept, r)
+			continue
+		}
+		left, right := *m.lease(last, last.Holder), *m.lease(&r, r.Holder)
+		next.LastToken++
+		last.To = r.To
+		last.Token = next.LastToken
+		m.leases[keyOf(last, last.Holder)] = &lease{until: max(left.until, right.until), late: max(left.late, right.late), granted: true}
+	}
+	next.Ranges = kept
+	return true
+}
+
+// joinable reports whether two neighbouring ranges can become one now.
+func (m *Machine) joinable(a, b *Range) bool {
+	if a.Server != b.Server || a.Moving() || b.Moving() || m.gone[a.Server] {
+		return false
+	}
+	left, right := m.lease(a, a.Holder), m.lease(b, b.Holder)
+	return left.granted && right.granted && !left.calling && !right.calling &&
+		!left.silent && !right.silent && !left.stale && !right.stale
+}
+
+// cut makes a range begin at a key.
+func (m *Machine) cut(next *Record, at uint16) {
+	r := next.At(at)
+	if r == nil || r.From == at {
+		return
+	}
+	left, right := *r, *r
+	left.To, right.From = at-1, at
+	right.Former = slices.Clone(r.Former)
+	for _, holder := range append(slices.Clone(r.Former), r.Holder) {
+		whole := *m.lease(r, holder)
+		whole.calling = false
+		for _, part := range []Range{left, right} {
+			copied := whole
+			m.leases[keyOf(&part, holder)] = &copied
+		}
+	}
+	i := slices.IndexFunc(next.Ranges, func(have Range) bool { return have.From == left.From })
+	next.Ranges[i] = left
+	next.Ranges = slices.Insert(next.Ranges, i+1, right)
+}
--- a/tools/mutants/balance.go
+++ b/tools/mutants/balance.go
@@ -6,14 +6,14 @@
 		return mutant{name: "balance: " + name, file: "balance/" + file, old: old, new: fresh, pkg: "balance", run: "."}
 	}
 	return []mutant{
-		in("pool.go", "let every request wait", "	if expected <= max(most, 0) && len(p.waiting) < mostWaiting {", "	_ = most\n	if true {"),
+		in("reject.go", "let every request wait", "	if expected <= max(most, 0) && len(p.waiting) < mostWaiting {", "	_ = most\n	if true {"),
 		in("pool.go", "never give a wait up", "	if now-waiter.Entered < p.longest(waiter)+givenUpSlack {", "	if true {"),
 		in("pool.go", "first come, first served", "cmp.Or(cmp.Compare(p.missed(now, a), p.missed(now, b)), cmp.Compare(rank(a), rank(b)))", "cmp.Compare(rank(a), rank(b))"),
-		in("pool.go", "forget priorities", "return w.Arrived + time.Duration(w.Priority)*priorityStep", "return w.Arrived"),
-		in("pool.go", "strict priorities", "return w.Arrived + time.Duration(w.Priority)*priorityStep", "return w.Arrived + time.Duration(w.Priority)*time.Hour"),
+		in("reject.go", "forget priorities", "return w.Arrived + time.Duration(w.Priority)*priorityStep", "return w.Arrived"),
+		in("reject.go", "strict priorities", "return w.Arrived + time.Duration(w.Priority)*priorityStep", "return w.Arrived + time.Duration(w.Priority)*time.Hour"),
 		in("pool.go", "send a key to any server", "	if waiter.Keyed && p.owner != nil {\n		id, _ := p.owner.OwnerOf(waiter.Key)\n		server := p.servers[id]\n		if server == nil || server.left", "	if false {\n		id, _ := p.owner.OwnerOf(waiter.Key)\n		server := p.servers[id]\n		if server == nil || server.left"),
 		in("pool.go", "send to leaving owners", "if server == nil || server.left(now) || !server.room(now, p.mean) {", "if server == nil || !server.room(now, p.mean) {"),
-		in("pool.go", "wait for lost owners", "	if now+expected+p.mean/2 > waiter.Deadline || back > 0 && expected > ownerWait {", "	if false {"),
+		in("reject.go", "wait for lost owners", "	if now+expected+p.mean/2 > waiter.Deadline || back > 0 && expected > ownerWait {", "	if false {"),
 		in("pool.go", "use draining servers", "		if server.Draining || !server.room(now, p.mean) {", "		if !server.room(now, p.mean) {"),
 		in("pool.go", "forget where a request was", "if strict && (!server.usable(now) || slices.Contains(waiter.Tried, server.ID)) {", "if strict && !server.usable(now) {"),
 		in("server.go", "trust that there is room", "	return s.estimate(now)+1 <= float64(s.Slots)*(1+queueShare)", "	return true"),
--- a/tools/mutants/keyspace.go
+++ b/tools/mutants/keyspace.go
@@ -18,11 +18,11 @@
 		in("machine.go", "take what a predecessor may still hold as free", "l.until, l.late = m.calm, m.calm", "l.until, l.late = now, now"),
 		in("machine.go", "grant what has not been written", "for i := range m.record.Ranges {\n		calls = m.stepRange(now, &m.record.Ranges[i]", "known := m.record\n	if m.pending != nil {\n		known = m.pending\n	}\n	for i := range known.Ranges {\n		calls = m.stepRange(now, &known.Ranges[i]"),
 		in("machine.go", "grant before former holders are free", "	if !free {\n		return calls\n	}\n", "	_ = free\n"),
-		in("machine.go", "cut a range while a call about it is under way", "		if m.calling(next, move) {\n			continue\n		}\n", ""),
-		in("machine.go", "forget the leases of a range that is cut", "			m.leases[keyOf(&part, holder)] = &copied\n", "			_ = copied\n			_ = part\n"),
+		in("change.go", "cut a range while a call about it is under way", "		if m.calling(next, move) {\n			continue\n		}\n", ""),
+		in("change.go", "forget the leases of a range that is cut", "			m.leases[keyOf(&part, holder)] = &copied\n", "			_ = copied\n			_ = part\n"),
 		in("machine.go", "take a predecessor's yield as the end of its calls", "m.settled, m.calm = now, lapse(now+underWay)", "m.settled, m.calm = now, now"),
-		in("machine.go", "forget the leases of ranges that are joined", "&lease{until: max(left.until, right.until), late: max(left.late, right.late), granted: true}", "&lease{granted: left.granted || right.granted}"),
-		in("machine.go", "join ranges of different owners", "if a.Server != b.Server || a.Moving()", "if a.Moving()"),
-		in("machine.go", "leave the former holder out of the record", "			r.Former = append(r.Former, r.Holder)\n			r.Holder = Holder{Server: move.Server", "			r.Holder = Holder{Server: move.Server"),
+		in("change.go", "forget the leases of ranges that are joined", "&lease{until: max(left.until, right.until), late: max(left.late, right.late), granted: true}", "&lease{granted: left.granted || right.granted}"),
+		in("change.go", "join ranges of different owners", "if a.Server != b.Server || a.Moving()", "if a.Moving()"),
+		in("change.go", "leave the former holder out of the record", "			r.Former = append(r.Former, r.Holder)\n			r.Holder = Holder{Server: move.Server", "			r.Holder = Holder{Server: move.Server"),
 	}
 }
