--- a/balance/pool.go
+++ b/balance/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -39,12 +40,13 @@
 	order   []*Server
 	waiting []*Waiter
 	mean    time.Duration
+	random  *rand.Rand
 }
 
 // NewPool returns a pool for a host in a failure domain. owner is nil for a
-// service without keys.
-func NewPool(domain string, owner Owner) *Pool {
-	return &Pool{domain: domain, owner: owner, servers: map[string]*Server{}, mean: firstMean}
+// service without keys. Pools of different hosts are given different seeds.
+func NewPool(domain string, owner Owner, seed uint64) *Pool {
+	return &Pool{domain: domain, owner: owner, servers: map[string]*Server{}, mean: firstMean, random: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // Mean returns the smoothed service time.
@@ -204,7 +206,7 @@
 		if strict && (!server.usable(now) || slices.Contains(waiter.Tried, server.ID)) {
 			continue
 		}
-		cost := server.cost(now, p.domain)
+		cost := server.cost(now, p.domain) + tieBreak*p.random.Float64()
 		if best == nil || cost < least {
 			best, least = server, cost
 		}
--- a/balance/server.go
+++ b/balance/server.go
@@ -48,6 +48,12 @@
 	crossDomain = 0.6
 	// gapWeight is the weight of a new gap between completions.
 	gapWeight = 0.3
+	// spread is the cost of a server whose slots are all busy over one with free
+	// slots, in service times: other hosts may be about to take them.
+	spread = 0.4
+	// tieBreak is the range of a random cost. Hosts that know equally little
+	// would otherwise all begin with the same servers.
+	tieBreak = 0.15
 	// failureWeight is the weight of a new outcome in the failure rate.
 	failureWeight = 0.12
 	// failureCost is how many service times a certain failure is worth. A
@@ -139,8 +145,10 @@
 	if now < s.coldUntil {
 		ratio = max(ratio, coldFactor)
 	}
-	waiting := max(0, s.estimate(now)+1-float64(s.Slots))
-	cost := ratio * (1 + waiting/float64(max(s.Slots, 1)))
+	slots := float64(max(s.Slots, 1))
+	estimate := s.estimate(now)
+	waiting := max(0, estimate+1-slots)
+	cost := ratio * (1 + waiting/slots + spread*min(estimate/slots, 1))
 	if s.Domain != domain {
 		cost += crossDomain
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -136,7 +136,7 @@
 	g.mu.Lock()
 	for name, described := range offered.Services {
 		if g.services[name] == nil {
-			g.services[name] = newService(name, g.identity.Domain, described.Keyed, g.now)
+			g.services[name] = newService(name, g.identity.Domain, described.Keyed, g.identity.Incarnation, g.now)
 		}
 	}
 	g.mu.Unlock()
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -43,7 +43,7 @@
 	pumping bool
 }
 
-func newService(name, domain string, keyed bool, now func() time.Duration) *service {
+func newService(name, domain string, keyed bool, seed uint64, now func() time.Duration) *service {
 	s := &service{name: name, now: now, links: map[string]*backendlink.Pool{},
 		budget: dispatch.NewBudget(retryShare, retryReserve), busy: map[uint16]time.Duration{}}
 	var owner balance.Owner
@@ -51,7 +51,7 @@
 		s.view = newKeyView(now)
 		owner = s.view
 	}
-	s.pool = balance.NewPool(domain, owner)
+	s.pool = balance.NewPool(domain, owner, seed)
 	return s
 }
 
--- a/tools/mutants/balance.go
+++ b/tools/mutants/balance.go
@@ -21,6 +21,7 @@
 		in("server.go", "never forget reported load", "s.others*math.Exp2(-age)", "s.others*math.Exp2(-0*age)"),
 		in("server.go", "send on to silent servers", "	if s.inFlight > 0 && now-s.newsAt", "	if false && now-s.newsAt"),
 		in("server.go", "forget failures", "	s.failures += failureWeight * (failed - s.failures)\n", "	_ = failed\n"),
+		in("pool.go", "begin with the same servers everywhere", " + tieBreak*p.random.Float64()", ""),
 		in("server.go", "prefer no domain", "	if s.Domain != domain {", "	if false {"),
 		in("server.go", "count a shared server as one's own", "	return max(s.gap, alone)", "	return alone"),
 	}
