A repeated request gives the place of a long failed answer back

Cause, found by reading: an idempotent request whose first answer was a failure of more than 64 KB was sent once more without giving the first server's place back; the server then got fewer and fewer requests from this host. Change: the first answer is ended before the next attempt; a gauge counts held places. Three names made plain.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -66,24 +66,24 @@
 // controller is one keyed service as the control loop sees it. Only that loop
 // touches it.
 type controller struct {
-	service    *service
-	machine    *keyspace.Machine // nil unless this process is the controller
-	revision   uint64            // of the machine's record
-	known      map[string]fleet.Server
-	writing    bool
-	reading    bool
-	claiming   bool
-	firstAt    time.Duration // when the service was first seen
-	firstCount int           // servers when they were last counted, before the first assignment
-	countedAt  time.Duration // since when their number is the same
-	reported   time.Duration // when the last report was sent
-	heard      time.Duration // when the controller last answered one, on the boot clock
-	under      uint64        // incarnation of the controller that heard speaks of
-	wanted     time.Duration // since when a claim seems due; 0 if it does not
-	confirm    time.Duration // when the last confirmation began
-	written    time.Duration // when the last write was acknowledged
-	asked      time.Duration // when earlier controllers were last asked whether they have stopped
-	powerless  bool          // logged that authority ran out
+	service      *service
+	machine      *keyspace.Machine // nil unless this process is the controller
+	revision     uint64            // of the machine's record
+	known        map[string]fleet.Server
+	writing      bool
+	reading      bool
+	claiming     bool
+	firstAt      time.Duration // when the service was first seen
+	firstCount   int           // servers when they were last counted, before the first assignment
+	countedAt    time.Duration // since when their number is the same
+	reported     time.Duration // when the last report was sent
+	heard        time.Duration // when the controller last answered one, on the boot clock
+	heardOf      uint64        // incarnation of the controller that heard speaks of
+	wanted       time.Duration // since when a claim seems due; 0 if it does not
+	confirm      time.Duration // when the last confirmation began
+	written      time.Duration // when the last write was acknowledged
+	asked        time.Duration // when earlier controllers were last asked whether they have stopped
+	unauthorized bool          // logged that authority ran out
 }
 
 // runControl is the control loop. Answers are taken in as they come; what to do
@@ -152,7 +152,7 @@
 		if c.machine != nil {
 			g.lead(ctx, c)
 		} else {
-			g.serveUnder(ctx, c)
+			g.followController(ctx, c)
 		}
 	}
 }
@@ -166,17 +166,17 @@
 	return keyspace.Controller{Host: g.identity.Host, Address: g.identity.Peers, Incarnation: g.identity.Incarnation}
 }
 
-// serveUnder does what a host owes another controller: reports, and taking over.
-func (g *Gateway) serveUnder(ctx context.Context, c *controller) {
+// followController does what a host owes another controller: reports, and taking over.
+func (g *Gateway) followController(ctx context.Context, c *controller) {
 	now := g.boot.Now()
 	if !g.control.listed.Load() || c.claiming {
 		return
 	}
 	record, revision := c.service.view.latest()
-	if record != nil && record.Controller.Incarnation != c.under {
+	if record != nil && record.Controller.Incarnation != c.heardOf {
 		// A new controller has its own time to be heard. Judging it by its
 		// predecessor's silence would let every host take over in turn.
-		c.under, c.heard, c.wanted, c.reported = record.Controller.Incarnation, now, 0, 0
+		c.heardOf, c.heard, c.wanted, c.reported = record.Controller.Incarnation, now, 0, 0
 	}
 	switch {
 	case record == nil:
@@ -306,12 +306,12 @@
 
 // noteAuthority logs when the authority ran out and when it is back.
 func (g *Gateway) noteAuthority(c *controller, now time.Duration) {
-	powerless := !c.machine.Authority(now)
-	if powerless == c.powerless {
+	unauthorized := !c.machine.Authority(now)
+	if unauthorized == c.unauthorized {
 		return
 	}
-	c.powerless = powerless
-	if powerless {
+	c.unauthorized = unauthorized
+	if unauthorized {
 		g.log.Warn("authority ran out: the store has not confirmed this controller", "service", c.service.name)
 		return
 	}
@@ -320,7 +320,7 @@
 
 func (g *Gateway) stepDown(c *controller, why, successor string) {
 	g.log.Info("control given up", "service", c.service.name, "why", why, "successor", successor)
-	c.machine, c.writing, c.reading, c.powerless = nil, false, false, false
+	c.machine, c.writing, c.reading, c.unauthorized = nil, false, false, false
 	c.heard = g.boot.Now()
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 		directory: fleet.NewDirectory(), services: map[string]*service{},
 		control: newControl(), peers: newPeerClient(), wake: make(chan struct{}, 1),
 	}
+	g.counts.set.NewGauge("cicada_in_flight", g.inFlight)
 	g.requestLines = newLineQuota(logger, g.clock, "request")
 	g.failureLines = newLineQuota(logger, g.clock, "request that failed")
 	g.callLines = newLineQuota(logger, g.clock, "call about keys")
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -100,6 +100,25 @@
 	assert.Equal(t, got.header.Get(platformtest.Signature), "")
 }
 
+// Symptom: a server gets fewer and fewer requests, and none in the end.
+// Sequence: an idempotent request ends with a long answer of failure, and is
+// sent once more.
+// Cause: the first server's place was not given back, as nobody read its answer.
+func TestRepeatedRequestGivesTheFirstServerBack(t *testing.T) {
+	s, h := calm(t)
+	for range 4 {
+		s.servers["f1"].SetFaults(platformtest.ServerFaults{FailLong: 1})
+		s.servers["f2"].SetFaults(platformtest.ServerFaults{FailLong: 1})
+		s.call(h, http.MethodGet, "/free/x", "", "")
+	}
+	assert.Assert(t, s.runs("f1")+s.runs("f2") > 4, "no request was repeated")
+	s.eventually("no server's place is held", func() bool {
+		var page strings.Builder
+		h.gateway.WriteMetrics(&page)
+		return strings.Contains(page.String(), "cicada_in_flight 0\n")
+	})
+}
+
 // Symptom: a caller takes spoilt bytes for its answer.
 // Sequence: a server's answer is damaged, and what is left parses as a success.
 // Cause: a success was passed on without the server's proof.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -31,6 +31,17 @@
 	}
 }
 
+// inFlight returns the requests that hold a place at a server.
+func (g *Gateway) inFlight() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	total := 0
+	for _, s := range g.services {
+		total += s.inFlight()
+	}
+	return float64(total)
+}
+
 // WriteMetrics writes the metrics in the text exposition format.
 func (g *Gateway) WriteMetrics(out io.Writer) {
 	g.counts.set.WritePrometheus(out)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -165,6 +165,10 @@
 		if result.reply == nil {
 			return g.lastWord(ctx, req, result)
 		}
+		if result.reply.finish != nil {
+			// Another attempt replaces a long answer: its server is given back.
+			result.reply.finish(false)
+		}
 	}
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -155,6 +155,17 @@
 	s.pool.Pump(s.now())
 }
 
+// inFlight returns the requests that hold a place at one of the servers.
+func (s *service) inFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for _, server := range s.pool.Servers() {
+		total += server.InFlight()
+	}
+	return total
+}
+
 // takeBusy returns the load by key since the last call.
 func (s *service) takeBusy() map[uint16]time.Duration {
 	s.mu.Lock()
