One wait, one reading of log levels, one bounded read; dead code out

Read again whole. clock.Sleep serves where the gateway and the stand-in had loops of their own; logs.Level serves all daemons; backendlink's pool reads answers with ReadWhole; a method, a field and a wrapper that nothing used are gone. Behaviour is unchanged.

--- a/cmd/cicada-standin/hosted.go
+++ b/cmd/cicada-standin/hosted.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"cicadarouter/host/clock"
 	"cicadarouter/host/program"
 	"cicadarouter/platform/platformtest"
 )
@@ -39,7 +40,7 @@
 	if err := site.Start(ctx, c.Listen, c.Count); err != nil {
 		return err
 	}
-	pause(ctx, c.Wait)
+	clock.Sleep(ctx, c.Wait)
 	loading, end := context.WithTimeout(ctx, c.Duration)
 	defer end()
 	load := &platformtest.Load{Hosts: strings.Split(c.Hosts, ","), Callers: c.Callers}
@@ -68,13 +69,13 @@
 
 // trouble takes the store away for a while and lets a server join.
 func (c *hostedCommand) trouble(loading, serving context.Context, site *platformtest.Site) error {
-	pause(loading, c.AwayAt)
+	clock.Sleep(loading, c.AwayAt)
 	site.Store.SetFaults(platformtest.Faults{Refuse: true})
 	fmt.Println("the store turns calls away")
-	pause(loading, c.AwayFor)
+	clock.Sleep(loading, c.AwayFor)
 	site.Store.SetFaults(platformtest.Faults{})
 	fmt.Println("the store is back")
-	pause(loading, c.JoinAfter-c.AwayAt-c.AwayFor)
+	clock.Sleep(loading, c.JoinAfter-c.AwayAt-c.AwayFor)
 	fmt.Println("a backend server joins")
 	return site.AddKeyed(serving)
 }
@@ -85,14 +86,7 @@
 		if key, held := site.HeldTwice(); held {
 			broken = append(broken, fmt.Sprintf("key %d is held by two servers", key))
 		}
-		pause(ctx, heldTwiceEvery)
+		clock.Sleep(ctx, heldTwiceEvery)
 	}
 	return broken
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"cicadarouter/balance"
 	"cicadarouter/contract/adapter"
@@ -69,7 +68,6 @@
 		}
 		req.service.done(server, result.outcome, took, result.load, req.key())
 	}
-	result.reply.server = server.ID
 	if result.reply.rest == nil {
 		finish(true)
 		return result
@@ -154,7 +152,7 @@
 		if meta.WrongServer {
 			result.outcome = balance.Unreachable // the server has ended
 		}
-		result.reply = &reply{outcome: "server-refused", status: http.StatusServiceUnavailable, retryAfter: g.whenFree(req)}
+		result.reply = &reply{outcome: "server-refused", status: http.StatusServiceUnavailable, retryAfter: req.service.mean()}
 		return result, response
 	}
 	if response.StatusCode < http.StatusMultipleChoices && !meta.Proven {
@@ -164,7 +162,6 @@
 	result.reply = &reply{outcome: outcomeAnswered, status: response.StatusCode, header: forwardable(response.Header), body: data}
 	if !whole {
 		result.reply.rest = response.Body
-		result.reply.body = data
 	}
 	if !bodyAllowed(req.http, response.StatusCode) {
 		result.reply.body = nil
@@ -198,6 +195,3 @@
 	}
 	return false
 }
-
-// whenFree is how long a turned-away caller should stay away: one service time.
-func (g *Gateway) whenFree(req *request) time.Duration { return req.service.mean() }
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -8,6 +8,7 @@
 
 	"cicadarouter/contract/adapter"
 	"cicadarouter/contract/objects"
+	"cicadarouter/host/clock"
 	"cicadarouter/keyspace"
 )
 
@@ -127,7 +128,7 @@
 		ended := &writeEnded{controller: c, machine: machine, record: record, began: g.boot.Now()}
 		ended.stored, ended.err = g.putRecord(ctx, c, record, revision)
 		if ended.err != nil {
-			g.sleep(ctx, writePause)
+			clock.Sleep(ctx, writePause)
 		}
 		g.post(ctx, ended)
 	}()
@@ -248,7 +249,7 @@
 		ended := &claimEnded{controller: c, record: record, began: g.boot.Now()}
 		ended.stored, ended.err = g.putRecord(ctx, c, record, revision)
 		if ended.err != nil {
-			g.sleep(ctx, writePause)
+			clock.Sleep(ctx, writePause)
 		}
 		g.post(ctx, ended)
 	}()
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cicadarouter/fleet"
+	"cicadarouter/host/clock"
 	"cicadarouter/host/ring"
 	"cicadarouter/keyspace"
 )
@@ -107,7 +108,7 @@
 		timer.Stop()
 		g.drainEvents()
 		if early := stepLeast - (g.boot.Now() - stepped); early > 0 {
-			g.sleep(ctx, early)
+			clock.Sleep(ctx, early)
 			g.drainEvents()
 		}
 		stepped = g.boot.Now()
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -58,16 +58,7 @@
 func newLines() *logs.Bounded { return logs.NewBounded(logLines) }
 
 func newLog(s Settings, lines *logs.Bounded) *log.Logger {
-	return logs.New(lines, "cicada-gateway", s.Host, levelOf(s.LogLevel))
-}
-
-// levelOf returns the level of a name that the settings have checked.
-func levelOf(name string) log.Level {
-	level, err := log.ParseLevel(name)
-	if err != nil {
-		return log.InfoLevel
-	}
-	return level
+	return logs.New(lines, "cicada-gateway", s.Host, logs.Level(s.LogLevel))
 }
 
 func newStore(s Settings) *platform.Store { return platform.NewStore(s.Store) }
@@ -230,7 +221,7 @@
 		return
 	}
 	d.store.SetAddress(fresh.Store)
-	d.log.SetLevel(levelOf(fresh.LogLevel))
+	d.log.SetLevel(logs.Level(fresh.LogLevel))
 	kept := fresh
 	kept.Store, kept.LogLevel = d.settings.Store, d.settings.LogLevel
 	d.log.Info("settings read again", "store", fresh.Store, "level", fresh.LogLevel, "others-wait-for-restart", kept != d.settings)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -8,6 +8,7 @@
 
 	"cicadarouter/contract/objects"
 	"cicadarouter/fleet"
+	"cicadarouter/host/clock"
 	"cicadarouter/keyspace"
 )
 
@@ -54,7 +55,7 @@
 				return
 			}
 			connected = g.lost(f, err, connected)
-			g.sleep(ctx, pause)
+			clock.Sleep(ctx, pause)
 			pause = min(2*pause, awayMost)
 			continue
 		}
@@ -68,7 +69,7 @@
 		g.fresh.known(f.kind, listing.Revision, !connected || len(listing.Objects) > 0)
 		connected, pause, revision = true, awayFirst, listing.Revision
 		if f.gather > 0 {
-			g.sleep(ctx, g.gatherFor(f.gather))
+			clock.Sleep(ctx, g.gatherFor(f.gather))
 		}
 	}
 }
@@ -117,15 +118,6 @@
 	return connected && !compacted
 }
 
-func (g *Gateway) sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // followServers follows the entries of backend servers.
 func (g *Gateway) followServers(ctx context.Context) {
 	g.follow(ctx, follower{
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -21,7 +21,6 @@
 	retryAfter time.Duration
 	expected   time.Duration
 	cause      error
-	server     string
 }
 
 // Outcomes of requests, as logged and counted.
--- a/host/controller.go
+++ b/host/controller.go
@@ -39,7 +39,7 @@
 }
 
 func controllerLog(s ControllerSettings) *log.Logger {
-	return logs.New(os.Stderr, "cicada-controller", s.Host, parseLevel(s.LogLevel))
+	return logs.New(os.Stderr, "cicada-controller", s.Host, logs.Level(s.LogLevel))
 }
 
 func controllerStore(s ControllerSettings) platform.Store {
--- a/host/logs/logs.go
+++ b/host/logs/logs.go
@@ -21,3 +21,12 @@
 
 // Discard returns a logger that writes nothing.
 func Discard() *log.Logger { return log.New(io.Discard) }
+
+// Level returns the level of a name that the settings have checked.
+func Level(name string) log.Level {
+	level, err := log.ParseLevel(name)
+	if err != nil {
+		return log.InfoLevel
+	}
+	return level
+}
--- a/host/options.go
+++ b/host/options.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"cicadarouter/host/settings"
 )
 
@@ -121,12 +119,3 @@
 func nonEmpty(set func(string) bool, target *[]string) func(string) bool {
 	return func(value string) bool { return set(value) && len(*target) > 0 }
 }
-
-// parseLevel returns the log level of a checked setting.
-func parseLevel(text string) log.Level {
-	level, err := log.ParseLevel(text)
-	if err != nil {
-		return log.InfoLevel
-	}
-	return level
-}
--- a/host/router.go
+++ b/host/router.go
@@ -40,7 +40,7 @@
 }
 
 func routerLog(s RouterSettings) *log.Logger {
-	return logs.New(os.Stderr, "cicada-router", s.Host, parseLevel(s.LogLevel))
+	return logs.New(os.Stderr, "cicada-router", s.Host, logs.Level(s.LogLevel))
 }
 
 // newIncarnation names this run of a process. It never is 0.
--- a/keyspace/machine.go
+++ b/keyspace/machine.go
@@ -165,15 +165,6 @@
 	return l
 }
 
-// BackAt returns when a range is expected to have an owner at the latest.
-func (m *Machine) BackAt(r *Range) time.Duration {
-	var back time.Duration
-	for _, former := range r.Former {
-		back = max(back, m.lease(r, former).until)
-	}
-	return back
-}
-
 // Step returns the calls to make now, and sets Pending if the record has to
 // change. servers are those that may hold keys.
 func (m *Machine) Step(now time.Duration, servers []Server) []Call {
--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -12,7 +12,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -131,11 +130,11 @@
 		return Answer{}, false, &SendError{Written: true, Cause: err}
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, p.maxAnswer+1))
+	body, whole, err := ReadWhole(response.Body, int(p.maxAnswer))
 	if err != nil {
 		return Answer{}, false, &SendError{Written: true, Cause: err}
 	}
-	if int64(len(body)) > p.maxAnswer {
+	if !whole {
 		return Answer{}, false, &SendError{Written: true, Cause: ErrAnswerTooLarge}
 	}
 	reusable := !response.Close && link.reader.Buffered() == 0
