A refused body is read, so that its caller finds 413 and no reset

A request refused by its length left 100 KB unread; the server closes such a connection half a second later, which resets it, and a caller that has not read by then loses the answer. Change: up to 256 KB of a refused body are read before the answer. The pause before a key's owner is tried again uses clock.Sleep, as elsewhere.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -37,7 +38,9 @@
 	s, h := calm(t)
 	assert.Equal(t, s.call(h, http.MethodGet, "/nowhere/", "", "").status, http.StatusNotFound)
 	assert.Equal(t, s.call(h, http.MethodGet, "/keyed/x", "", "").status, http.StatusBadRequest)
-	assert.Equal(t, s.call(h, http.MethodPost, "/once/x", "", strings.Repeat("x", 100001)).status, http.StatusRequestEntityTooLarge)
+	big := s.call(h, http.MethodPost, "/once/x", "", strings.Repeat("x", 100001))
+	assert.NilError(t, big.err)
+	assert.Equal(t, big.status, http.StatusRequestEntityTooLarge)
 
 	s.configure(4, `,{"name":"more","path-prefix":"/free/more/","kind":"safe","timeout":"5000ms","service":"none-such"}`)
 	s.configure(5, `,{"name":"more","path-prefix":"/more/","kind":"safe","timeout":"5000ms","service":"free","max-attempts":1}`)
@@ -174,3 +177,18 @@
 }
 
 func (s *site) runs(id string) int { return len(s.servers[id].Runs()) }
+
+// Symptom: a caller whose request is too large sees a reset connection, not 413.
+// Sequence: the host refuses the request by its length and closes with the body
+// unread, half a second later; the caller, being slow, has not read the answer.
+// Cause: closing a connection with unread bytes resets it.
+func TestRefusedBodyIsRead(t *testing.T) {
+	_, h := calm(t)
+	const size = 100001
+	body := strings.NewReader(strings.Repeat("x", size))
+	request := httptest.NewRequest(http.MethodPost, "http://site.example/once/x", body)
+	answer := httptest.NewRecorder()
+	h.gateway.ServeHTTP(answer, request)
+	assert.Equal(t, answer.Code, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, body.Len(), 0, "bytes were left unread")
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -12,6 +12,7 @@
 
 	"cicadarouter/balance"
 	"cicadarouter/contract/adapter"
+	"cicadarouter/host/clock"
 	"cicadarouter/link/backendlink"
 	"cicadarouter/routing"
 )
@@ -24,6 +25,9 @@
 	// heldBody is how much of a request's body is read before a server is
 	// chosen, in bytes; longer bodies are streamed and sent once only.
 	heldBody = 64 << 10
+	// mostDrained bounds what is read of a refused body, in bytes: what the
+	// standard library reads of a body that its handler left.
+	mostDrained = 256 << 10
 	// heldAnswer is how much of an answer is read before the caller gets its
 	// first byte, in bytes: an answer that breaks off within it can be replaced.
 	heldAnswer = 64 << 10
@@ -125,7 +129,7 @@
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request) *reply {
 	limit := req.configuration.Limits.BodyBytes
 	if limit > 0 && r.ContentLength > limit {
-		return refusal(http.StatusRequestEntityTooLarge, "body-too-large", nil)
+		return refusal(http.StatusRequestEntityTooLarge, "body-too-large", drain(r.Body))
 	}
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil
@@ -149,6 +153,14 @@
 	return nil
 }
 
+// drain reads what a refused caller is still sending, up to mostDrained. Closing
+// a connection with unread bytes resets it, and a caller that is slow to read
+// then finds the reset in place of its answer.
+func drain(body io.Reader) error {
+	_, err := io.Copy(io.Discard, io.LimitReader(body, mostDrained))
+	return err
+}
+
 // forward sends the request to servers until it has a final answer.
 func (g *Gateway) forward(ctx context.Context, req *request) *reply {
 	for {
@@ -215,7 +227,8 @@
 	g.logRetry(req, result)
 	g.counts.retries.Inc()
 	if req.service.view != nil {
-		return g.awaitOwner(ctx)
+		clock.Sleep(ctx, ownerPause)
+		return ctx.Err() == nil
 	}
 	return true
 }
@@ -228,17 +241,6 @@
 	ownerPause = 40 * time.Millisecond
 )
 
-func (g *Gateway) awaitOwner(ctx context.Context) bool {
-	timer := time.NewTimer(ownerPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *service) mean() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
