Assignments travel between hosts as patches

Cause: each change of an assignment went whole to every other host: 15 KB at 170 servers, three quarters of it to other failure domains, several times a second while keys move.

Change: keyspace.Diff and Patch.Apply; the controller's relay answers a host that has an earlier version with what differs (198 bytes in place of 10,064 for one move of 170 ranges), and with the record whole if asked or if that version is not kept any more. A host that has another version than the patch is for asks for it whole.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
 	"cicadarouter/contract/objects"
 	"cicadarouter/fleet"
 	"cicadarouter/host/clock"
-	"cicadarouter/keyspace"
 )
 
 // Times of following the store.
@@ -227,11 +225,7 @@
 		g.log.Error("assignment deleted in the store; the last one stays in force", "service", object.Name)
 		return
 	}
-	record := &keyspace.Record{}
-	err := json.Unmarshal(object.Spec, record)
-	if err == nil {
-		err = record.Check()
-	}
+	record, err := decodeAssignment(object)
 	if err != nil {
 		g.log.Error("assignment left aside", "service", object.Name, "revision", object.Revision, "error", err.Error())
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,7 @@
 	control control
 	fresh   freshness
 	relay   relay
+	patches patches
 	peers   *http.Client
 	wake    chan struct{} // the controller has something to do
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,7 +12,9 @@
 )
 
 // relayKept is how many changes of a kind are kept for hosts that are behind.
-const relayKept = 64
+// One that is further behind lists the kind anew. Each change of an assignment
+// holds the whole record, some 15 KB at 170 servers.
+const relayKept = 32
 
 // relay passes what a controller learns of the store on to the other hosts:
 // each call to the store has a price, a call between hosts has none. A host
@@ -26,8 +28,10 @@
 // relayed is what is known of one kind.
 type relayed struct {
 	revision uint64
-	kept     []relayedChange
-	changed  chan struct{}
+	// first holds the assignments as they were before the kept changes.
+	first   []objects.Object
+	kept    []relayedChange
+	changed chan struct{}
 }
 
 // relayedChange is what changed after one revision, up to that of the listing.
@@ -55,7 +59,10 @@
 	defer r.mu.Unlock()
 	known := r.kind(name)
 	if complete {
-		known.kept = nil
+		known.kept, known.first = nil, nil
+		if name == Assignments {
+			known.first = listing.Objects
+		}
 	} else if len(listing.Objects) > 0 {
 		known.kept = append(known.kept, relayedChange{after: known.revision, listing: listing})
 		if len(known.kept) > relayKept {
@@ -87,9 +94,45 @@
 			listing.Objects = append(listing.Objects, change.listing.Objects...)
 		}
 	}
+	listing.Objects = latest(listing.Objects)
 	return listing, known.changed, revision >= oldest
 }
 
+// latest leaves the last of the changes of each object.
+func latest(changes []objects.Object) []objects.Object {
+	last := make(map[string]int, len(changes))
+	for i, object := range changes {
+		last[object.Name] = i
+	}
+	var kept []objects.Object
+	for i, object := range changes {
+		if last[object.Name] == i {
+			kept = append(kept, object)
+		}
+	}
+	return kept
+}
+
+// versionAt returns an assignment as a host knows it that is up to date with
+// the kind at a revision; ok is false if that version is not kept.
+func (r *relay) versionAt(name string, revision uint64) (found objects.Object, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.kind(Assignments)
+	take := func(versions []objects.Object) {
+		for _, object := range versions {
+			if object.Name == name && object.Revision <= revision && object.Revision >= found.Revision {
+				found, ok = object, !object.Deleted
+			}
+		}
+	}
+	take(known.first)
+	for _, change := range known.kept {
+		take(change.listing.Objects)
+	}
+	return found, ok
+}
+
 // watch waits until a kind has changed after a revision.
 func (r *relay) watch(ctx context.Context, name string, revision uint64, wait time.Duration) (objects.Listing, error) {
 	timer := time.NewTimer(wait)
@@ -117,18 +160,44 @@
 	Kind     string `json:"kind"`
 	Revision uint64 `json:"revision"`
 	WaitMs   int64  `json:"waitMs"`
+	// Whole asks for whole assignments in place of patches.
+	Whole bool `json:"whole,omitempty"`
+}
+
+// watchAnswer is what a controller passes on.
+type watchAnswer struct {
+	objects.Listing
+	// Patches stand in place of the assignments that the host knows an earlier
+	// version of.
+	Patches []assignmentPatch `json:"patches,omitempty"`
 }
 
 // relayedWatch asks a controller in place of the store.
 func (g *Gateway) relayedWatch(ctx context.Context, controller, kind string, revision uint64, wait time.Duration) (objects.Listing, error) {
-	var listing objects.Listing
 	request := watchRequest{Kind: kind, Revision: revision, WaitMs: wait.Milliseconds()}
-	err := g.askPeer(ctx, wait+peerTimeout, controller, pathWatch, request, &listing)
+	listing, err := g.askRelay(ctx, controller, request)
+	var unfit *patchUnfitError
+	if errors.As(err, &unfit) {
+		g.log.Info("patch of an assignment does not fit; asking for it whole", "service", unfit.Service,
+			"base", unfit.Base, "known", unfit.Known, "controller", controller)
+		request.Whole = true
+		return g.askRelay(ctx, controller, request)
+	}
+	return listing, err
+}
+
+func (g *Gateway) askRelay(ctx context.Context, controller string, request watchRequest) (objects.Listing, error) {
+	var answer watchAnswer
+	wait := time.Duration(request.WaitMs) * time.Millisecond
+	err := g.askPeer(ctx, wait+peerTimeout, controller, pathWatch, request, &answer)
 	var status *peerStatusError
 	if errors.As(err, &status) && status.Status == http.StatusGone {
-		return listing, objects.ErrCompacted
+		return objects.Listing{}, objects.ErrCompacted
 	}
-	return listing, err
+	if err != nil {
+		return objects.Listing{}, err
+	}
+	return g.patchedTogether(&answer)
 }
 
 // answerWatch answers another host's watch, as long as this host is a
@@ -150,7 +219,11 @@
 	if err != nil {
 		return // the other host has gone
 	}
-	if err := json.NewEncoder(w).Encode(listing); err != nil {
+	answer := &watchAnswer{Listing: listing}
+	if request.Kind == Assignments && !request.Whole {
+		answer = g.patches.shorten(&g.relay, listing, request.Revision)
+	}
+	if err := json.NewEncoder(w).Encode(answer); err != nil {
 		g.log.Info("answer to a host not written", "error", err.Error())
 	}
 }
