Keys stay with a silent owner until its lease has run out; retries 0.16; cost by kind

Change: an owner without an entry that does not answer keeps its keys until its lease has run out; one that answers (last call, or a probe by a controller that has just taken over) is asked to release at once, as before. retryShare 0.16 of 0.2 allowed, reserve 3 a host. The cost of a server counts the work of the kind of request, so short ones look for free slots rather than speed.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -211,7 +211,7 @@
 // that are passed over or that had the request are left out.
 func (p *Pool) cheapest(now time.Duration, waiter *Waiter, strict bool) *Server {
 	var best *Server
-	least := 0.0
+	least, work := 0.0, p.work(waiter.Objective)
 	for _, server := range p.order {
 		if server.Draining || !server.room(now, p.mean) {
 			continue
@@ -219,7 +219,7 @@
 		if strict && (!server.usable(now) || slices.Contains(waiter.Tried, server.ID)) {
 			continue
 		}
-		cost := server.cost(now, p.mean, p.domain) + tieBreak*p.random.Float64()
+		cost := server.cost(now, p.mean, work, p.domain) + tieBreak*p.random.Float64()
 		if best == nil || cost < least {
 			best, least = server, cost
 		}
--- a/balance/server.go
+++ b/balance/server.go
@@ -155,7 +155,7 @@
 
 // cost is the expected time of one more request, in service times of the
 // service's mean server.
-func (s *Server) cost(now, mean time.Duration, domain string) float64 {
+func (s *Server) cost(now, mean, work time.Duration, domain string) float64 {
 	ratio := s.ratio
 	if now < s.coldUntil {
 		ratio = max(ratio, coldFactor)
@@ -163,7 +163,8 @@
 	slots := float64(max(s.Slots, 1))
 	estimate := s.estimate(now, mean)
 	waiting := max(0, estimate+1-slots)
-	cost := ratio * (1 + waiting/slots + spread*min(estimate/slots, 1))
+	own := float64(work) / float64(max(mean, 1))
+	cost := ratio * (own + waiting/slots + spread*min(estimate/slots, 1))
 	if s.Domain != domain {
 		cost += crossDomain
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -19,11 +19,12 @@
 	// mostAnswer bounds answers that are read whole by backendlink's callers;
 	// the gateway streams longer ones.
 	mostAnswer = 1 << 20
-	// retryShare is the share of requests that may be sent once more. Half of
-	// what operators allow (0.2): the counts are taken over other windows.
-	retryShare = 0.1
+	// retryShare is the share of requests that may be sent once more. Operators
+	// allow 0.2 of all hosts together, counted over windows of their own, and some
+	// tens beyond; what is left of it covers the reserves of all hosts.
+	retryShare = 0.16
 	// retryReserve is how many may be at once after a calm time.
-	retryReserve = 4
+	retryReserve = 3
 	// pumpEvery is how often waiting requests are looked at when nothing else
 	// happens: estimates of load decay in hundreds of milliseconds.
 	pumpEvery = 20 * time.Millisecond
--- a/keyspace/change.go
+++ b/keyspace/change.go
@@ -15,7 +15,7 @@
 		changed = changed || len(next.Earlier) > 0
 		next.Earlier = nil
 		servers = m.markSilent(servers)
-		moves := evacuations(next, live, servers, m.loads)
+		moves := evacuations(next, live, servers, m.loads, func(r *Range) bool { return m.waitFor(now, r) })
 		if len(moves) == 0 && now >= m.calm && now-m.planned >= planEvery {
 			moves = rebalance(next, servers, m.loads)
 			m.planned = now
@@ -28,6 +28,15 @@
 	}
 }
 
+// waitFor reports a lost owner whose keys stay with it until its lease has run
+// out: it does not answer, so nobody can have them earlier. An owner that is
+// only cut off is back by then, more often than not with its whole failure
+// domain, whose keys would otherwise fill the other servers for seconds after.
+func (m *Machine) waitFor(now time.Duration, r *Range) bool {
+	l := m.lease(r, r.Holder)
+	return !m.gone[r.Server] && !l.heard && now < l.until
+}
+
 // markSilent marks the servers that left a grant unanswered. One that has fallen
 // silent has no load soon, and would be given the busiest keys.
 func (m *Machine) markSilent(servers []Server) []Server {
--- a/keyspace/machine.go
+++ b/keyspace/machine.go
@@ -31,6 +31,7 @@
 	next     time.Duration // not granted again before
 	retry    time.Duration // not asked to release again before
 	silent   bool          // the last grant had no answer: probe before granting again
+	heard    bool          // the last call had an answer
 	granted  bool
 	stale    bool // refused: the server has seen a higher token
 }
@@ -209,10 +210,14 @@
 	if !free {
 		return calls
 	}
+	l := m.lease(r, r.Holder)
 	if _, alive := live[r.Server]; !alive {
+		if !l.heard && !l.silent && !l.calling && !probed[r.Server] && !m.gone[r.Server] {
+			l.calling, probed[r.Server] = true, true
+			calls = append(calls, Call{Kind: ProbeCall, Server: r.Server, From: r.From, To: r.To, Token: r.Token})
+		}
 		return calls
 	}
-	l := m.lease(r, r.Holder)
 	if l.calling || now < l.next || m.changing(r) {
 		return calls
 	}
@@ -258,6 +263,7 @@
 		return
 	}
 	l.calling = false
+	l.heard = result != CallUnanswered
 	switch call.Kind {
 	case GrantCall:
 		m.grantAnswered(l, result, began, ended)
