What is not known of a server's load is taken to be usual

Change: for the choice among servers the reported load fades to what is usual (smoothed over all reports), so a host stays with servers of which it knows that they have room. Whether there is room at all is judged as before. The random cost is 0.05 in place of 0.15.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -38,6 +38,8 @@
 	mean    time.Duration
 	kinds   map[time.Duration]*kind // by objective
 	random  *rand.Rand
+	// usual is the smoothed load by other hosts over a server's slots.
+	usual float64
 	// gap is the smoothed time between two requests that were given a server
 	// while others waited; crowdedAt is when that last was.
 	gap, crowdedAt time.Duration
@@ -219,7 +221,7 @@
 		if strict && (!server.usable(now) || slices.Contains(waiter.Tried, server.ID)) {
 			continue
 		}
-		cost := server.cost(now, p.mean, work, p.domain) + tieBreak*p.random.Float64()
+		cost := server.cost(now, p.mean, work, p.usual, p.domain) + tieBreak*p.random.Float64()
 		if best == nil || cost < least {
 			best, least = server, cost
 		}
@@ -264,6 +266,7 @@
 	}
 	if end.Load != nil {
 		server.report(now, *end.Load)
+		p.usual += usualWeight * (server.others/float64(max(server.Slots, 1)) - p.usual)
 	}
 	if end.Outcome == Refused {
 		server.refused(now)
--- a/balance/replay_test.go
+++ b/balance/replay_test.go
@@ -454,3 +454,25 @@
 		assert.Assert(t, got.credit() > other.credit()+0.1, name)
 	}
 }
+
+// manyHosts is a service of 153 small servers behind 76 hosts: each host meets
+// each server once in 15 s.
+func manyHosts() load {
+	return load{hosts: 76, servers: 153, slots: 2, perSecond: 768, burst: 1, length: 20 * time.Second, seed: 1, returns: true,
+		kinds: []modelKind{
+			{share: 0.42, mean: 65 * ms, objective: 250 * ms, patience: 600 * ms, priority: 1, worth: 2},
+			{share: 0.58, mean: 410 * ms, objective: 1200 * ms, patience: 3 * time.Second, priority: 2, worth: 1},
+		}}
+}
+
+// Symptom: short requests end in the queues of some servers while others are
+// idle.
+// Sequence: 76 hosts send to 153 servers; none has recent news of most of them.
+// Cause: a server without news was taken for idle, and preferred to one that had
+// just told that it has a free slot.
+func TestReplayManyHosts(t *testing.T) {
+	got, turn := replay(manyHosts(), ours), replay(manyHosts(), inTurn)
+	t.Log("ours:", got)
+	t.Log("in turn:", turn)
+	assert.Assert(t, got.worth() > turn.worth()+0.12)
+}
--- a/balance/server.go
+++ b/balance/server.go
@@ -59,6 +59,9 @@
 	// of the service time. Traffic between domains is dear; a queue of more
 	// than half a service time is dearer.
 	crossDomain = 0.6
+	// usualWeight is the weight of a new report in what is usual: some fifty
+	// servers.
+	usualWeight = 0.02
 	// gapWeight is the weight of a new gap between completions.
 	gapWeight = 0.3
 	// spread is the cost of a server whose slots are all busy over one with free
@@ -66,7 +69,7 @@
 	spread = 0.4
 	// tieBreak is the range of a random cost. Hosts that know equally little
 	// would otherwise all begin with the same servers.
-	tieBreak = 0.15
+	tieBreak = 0.05
 	// failureWeight is the weight of a new outcome in the failure rate.
 	failureWeight = 0.12
 	// failureCost is how many service times a certain failure is worth. A
@@ -120,12 +123,29 @@
 
 // estimate returns the requests believed to be at the server, from all hosts.
 func (s *Server) estimate(now, mean time.Duration) float64 {
+	age := float64(now-s.reportAt) / s.halfLife(mean)
+	return float64(s.inFlight) + s.others*math.Exp2(-age)
+}
+
+// halfLife is the age in nanoseconds at which the load last reported counts half.
+func (s *Server) halfLife(mean time.Duration) float64 {
 	halfLife := loadHalfLife * float64(mean) * s.Ratio()
 	if s.inFlight > 0 {
 		halfLife *= busyFactor
 	}
-	age := float64(now-s.reportAt) / halfLife
-	return float64(s.inFlight) + s.others*math.Exp2(-age)
+	return halfLife
+}
+
+// expected is estimate for the choice of a server: what is not known of others'
+// requests is taken to be usual. Were a server without news taken for idle, it
+// would be preferred to one that has just told that it has a free slot, and with
+// more servers than a host meets each second that is nearly always one of them.
+func (s *Server) expected(now, mean time.Duration, usual float64) float64 {
+	if s.reportAt == 0 {
+		return float64(s.inFlight) + usual*float64(s.Slots)
+	}
+	fresh := math.Exp2(-float64(now-s.reportAt) / s.halfLife(mean))
+	return float64(s.inFlight) + s.others*fresh + usual*float64(s.Slots)*(1-fresh)
 }
 
 // room reports whether the server is believed to have space for one more. A
@@ -155,13 +175,13 @@
 
 // cost is the expected time of one more request, in service times of the
 // service's mean server.
-func (s *Server) cost(now, mean, work time.Duration, domain string) float64 {
+func (s *Server) cost(now, mean, work time.Duration, usual float64, domain string) float64 {
 	ratio := s.ratio
 	if now < s.coldUntil {
 		ratio = max(ratio, coldFactor)
 	}
 	slots := float64(max(s.Slots, 1))
-	estimate := s.estimate(now, mean)
+	estimate := s.expected(now, mean, usual)
 	waiting := max(0, estimate+1-slots)
 	own := float64(work) / float64(max(mean, 1))
 	cost := ratio * (own + waiting/slots + spread*min(estimate/slots, 1))
