--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -289,3 +289,17 @@
 	}
 	assert.Assert(t, most <= 8, "%d of %d hosts began with one of 20 servers", most, hosts)
 }
+
+// A server that has just told that it has a free slot is preferred to one of
+// which nothing has been heard for long, however idle that was then.
+func TestNoNewsIsUsual(t *testing.T) {
+	p := pool(fleet.Server{ID: "idle", Domain: "home", Slots: 2}, fleet.Server{ID: "old", Domain: "home", Slots: 2})
+	p.usual = 0.8
+	p.servers["old"].report(0, Load{Slots: 2})
+	p.servers["idle"].report(20*time.Second, Load{Running: 1, Slots: 2})
+	for range 5 {
+		w := enter(p, 20*time.Second, Waiter{})
+		assert.Equal(t, w.Server.ID, "idle")
+		p.Done(20*time.Second, w.Server, End{Outcome: Abandoned})
+	}
+}
