--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -295,7 +295,7 @@
 func TestNoNewsIsUsual(t *testing.T) {
 	p := pool(fleet.Server{ID: "idle", Domain: "home", Slots: 2}, fleet.Server{ID: "old", Domain: "home", Slots: 2})
 	p.usual = 0.8
-	p.servers["old"].report(0, Load{Slots: 2})
+	p.servers["old"].report(time.Second, Load{Slots: 2})
 	p.servers["idle"].report(20*time.Second, Load{Running: 1, Slots: 2})
 	for range 5 {
 		w := enter(p, 20*time.Second, Waiter{})
