A randomized fault soak: real daemons as processes, faults from outside, promises checked

Checked while it runs and after: a key held twice, a non-idempotent request run twice, refusals that were not true, answers of others, requests cut by planned stops, versions and leaving servers obeyed in time where nothing was wrong for 3 s, processes that end by themselves, all served again 20 s after the last fault. A run of 5 s is a test.

--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,198 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"cicadarouter/platform/platformtest"
+)
+
+// fault is one kind of trouble. do makes it, holds it for a time, and ends it.
+// Its choices are drawn before it runs, so that a seed gives the same series.
+type fault struct {
+	name string
+	// weight is how often it comes beside others.
+	weight int
+	// plan draws where it strikes.
+	plan func(r *run, random *rand.Rand, length time.Duration) func(ctx context.Context)
+}
+
+// faults lists all kinds.
+func faults() []fault {
+	return []fault{
+		{"a host is stopped and started", 3, onHost(func(ctx context.Context, h *host, _ time.Duration) { h.terminate() })},
+		{"a host is killed", 3, onHost(func(ctx context.Context, h *host, length time.Duration) { h.kill(); pause(ctx, length/4) })},
+		{"a host is paused", 3, onHost(func(ctx context.Context, h *host, length time.Duration) { h.pause(length) })},
+		{"a host reads its settings", 1, onHost(func(ctx context.Context, h *host, _ time.Duration) { h.signal(syscall.SIGHUP, false) })},
+		{"all hosts are killed", 1, killAll},
+		{"a host is cut off from the store", 2, onStoreLink(Link{CutTo: true, CutFrom: true})},
+		{"the store hears a host but its answers are lost", 2, onStoreLink(Link{CutFrom: true})},
+		{"a host's calls to the store are slow", 1, onStoreLink(Link{Delay: 150 * time.Millisecond})},
+		{"connections to the store are reset", 1, resetStoreLinks},
+		{"the store turns calls away", 2, onStore(platformtest.Faults{Refuse: true})},
+		{"the store loses answers to writes", 2, onStore(platformtest.Faults{LoseAnswers: 5})},
+		{"the store's watches are deaf", 1, deafen},
+		{"a server is cut off", 3, onServerLink(Link{CutTo: true, CutFrom: true})},
+		{"a server's answers are held up", 2, onServerLink(Link{CutFrom: true})},
+		{"what goes to a server is held up", 2, onServerLink(Link{CutTo: true})},
+		{"connections to a server are reset", 2, resetServerLink},
+		{"a server turns requests away", 1, onServer(platformtest.ServerFaults{Shed: true})},
+		{"a server loses answers", 1, onServer(platformtest.ServerFaults{LoseAnswers: 10})},
+		{"a server breaks answers off", 1, onServer(platformtest.ServerFaults{BreakOff: 10})},
+		{"a server gives other requests' answers", 1, onServer(platformtest.ServerFaults{OtherID: true})},
+		{"a server leaves grants unanswered", 2, onServer(platformtest.ServerFaults{IgnoreGrants: true})},
+		{"a server joins", 1, joins},
+		{"a server leaves", 1, leaves},
+		{"the configuration changes", 3, configures},
+	}
+}
+
+// series draws faults by a seed.
+type series struct {
+	random *rand.Rand
+	pool   []fault // each as often as its weight says
+}
+
+func newSeries(seed uint64) *series {
+	s := &series{random: rand.New(rand.NewPCG(seed, 1))}
+	for _, kind := range faults() {
+		for range kind.weight {
+			s.pool = append(s.pool, kind)
+		}
+	}
+	return s
+}
+
+// Faults last between leastLength and leastLength + spanLength: below and above
+// the leases and the authority of a controller, 5 and 5.5 s.
+const (
+	leastLength = 300 * time.Millisecond
+	spanLength  = 6 * time.Second
+)
+
+// next draws a fault and how long it lasts.
+func (s *series) next() (fault, time.Duration) {
+	kind := s.pool[s.random.IntN(len(s.pool))]
+	return kind, leastLength + time.Duration(s.random.Int64N(int64(spanLength)))
+}
+
+// pause waits, or until the context ends.
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+	}
+}
+
+type plan = func(r *run, random *rand.Rand, length time.Duration) func(ctx context.Context)
+
+func onHost(do func(ctx context.Context, h *host, length time.Duration)) plan {
+	return func(r *run, random *rand.Rand, length time.Duration) func(ctx context.Context) {
+		h := r.hosts[random.IntN(len(r.hosts))]
+		return func(ctx context.Context) {
+			do(ctx, h, length)
+			r.restart(h)
+		}
+	}
+}
+
+func killAll(r *run, _ *rand.Rand, length time.Duration) func(ctx context.Context) {
+	return func(ctx context.Context) {
+		for _, h := range r.hosts {
+			h.kill()
+		}
+		pause(ctx, length/4)
+		for _, h := range r.hosts {
+			r.restart(h)
+		}
+	}
+}
+
+func onStoreLink(link Link) plan {
+	return func(r *run, random *rand.Rand, length time.Duration) func(ctx context.Context) {
+		h := r.hosts[random.IntN(len(r.hosts))]
+		return func(ctx context.Context) {
+			h.store.Set(link)
+			pause(ctx, length)
+			h.store.Set(Link{})
+		}
+	}
+}
+
+func resetStoreLinks(r *run, _ *rand.Rand, _ time.Duration) func(ctx context.Context) {
+	return func(context.Context) {
+		for _, h := range r.hosts {
+			h.store.Reset()
+		}
+	}
+}
+
+func onStore(faults platformtest.Faults) plan {
+	return func(r *run, _ *rand.Rand, length time.Duration) func(ctx context.Context) {
+		return func(ctx context.Context) {
+			r.site.Store.SetFaults(faults)
+			pause(ctx, length)
+			r.site.Store.SetFaults(platformtest.Faults{})
+		}
+	}
+}
+
+func deafen(r *run, _ *rand.Rand, _ time.Duration) func(ctx context.Context) {
+	return func(context.Context) { r.site.Store.Deafen() }
+}
+
+// Faults of servers strike those that are there from the start, so that what a
+// seed draws does not depend on how far others have got.
+
+func onServerLink(link Link) plan {
+	return func(r *run, random *rand.Rand, length time.Duration) func(ctx context.Context) {
+		proxy := r.first[random.IntN(len(r.first))]
+		return func(ctx context.Context) {
+			proxy.Set(link)
+			pause(ctx, length)
+			proxy.Set(Link{})
+		}
+	}
+}
+
+func resetServerLink(r *run, random *rand.Rand, _ time.Duration) func(ctx context.Context) {
+	proxy := r.first[random.IntN(len(r.first))]
+	return func(context.Context) { proxy.Reset() }
+}
+
+func onServer(faults platformtest.ServerFaults) plan {
+	return func(r *run, random *rand.Rand, length time.Duration) func(ctx context.Context) {
+		n := random.IntN(len(r.first))
+		return func(ctx context.Context) {
+			server := r.site.Servers()[n]
+			server.SetFaults(faults)
+			pause(ctx, length)
+			server.SetFaults(platformtest.ServerFaults{})
+		}
+	}
+}
+
+func joins(r *run, _ *rand.Rand, _ time.Duration) func(ctx context.Context) {
+	return func(context.Context) { r.fail(r.site.AddKeyed(r.serving)) }
+}
+
+func leaves(r *run, random *rand.Rand, _ time.Duration) func(ctx context.Context) {
+	// One of each service stays.
+	n := random.IntN(len(r.first)-2) + 2
+	return func(ctx context.Context) {
+		server := r.site.Servers()[n]
+		if r.site.LeftAt(server).IsZero() {
+			r.fail(r.site.Leave(ctx, server))
+		}
+	}
+}
+
+func configures(r *run, _ *rand.Rand, _ time.Duration) func(ctx context.Context) {
+	return func(ctx context.Context) {
+		version, err := r.site.Configure(ctx)
+		r.fail(err)
+		r.configured(version)
+	}
+}
--- /dev/null
+++ b/soak/host.go
@@ -0,0 +1,191 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// grace is how long after SIGTERM a host is killed.
+const grace = 4 * time.Second
+
+// host is one cicada-gateway process, started again whenever it ends.
+type host struct {
+	name    string
+	program string
+	dir     string
+	callers string
+	ready   string
+	store   *Proxy
+
+	mu       sync.Mutex
+	running  *exec.Cmd
+	gone     chan struct{} // closed when running has ended
+	asked    bool          // the end of running was asked for
+	upSince  time.Time
+	ownEnds  []string
+	planned  []window // planned stops, from SIGTERM to the end of the process
+	disturbs []window // pauses and kills
+}
+
+// window is a span of time.
+type window struct{ from, to time.Time }
+
+func (w window) overlaps(from, to time.Time) bool { return w.from.Before(to) && from.Before(w.to) }
+
+func newHost(name, program, dir, storeAddress string) (*host, error) {
+	store, err := NewProxy(storeAddress)
+	if err != nil {
+		return nil, err
+	}
+	h := &host{name: name, program: program, dir: dir, store: store}
+	var addresses []string
+	for range 4 {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		addresses = append(addresses, address)
+	}
+	h.callers, h.ready = addresses[0], addresses[1]
+	settings := fmt.Sprintf("[host]\nname = %s\ndomain = a\n[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[store]\naddress = %s\n[stop]\nleave-for = 500ms\nwithin = %v\n",
+		name, addresses[0], addresses[1], addresses[2], addresses[3], store.Address(), grace)
+	err = os.WriteFile(h.settingsFile(), []byte(settings), 0o600)
+	return h, eris.Wrap(err, "settings of a host")
+}
+
+func (h *host) settingsFile() string { return filepath.Join(h.dir, h.name+".ini") }
+
+// freeAddress returns an address that nobody listens on now.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "looking for a free port")
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// start starts the process, unless it runs.
+func (h *host) start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.running != nil {
+		return nil
+	}
+	log, err := os.OpenFile(filepath.Join(h.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return eris.Wrap(err, "log of a host")
+	}
+	defer log.Close()
+	command := exec.Command(h.program, "--settings", h.settingsFile())
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return eris.Wrapf(err, "starting %s", h.program)
+	}
+	gone := make(chan struct{})
+	h.running, h.gone, h.asked, h.upSince = command, gone, false, time.Now()
+	go h.wait(command, gone)
+	return nil
+}
+
+func (h *host) wait(command *exec.Cmd, gone chan struct{}) {
+	err := command.Wait()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.asked {
+		h.ownEnds = append(h.ownEnds, fmt.Sprintf("%s ended by itself: %v", h.name, err))
+	}
+	h.running = nil
+	close(gone)
+}
+
+// signal sends a signal to the process, and reports whether it runs.
+func (h *host) signal(signal syscall.Signal, ends bool) (gone chan struct{}, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.running == nil {
+		return nil, false
+	}
+	h.asked = h.asked || ends
+	return h.gone, h.running.Process.Signal(signal) == nil
+}
+
+// note adds a window that began at a time and ends now.
+func (h *host) note(into *[]window, from time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	*into = append(*into, window{from: from, to: time.Now()})
+}
+
+// terminate stops the process as planned work does: SIGTERM, and SIGKILL after
+// the grace time.
+func (h *host) terminate() {
+	from := time.Now()
+	gone, ok := h.signal(syscall.SIGTERM, true)
+	if !ok {
+		return
+	}
+	select {
+	case <-gone:
+	case <-time.After(grace + time.Second):
+		h.mu.Lock()
+		h.ownEnds = append(h.ownEnds, h.name+" did not stop within the grace time")
+		h.mu.Unlock()
+		h.kill()
+	}
+	h.note(&h.planned, from)
+}
+
+// kill ends the process at once.
+func (h *host) kill() {
+	from := time.Now()
+	if gone, ok := h.signal(syscall.SIGKILL, true); ok {
+		<-gone
+		h.note(&h.disturbs, from)
+	}
+}
+
+// pause stops the process for a time, as a suspended machine does.
+func (h *host) pause(length time.Duration) {
+	from := time.Now()
+	if _, ok := h.signal(syscall.SIGSTOP, false); !ok {
+		return
+	}
+	time.Sleep(length)
+	h.signal(syscall.SIGCONT, false)
+	h.note(&h.disturbs, from)
+}
+
+// isReady reports whether the host says that it takes callers.
+func (h *host) isReady(client *http.Client) bool {
+	response, err := client.Get("http://" + h.ready + readyPath)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// upFor returns for how long the process has run; 0 if it does not.
+func (h *host) upFor() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.running == nil {
+		return 0
+	}
+	return time.Since(h.upSince)
+}
+
+func (h *host) close() {
+	h.kill()
+	h.store.Close()
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,95 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A short run of one seed, with the daemon built from this tree. What is checked
+// has no bound in time except generous ones: that all is served again after the
+// last fault.
+func TestShortSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "cicada-gateway")
+	built, err := exec.Command("go", "build", "-o", program, "cicadarouter/cmd/cicada-gateway").CombinedOutput()
+	assert.NilError(t, err, string(built))
+	result, err := Run(context.Background(), Options{Program: program, Dir: t.TempDir(), Seed: 7, Hosts: 3, Servers: 3, Callers: 6,
+		Length: 5 * time.Second, Every: 600 * time.Millisecond, Print: func(line string) { t.Log(line) }})
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Broken), 0, "%v", result.Broken)
+	assert.Assert(t, result.Statuses[200] > 0)
+}
+
+// The series of a seed is drawn before anything happens, so that it is the same
+// each time.
+func TestSeedGivesTheSameSeries(t *testing.T) {
+	series := func() []string {
+		var names []string
+		random := newSeries(9)
+		for range 50 {
+			kind, length := random.next()
+			names = append(names, kind.name+length.String())
+		}
+		return names
+	}
+	assert.DeepEqual(t, series(), series())
+}
+
+// echo answers what it is sent, on a free port.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// What a cut holds back arrives when it has healed, and a reset ends connections.
+func TestProxy(t *testing.T) {
+	proxy, err := NewProxy(echo(t))
+	assert.NilError(t, err)
+	defer proxy.Close()
+	conn, err := net.Dial("tcp", proxy.Address())
+	assert.NilError(t, err)
+	defer conn.Close()
+	answered := make(chan []byte, 1)
+	read := func() {
+		got := make([]byte, 2)
+		if _, err := io.ReadFull(conn, got); err != nil {
+			got = nil
+		}
+		answered <- got
+	}
+	_, err = conn.Write([]byte("ab"))
+	assert.NilError(t, err)
+	read()
+	assert.Assert(t, bytes.Equal(<-answered, []byte("ab")))
+
+	proxy.Set(Link{CutFrom: true})
+	_, err = conn.Write([]byte("cd"))
+	assert.NilError(t, err)
+	go read()
+	assert.Equal(t, len(answered), 0)
+	proxy.Set(Link{})
+	assert.Assert(t, bytes.Equal(<-answered, []byte("cd")))
+
+	proxy.Reset()
+	read()
+	assert.Assert(t, <-answered == nil)
+}
