--- a/balance/pool.go
+++ b/balance/pool.go
@@ -141,7 +141,7 @@
 		server.newsAt = now
 	}
 	server.inFlight++
-	server.stall = 0
+	server.stalls = 0
 	p.placed(now)
 	waiter.Server = server
 	close(waiter.Ready)
--- a/balance/server.go
+++ b/balance/server.go
@@ -62,6 +62,10 @@
 	// usualWeight is the weight of a new report in what is usual: some fifty
 	// servers.
 	usualWeight = 0.02
+	// believedStalls is how many requests in a row must have waited in vain: one or
+	// two are the chance of a server with few slots, and believing them turned
+	// away 4 in 100 that could have been served.
+	believedStalls = 3
 	// stallHalfLife is the age at which a wait in vain counts half. The wait was as
 	// long as the objective allows, so a host tries again within as long.
 	stallHalfLife = time.Second
@@ -119,7 +123,8 @@
 	gap       time.Duration // smoothed time between this host's completions while others wait
 	endedAt   time.Duration // the last completion
 	crowded   bool          // requests waited for it at the last completion
-	stall     time.Duration // how long the last request waited for it in vain
+	stalls    int           // requests that waited for it in vain since one was last placed
+	stall     time.Duration // how long the last of them waited
 	stalledAt time.Duration // when that was given up
 }
 
@@ -243,6 +248,7 @@
 // gaveUp notes that a request waited for the server in vain.
 func (s *Server) gaveUp(now, waited time.Duration) {
 	s.stall, s.stalledAt = max(waited, s.stalled(now)), now
+	s.stalls++
 }
 
 // stalled returns how long one more request would wait for the server, as far as
@@ -250,7 +256,7 @@
 // callers ask for; each gets a place in seconds, and would otherwise learn that
 // from one request at a time. It fades, so that a host tries again now and then.
 func (s *Server) stalled(now time.Duration) time.Duration {
-	if s.stall == 0 {
+	if s.stalls < believedStalls {
 		return 0
 	}
 	return time.Duration(float64(s.stall) * math.Exp2(-float64(now-s.stalledAt)/float64(stallHalfLife)))
