The scout does not wait for a change

Change: the scout's watch is short whoever answers it, and a controller that answers a report with the store's word ends the wait.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -104,10 +104,11 @@
 	}
 	watching, cancel, plan := g.fresh.begin(ctx, kind, g.now())
 	defer cancel()
+	if f.scout && g.reach.isAway() {
+		// Whoever answers: the others wait for it.
+		plan.wait = min(plan.wait, awayWatch)
+	}
 	if plan.controller == "" {
-		if f.scout && g.reach.isAway() {
-			plan.wait = min(plan.wait, awayWatch)
-		}
 		listing, err = reader.Watch(watching, kind, revision, plan.wait)
 		return listing, err != nil && watching.Err() != nil && ctx.Err() == nil, err
 	}
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +16,7 @@
 	"cicadarouter/contract/objects/memobjects"
 	"cicadarouter/fleet"
 	"cicadarouter/host/logs"
+	"cicadarouter/keyspace"
 	"cicadarouter/routing"
 )
 
@@ -107,3 +112,39 @@
 	assert.Assert(t, !c.claiming)
 	assert.Equal(t, c.wanted, time.Duration(0), "the delay begins anew when the store is back")
 }
+
+// Symptom: a host sends to servers that left seconds ago; it hears of no change
+// of servers or assignments for up to 25 s.
+// Sequence: the store is away; all followers fail, and wait for the scout; the
+// store is back; the controller vouches for itself again, and the scout's next
+// watch waits 25 s at the controller for a change that does not come.
+// Cause: only an answer to the scout's watch told that the store is back, and
+// that watch was a long one.
+func TestScoutDoesNotWaitForAChange(t *testing.T) {
+	waited := make(chan watchRequest, 16)
+	controller := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var request watchRequest
+		_ = json.NewDecoder(r.Body).Decode(&request) // a zero wait then fails the test
+		waited <- request
+		_ = json.NewEncoder(w).Encode(watchAnswer{Listing: objects.Listing{Revision: request.Revision}})
+	}))
+	defer controller.Close()
+	g := New(Identity{}, Platform{Store: memobjects.New(), Registry: kinds{}}, logs.Discard())
+	g.fresh.told(g.now(), strings.TrimPrefix(controller.URL, "http://"), nil)
+	g.reach.lost()
+	listing, _, err := g.next(context.Background(), follower{scout: true, kind: "configurations"}, true, 5)
+	assert.NilError(t, err)
+	assert.Equal(t, listing.Revision, uint64(5))
+	asked := <-waited
+	assert.Equal(t, time.Duration(asked.WaitMs)*time.Millisecond, awayWatch)
+}
+
+// A controller that answers and has the store brings the followers back at once.
+func TestControllersWordEndsTheWait(t *testing.T) {
+	g := New(Identity{}, Platform{}, logs.Discard())
+	g.reach.lost()
+	c := &controller{service: newService("s", "", true, 1, g.now)}
+	ended := &reportEnded{controller: c, to: keyspace.Controller{Incarnation: 7}, answer: loadAnswer{Incarnation: 7, Controls: true}}
+	ended.apply(g, g.boot.Now())
+	assert.Assert(t, !g.reach.isAway())
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -146,6 +146,7 @@
 		c.heard = min(c.heard, now-silentAfter)
 	default:
 		c.heard = now
+		g.reach.back() // what this host can't read in the store it hears from the controller
 		confirmed := g.now() - time.Duration(e.answer.StoreAgeMs)*time.Millisecond
 		if behind := g.fresh.told(confirmed, e.to.Address, e.answer.Revisions); len(behind) > 0 {
 			g.log.Warn("watches were behind", "kinds", behind, "controller", e.to.Host)
