Soak: its first findings, and what a reset connection held back is lost

Cause: broke three promises. Two were the soak's: its proxy delivered what a sender that had reset its connection had sent, and a paused host was expected to stop.

--- a/soak/host.go
+++ b/soak/host.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +33,7 @@
 	upSince  time.Time
 	ownEnds  []string
 	planned  []window // planned stops, from SIGTERM to the end of the process
+	overdue  []window // those that did not end in time, until they were killed
 	disturbs []window // pauses and kills
 }
 
@@ -40,6 +42,10 @@
 
 func (w window) overlaps(from, to time.Time) bool { return w.from.Before(to) && from.Before(w.to) }
 
+func anyOverlaps(windows []window, from, to time.Time) bool {
+	return slices.ContainsFunc(windows, func(w window) bool { return w.overlaps(from, to) })
+}
+
 // firstPort is the first port of each process. It lies below those that the
 // kernel gives to outgoing connections, one of which took the port of a host
 // that was about to start.
@@ -127,14 +133,26 @@
 	select {
 	case <-gone:
 	case <-time.After(grace + time.Second):
-		h.mu.Lock()
-		h.ownEnds = append(h.ownEnds, h.name+" did not stop within the grace time")
-		h.mu.Unlock()
+		h.note(&h.overdue, from)
 		h.kill()
 	}
 	h.note(&h.planned, from)
 }
 
+// stuck returns the planned stops that did not end in time although the process
+// was neither paused nor killed meanwhile.
+func (h *host) stuck() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var stuck []string
+	for _, stop := range h.overdue {
+		if !anyOverlaps(h.disturbs, stop.from, stop.to) {
+			stuck = append(stuck, h.name+" did not stop within the grace time")
+		}
+	}
+	return stuck
+}
+
 // kill ends the process at once.
 func (h *host) kill() {
 	from := time.Now()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -113,29 +113,50 @@
 	}
 }
 
-// pass copies one direction until it ends, and then ends both.
+// pass copies one direction until it ends, and then ends both. What a cut holds
+// back is lost if its sender resets the connection meanwhile, as on a real link:
+// a caller that has given up a call relies on that.
 func (p *Proxy) pass(to, from net.Conn, cut func(Link) bool) {
 	defer func() { _, _ = to.Close(), from.Close() }()
-	buffer := make([]byte, 32<<10)
+	pieces, reset := make(chan []byte, piecesHeld), make(chan struct{})
+	go read(from, pieces, reset)
+	for piece := range pieces {
+		if !p.hold(cut, reset) {
+			return
+		}
+		if _, err := to.Write(piece); err != nil {
+			return
+		}
+	}
+	p.hold(cut, reset) // the end of a connection does not pass a cut either
+}
+
+// piecesHeld is how many pieces are read ahead of a cut.
+const piecesHeld = 64
+
+// read reads pieces until the connection ends; reset is closed if that was no
+// orderly end.
+func read(from net.Conn, pieces chan<- []byte, reset chan<- struct{}) {
+	defer close(pieces)
 	for {
+		buffer := make([]byte, 16<<10)
 		n, err := from.Read(buffer)
 		if n > 0 {
-			p.hold(cut)
-			if _, err := to.Write(buffer[:n]); err != nil {
-				return
-			}
+			pieces <- buffer[:n]
 		}
-		if err != nil {
-			if err != io.EOF {
-				p.hold(cut) // a reset does not pass a partition either
-			}
-			return
+		if err == nil {
+			continue
+		}
+		if err != io.EOF {
+			close(reset)
 		}
+		return
 	}
 }
 
-// hold returns when the link lets a piece pass.
-func (p *Proxy) hold(cut func(Link) bool) {
+// hold returns when the link lets a piece pass; false if its sender has reset
+// the connection.
+func (p *Proxy) hold(cut func(Link) bool, reset <-chan struct{}) bool {
 	p.mu.Lock()
 	delay := p.link.Delay
 	p.mu.Unlock()
@@ -145,8 +166,12 @@
 		link, changed := p.link, p.changed
 		p.mu.Unlock()
 		if !cut(link) {
-			return
+			return true
+		}
+		select {
+		case <-changed:
+		case <-reset:
+			return false
 		}
-		<-changed
 	}
 }
--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -11,6 +11,8 @@
 // "cicada-soak --kept".
 func Regressions() []Regression {
 	return []Regression{
+		{2651125409, "after an outage of the store the followers of a host waited for a watch of 25 s at the controller; " +
+			"and of the soak itself: a proxy delivered a grant whose sender had reset the connection, a paused host did not stop in time"},
 		{2114909493, "of the soak itself: an outgoing connection took the port of a host that was about to start"},
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -206,12 +206,7 @@
 	if r.on > 0 && r.onSince.Before(to) {
 		return false
 	}
-	for _, trouble := range r.troubles {
-		if trouble.overlaps(from, to) {
-			return false
-		}
-	}
-	return true
+	return !anyOverlaps(r.troubles, from, to)
 }
 
 // restart starts a host that has been ended, as the platform does.
@@ -326,7 +321,7 @@
 	report := r.load.Check(runs)
 	broken := append(r.broken, report.Broken...)
 	for _, h := range r.hosts {
-		broken = append(broken, h.ownEnds...)
+		broken = append(append(broken, h.ownEnds...), h.stuck()...)
 	}
 	broken = append(broken, r.site.Overlaps()...)
 	broken = append(broken, r.cutByPlannedStops(runs)...)
@@ -343,7 +338,7 @@
 			if h.callers != request.Host || runs[request.ID] == 0 {
 				continue
 			}
-			if inAny(h.planned, request) && !inAny(h.disturbs, request) {
+			if anyOverlaps(h.planned, request.Sent, request.At) && !anyOverlaps(h.disturbs, request.Sent, request.At) {
 				broken = append(broken, fmt.Sprintf("request %s ran and got no answer from %s, which was stopped as planned", request.ID, h.name))
 			}
 		}
@@ -351,15 +346,6 @@
 	return broken
 }
 
-func inAny(windows []window, request platformtest.Unanswered) bool {
-	for _, w := range windows {
-		if w.overlaps(request.Sent, request.At) {
-			return true
-		}
-	}
-	return false
-}
-
 // lateToLeaving returns requests that reached a server later than allowed after
 // it had said that it leaves.
 func (r *run) lateToLeaving() []string {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -93,3 +93,26 @@
 	read()
 	assert.Assert(t, <-answered == nil)
 }
+
+// What a cut holds back is lost if its sender has reset the connection.
+func TestProxyDropsWhatWasReset(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	proxy, err := NewProxy(listener.Addr().String())
+	assert.NilError(t, err)
+	defer proxy.Close()
+	conn, err := net.Dial("tcp", proxy.Address())
+	assert.NilError(t, err)
+	far, err := listener.Accept()
+	assert.NilError(t, err)
+	defer far.Close()
+	proxy.Set(Link{CutTo: true})
+	_, err = conn.Write([]byte("late"))
+	assert.NilError(t, err)
+	assert.NilError(t, conn.(*net.TCPConn).SetLinger(0))
+	assert.NilError(t, conn.Close())
+	// The proxy drops both sides once it has seen the reset; nothing came before.
+	got, _ := io.ReadAll(far)
+	assert.Equal(t, string(got), "")
+}
