--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -36,8 +36,8 @@
 type follower struct {
 	kind   string
 	gather time.Duration
-	// scout marks the follower that goes on asking while the store is away.
-	scout bool
+	// prober marks the follower that goes on asking while the store is away.
+	prober bool
 	// replace takes a complete listing, change takes later changes.
 	replace func(objects.Listing)
 	change  func(objects.Listing)
@@ -62,12 +62,12 @@
 			connected = g.lost(f, err, connected)
 			clock.Sleep(ctx, pause)
 			pause = min(2*pause, awayMost)
-			if !f.scout {
+			if !f.prober {
 				g.reach.wait(ctx)
 			}
 			continue
 		}
-		if f.scout {
+		if f.prober {
 			g.reach.back()
 		}
 		if !connected {
@@ -104,7 +104,7 @@
 	}
 	watching, cancel, plan := g.fresh.begin(ctx, kind, g.now())
 	defer cancel()
-	if f.scout && g.reach.isAway() {
+	if f.prober && g.reach.isAway() {
 		// Whoever answers: the others wait for it.
 		plan.wait = min(plan.wait, awayWatch)
 	}
@@ -143,7 +143,7 @@
 	if !compacted {
 		f.away()
 	}
-	if f.scout && !compacted {
+	if f.prober && !compacted {
 		g.reach.lost()
 	}
 	return connected && !compacted
@@ -177,7 +177,7 @@
 }
 
 // registryAway notes that entries which are missing now may only not have been
-// renewed. It is told by the scout as well, which goes on asking while the
+// renewed. It is told by the prober as well, which goes on asking while the
 // store is away.
 func (g *Gateway) registryAway() {
 	g.mu.Lock()
@@ -244,7 +244,7 @@
 		}
 	}
 	// A configuration has the shortest time in which it must be in force.
-	g.follow(ctx, follower{scout: true, kind: g.registry.Configurations(), replace: take, change: take, away: g.registryAway})
+	g.follow(ctx, follower{prober: true, kind: g.registry.Configurations(), replace: take, change: take, away: g.registryAway})
 }
 
 // followAssignments follows who owns which keys.
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -72,7 +72,7 @@
 // Sequence: the store turns all calls away; the followers of all kinds try again
 // and again.
 // Cause: each follower asked for itself whether the store was back.
-func TestOnlyTheScoutAsksWhileTheStoreIsAway(t *testing.T) {
+func TestOnlyTheProberAsksWhileTheStoreIsAway(t *testing.T) {
 	store := &refusingStore{Store: memobjects.New(), calls: map[string]int{}, called: make(chan string, 64)}
 	g := New(Identity{}, Platform{Store: store, Registry: kinds{}}, logs.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -115,12 +115,12 @@
 
 // Symptom: a host sends to servers that left seconds ago; it hears of no change
 // of servers or assignments for up to 25 s.
-// Sequence: the store is away; all followers fail, and wait for the scout; the
-// store is back; the controller vouches for itself again, and the scout's next
+// Sequence: the store is away; all followers fail, and wait for the prober; the
+// store is back; the controller vouches for itself again, and the prober's next
 // watch waits 25 s at the controller for a change that does not come.
-// Cause: only an answer to the scout's watch told that the store is back, and
+// Cause: only an answer to the prober's watch told that the store is back, and
 // that watch was a long one.
-func TestScoutDoesNotWaitForAChange(t *testing.T) {
+func TestProberDoesNotWaitForAChange(t *testing.T) {
 	waited := make(chan watchRequest, 16)
 	controller := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var request watchRequest
@@ -132,7 +132,7 @@
 	g := New(Identity{}, Platform{Store: memobjects.New(), Registry: kinds{}}, logs.Discard())
 	g.fresh.told(g.now(), strings.TrimPrefix(controller.URL, "http://"), nil)
 	g.reach.lost()
-	listing, _, err := g.next(context.Background(), follower{scout: true, kind: "configurations"}, true, 5)
+	listing, _, err := g.next(context.Background(), follower{prober: true, kind: "configurations"}, true, 5)
 	assert.NilError(t, err)
 	assert.Equal(t, listing.Revision, uint64(5))
 	asked := <-waited
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -6,7 +6,7 @@
 )
 
 // reach is what this host knows of its contact with the store. While the store
-// is away, one follower alone, the scout, goes on asking whether it is back; the
+// is away, one follower alone, the prober, goes on asking whether it is back; the
 // others wait for it and then resume at once. A call that is turned away has its
 // price too: three followers on each of 65 hosts made 2,800 such calls in an
 // outage of 8 s.
@@ -16,7 +16,7 @@
 	resumed chan struct{} // closed when the store is back
 }
 
-// lost notes that the scout's call failed.
+// lost notes that the prober's call failed.
 func (r *reach) lost() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -25,7 +25,7 @@
 	}
 }
 
-// back notes that the scout's call succeeded.
+// back notes that the prober's call succeeded.
 func (r *reach) back() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -35,7 +35,7 @@
 	}
 }
 
-// isAway reports whether the scout's last call failed.
+// isAway reports whether the prober's last call failed.
 func (r *reach) isAway() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -298,7 +298,7 @@
 func (r *run) unserved(within time.Duration) string {
 	client := &http.Client{Timeout: 2 * time.Second}
 	missing := "nothing was asked"
-	for end := time.Now().Add(within); missing != "" && time.Now().Before(end); pause(r.serving, 100*time.Millisecond) {
+	for end := time.Now().Add(within); missing != "" && time.Now().Before(end) && r.serving.Err() == nil; pause(r.serving, 100*time.Millisecond) {
 		missing = ""
 		for _, h := range r.hosts {
 			if !h.isReady(client) {
