--- /dev/null
+++ b/keyspace/vacancy_test.go
@@ -0,0 +1,98 @@
+package keyspace
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// entryLapse is after how long without heartbeats a server's entry is gone: three
+// of 0.87 s.
+const entryLapse = 2600 * time.Millisecond
+
+// vacancy is how long key 0 has no owner that runs requests for it, from a loss
+// at a time on.
+func vacancy(b *bench, runsAt func(owner string, held bool) bool) time.Duration {
+	var without time.Duration
+	for end := b.now + 20*time.Second; b.now < end; {
+		b.run(b.now + tick)
+		if !runsAt(b.owner()) {
+			without += tick
+		}
+	}
+	return without
+}
+
+// losses are the ways in which server a, which owns key 0, stops running requests.
+var losses = []struct {
+	cause string
+	worst time.Duration
+	play  func(b *bench) time.Duration
+}{
+	{"planned move", 200 * time.Millisecond, func(b *bench) time.Duration {
+		b.servers[0].Leaving = true
+		return vacancy(b, func(_ string, held bool) bool { return held })
+	}},
+	{"server lost, another answers at its address", entryLapse + 300*time.Millisecond, func(b *bench) time.Duration {
+		return lost(b, func() { b.m.Ended("a") })
+	}},
+	{"server silent", renewEvery + lapse(0) + 2*tick, func(b *bench) time.Duration {
+		return lost(b, func() {})
+	}},
+	{"server cut off from the registry only", 200 * time.Millisecond, func(b *bench) time.Duration {
+		b.servers = b.servers[1:]
+		return vacancy(b, func(_ string, held bool) bool { return held })
+	}},
+	{"failure domain cut off for 3.5 s", 3700 * time.Millisecond, func(b *bench) time.Duration {
+		registered := b.servers
+		back := b.now + 3500*time.Millisecond
+		b.loseA()
+		b.servers = registered
+		gone := b.now + entryLapse
+		return vacancy(b, func(owner string, held bool) bool {
+			switch {
+			case b.now >= back+entryLapse/3:
+				b.servers, b.answer = registered, nil
+			case b.now >= gone:
+				b.servers = registered[1:]
+			}
+			return held && (owner == "b" || b.now >= back)
+		})
+	}},
+}
+
+// lost lets a fall silent; its entry goes when it has lapsed, and proof comes then.
+func lost(b *bench, proof func()) time.Duration {
+	registered := b.servers
+	b.loseA()
+	gone := b.now + entryLapse
+	unregistered := b.servers
+	b.servers = registered
+	return vacancy(b, func(owner string, held bool) bool {
+		if b.now >= gone {
+			b.servers = unregistered
+			proof()
+		}
+		return held && owner == "b"
+	})
+}
+
+// How long keys stay without an owner, by cause, over all moments between two
+// renewals at which the loss may come.
+func TestTimeWithoutAnOwner(t *testing.T) {
+	for _, loss := range losses {
+		var times []time.Duration
+		for phase := time.Duration(0); phase < renewEvery; phase += tick {
+			b := newBench(t, New(twoServers(), 0, 0), 0)
+			b.run(10*time.Second + phase)
+			times = append(times, loss.play(b))
+		}
+		slices.Sort(times)
+		median, worst := times[len(times)/2], times[len(times)-1]
+		t.Log(fmt.Sprintf("%-45s median %v, worst %v", loss.cause, median, worst))
+		assert.Assert(t, worst <= loss.worst, "%s: %v", loss.cause, worst)
+	}
+}
