--- a/keyspace/vacancy_test.go
+++ b/keyspace/vacancy_test.go
@@ -1,7 +1,6 @@
 package keyspace
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -92,7 +91,7 @@
 		}
 		slices.Sort(times)
 		median, worst := times[len(times)/2], times[len(times)-1]
-		t.Log(fmt.Sprintf("%-45s median %v, worst %v", loss.cause, median, worst))
+		t.Logf("%-45s median %v, worst %v", loss.cause, median, worst)
 		assert.Assert(t, worst <= loss.worst, "%s: %v", loss.cause, worst)
 	}
 }
