--- a/balance/pool.go
+++ b/balance/pool.go
@@ -67,7 +67,9 @@
 	for _, listed := range servers {
 		present[listed.ID] = true
 		server, known := p.servers[listed.ID]
-		if !known {
+		if !known || !server.sameRun(listed) {
+			// Requests at an earlier incarnation ended with it. Were they counted
+			// on, a server that has just started again would look full, or silent.
 			server = &Server{ratio: 1}
 			p.servers[listed.ID] = server
 		}
@@ -301,9 +303,11 @@
 	return pace
 }
 
-// Learn takes what another host has measured of a server's speed.
-func (p *Pool) Learn(id string, pace Pace) {
-	if server := p.servers[id]; server != nil && pace.Samples > 0 {
+// Learn takes what another host has measured of a server's speed. What was
+// measured of an earlier incarnation says nothing of the later one.
+func (p *Pool) Learn(incarnation fleet.Incarnation, pace Pace) {
+	server := p.servers[incarnation.ID]
+	if server != nil && server.Incarnation() == incarnation && pace.Samples > 0 {
 		server.learn(pace)
 	}
 }
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -335,3 +335,42 @@
 	assert.Assert(t, later.Server != nil)
 	assert.Equal(t, p.servers["a"].stalled(2510*ms), time.Duration(0))
 }
+
+// Symptom: a server that has just started again gets no requests for as long as
+// those take that it lost.
+// Sequence: a server of one slot has two requests; it crashes and starts again
+// under its ID, at another address or not; the lost requests end later.
+// Cause: what was known of a server was kept by ID.
+func TestLaterIncarnationBeginsAfresh(t *testing.T) {
+	first := fleet.Server{ID: "a", Start: 1, Address: "10.0.0.1:80", Domain: "home", Slots: 1}
+	again, elsewhere := first, first
+	again.Start = 2
+	elsewhere.Address = "10.0.0.2:80"
+	for _, later := range []fleet.Server{again, elsewhere} {
+		p := pool(first)
+		lost := enter(p, 0, Waiter{})
+		enter(p, 0, Waiter{})
+		assert.Assert(t, lost.settled() && lost.Rejected == nil)
+		p.Learn(first.Incarnation(), Pace{Samples: 50, Ratio: 5})
+		p.SetServers(10*ms, []fleet.Server{later})
+		server := p.Servers()[0]
+		assert.Equal(t, server.InFlight(), 0)
+		assert.Equal(t, server.Ratio(), 1.0)
+		full := Load{Running: 1, Waiting: 9, Slots: 1}
+		p.Done(20*ms, lost.Server, End{Outcome: Unreachable, Load: &full})
+		assert.Equal(t, server.InFlight(), 0)
+		assert.Assert(t, server.usable(20*ms))
+		got := enter(p, 20*ms, Waiter{})
+		assert.Assert(t, got.settled() && got.Server == server, "%+v", got.Rejected)
+	}
+}
+
+// A speed that was measured of an earlier incarnation is not taken for the
+// later one's.
+func TestSpeedIsThatOfOneIncarnation(t *testing.T) {
+	p := pool(fleet.Server{ID: "a", Start: 2, Domain: "home", Slots: 1})
+	p.Learn(fleet.Incarnation{ID: "a", Start: 1}, Pace{Samples: 50, Ratio: 5})
+	assert.Equal(t, p.Servers()[0].Ratio(), 1.0)
+	p.Learn(fleet.Incarnation{ID: "a", Start: 2}, Pace{Samples: 50, Ratio: 5})
+	assert.Assert(t, p.Servers()[0].Ratio() > 2)
+}
--- a/balance/server.go
+++ b/balance/server.go
@@ -128,6 +128,12 @@
 	stalledAt time.Duration // when that was given up
 }
 
+// sameRun reports whether a listed server is this one, still running. One
+// address is for one process.
+func (s *Server) sameRun(listed fleet.Server) bool {
+	return s.Incarnation() == listed.Incarnation() && s.Address == listed.Address
+}
+
 // InFlight returns the host's own requests at the server.
 func (s *Server) InFlight() int { return s.inFlight }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -8,10 +8,12 @@
 	"time"
 )
 
-// Server is one incarnation of a backend server. Its ID is never used again;
-// its address may be.
+// Server is one incarnation of a backend server. Its address may be used by
+// another server after its end.
 type Server struct {
-	ID      string
+	ID string
+	// Start is that of the incarnation.
+	Start   int64
 	Service string
 	// Address is an IP number and port.
 	Address string
@@ -25,27 +27,70 @@
 	ColdFor time.Duration
 }
 
+// Incarnation returns the name of the server's run.
+func (s *Server) Incarnation() Incarnation { return Incarnation{ID: s.ID, Start: s.Start} }
+
+// Verdict says what became of an entry.
+type Verdict int
+
+// The verdicts.
+const (
+	// Taken: the entry is in force.
+	Taken Verdict = iota
+	// Outdated: a later version of the entry is known.
+	Outdated
+	// EarlierStart: a later incarnation of the server is known.
+	EarlierStart
+)
+
+// String returns the verdict's name.
+func (v Verdict) String() string {
+	return [...]string{"taken", "outdated", "earlier-start"}[v]
+}
+
+const (
+	// returnGrace is how long after the registry's return live servers need to
+	// renew their entries: they are back within about 2 s.
+	returnGrace = 2 * time.Second
+	// believedWrites is how many versions of an entry in a row must name an
+	// earlier start than the one known. A heartbeat that its sender made before it
+	// ended may be written after its successor's first one, and is one version; a
+	// server whose clock was set back between two starts writes on. Three
+	// heartbeats are what the registry itself waits for.
+	believedWrites = 3
+	// endKept is for how long the end of an entry is remembered. Lists and watches
+	// that are behind are seconds behind; the store keeps 20 s of history.
+	endKept = 30 * time.Second
+)
+
 // Directory holds the servers known to a host. It is not safe for concurrent use.
 //
 // A server whose entry is missing right after the registry was away may only
 // have been unable to renew it. Taking it out at once would empty a service on
 // every outage longer than the entries' lease; so a missing entry is kept until
 // the registry has been back for returnGrace.
+//
+// News may arrive in another order than it was written, from a list that is
+// behind or from another host. So each entry keeps the revision of its last
+// version, also past its end, and older versions are refused.
 type Directory struct {
-	servers map[string]Server
-	missing map[string]time.Duration // when the entry of a kept server went missing
-	awayAt  time.Duration            // last moment at which the registry was known to be away
+	entries map[string]*entry
+	awayAt  time.Duration // last moment at which the registry was known to be away
 	away    bool
 }
 
-// returnGrace is how long after the registry's return live servers need to
-// renew their entries: they are back within about 2 s.
-const returnGrace = 2 * time.Second
+// entry is what is known of a server's entry.
+type entry struct {
+	server   Server
+	revision uint64 // of the last version known
+	ended    bool   // names no server any more, since endedAt
+	endedAt  time.Duration
+	missing  bool // gone, perhaps only because the registry was away
+	earlier  int  // versions in a row that named an earlier start
+}
 
 // NewDirectory returns an empty directory.
-func NewDirectory() *Directory {
-	return &Directory{servers: map[string]Server{}, missing: map[string]time.Duration{}}
-}
+func NewDirectory() *Directory { return &Directory{entries: map[string]*entry{}} }
 
 // Away notes that the registry did not answer.
 func (d *Directory) Away(now time.Duration) { d.awayAt, d.away = now, true }
@@ -55,58 +100,98 @@
 	return d.away && now-d.awayAt < returnGrace
 }
 
-// Replace takes a complete list.
-func (d *Directory) Replace(now time.Duration, listed []Server) {
+// Version is one version of an entry.
+type Version struct {
+	Server
+	// Revision is the registry's at the entry's last change.
+	Revision uint64
+	// Unreadable is set if the entry names no server, whoever wrote it. Of the
+	// server only the ID is known then.
+	Unreadable bool
+}
+
+// Replace takes a complete list as of a revision.
+func (d *Directory) Replace(now time.Duration, asOf uint64, listed []Version) {
 	present := make(map[string]bool, len(listed))
-	for _, server := range listed {
-		present[server.ID] = true
-		d.Put(server)
+	for _, version := range listed {
+		present[version.ID] = true
+		d.Put(now, version)
 	}
-	for id := range d.servers {
-		if !present[id] {
-			d.Remove(now, id)
+	for id, known := range d.entries {
+		if !present[id] && known.revision <= asOf {
+			d.Remove(now, id, asOf)
 		}
 	}
 }
 
-// Put takes one entry.
-func (d *Directory) Put(server Server) {
-	delete(d.missing, server.ID)
-	d.servers[server.ID] = server
+// Put takes one version of an entry.
+func (d *Directory) Put(now time.Duration, version Version) Verdict {
+	known := d.entries[version.ID]
+	if known == nil {
+		known = &entry{}
+		d.entries[version.ID] = known
+	} else if version.Revision < known.revision || version.Revision == known.revision && known.ended {
+		return Outdated
+	}
+	known.revision = version.Revision
+	if version.Unreadable {
+		// Whoever wrote it, the registry names no server here any more. A server
+		// that lives writes its entry anew with its next heartbeat.
+		known.end(now)
+		return Taken
+	}
+	if known.server.Incarnation().Replaces(version.Incarnation()) {
+		if known.earlier++; known.earlier < believedWrites {
+			return EarlierStart
+		}
+	}
+	known.server, known.ended, known.missing, known.earlier = version.Server, false, false, 0
+	return Taken
 }
 
-// Remove takes the end of one entry.
-func (d *Directory) Remove(now time.Duration, id string) {
-	if _, known := d.servers[id]; !known {
+// Remove takes the end of one entry, of which the registry told at a revision.
+func (d *Directory) Remove(now time.Duration, id string, revision uint64) {
+	known := d.entries[id]
+	if known == nil || known.ended || revision < known.revision {
 		return
 	}
+	known.revision = max(known.revision, revision)
 	if d.recentlyAway(now) {
-		if _, noted := d.missing[id]; !noted {
-			d.missing[id] = now
-		}
+		known.missing = true
 		return
 	}
-	delete(d.servers, id)
-	delete(d.missing, id)
+	known.end(now)
+}
+
+func (e *entry) end(now time.Duration) {
+	if !e.ended {
+		e.endedAt = now
+	}
+	e.ended, e.missing, e.earlier = true, false, 0
 }
 
 // Expire drops servers whose entries stayed away, and reports whether any was.
 func (d *Directory) Expire(now time.Duration) bool {
-	if d.recentlyAway(now) || len(d.missing) == 0 {
-		return false
-	}
-	for id := range d.missing {
-		delete(d.servers, id)
+	changed := false
+	for id, known := range d.entries {
+		switch {
+		case known.missing && !d.recentlyAway(now):
+			known.end(now)
+			changed = true
+		case known.ended && now-known.endedAt >= endKept:
+			delete(d.entries, id)
+		}
 	}
-	clear(d.missing)
-	return true
+	return changed
 }
 
 // Snapshot returns the servers in order of their IDs.
 func (d *Directory) Snapshot() []Server {
-	servers := make([]Server, 0, len(d.servers))
-	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
-		servers = append(servers, d.servers[id])
+	servers := make([]Server, 0, len(d.entries))
+	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
+		if known := d.entries[id]; !known.ended {
+			servers = append(servers, known.server)
+		}
 	}
 	return servers
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,12 +1,17 @@
 package fleet
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 )
 
+func named(id string) Server { return Server{ID: id} }
+
+func started(id string, start int64) Server { return Server{ID: id, Start: start} }
+
 func ids(d *Directory) []string {
 	var names []string
 	for _, server := range d.Snapshot() {
@@ -17,13 +22,13 @@
 
 func two() *Directory {
 	d := NewDirectory()
-	d.Replace(0, []Server{{ID: "a"}, {ID: "b"}})
+	d.Replace(0, 2, []Version{{Server: named("a"), Revision: 1}, {Server: named("b"), Revision: 2}})
 	return d
 }
 
 func TestEntryThatEndsIsGone(t *testing.T) {
 	d := two()
-	d.Remove(time.Second, "a")
+	d.Remove(time.Second, "a", 3)
 	assert.DeepEqual(t, ids(d), []string{"b"})
 }
 
@@ -34,9 +39,11 @@
 func TestEntriesMissingAfterAnOutageMayReturn(t *testing.T) {
 	d := two()
 	d.Away(10 * time.Second)
-	d.Replace(11*time.Second, nil)
+	d.Replace(11*time.Second, 3, nil)
 	assert.DeepEqual(t, ids(d), []string{"a", "b"})
-	d.Put(Server{ID: "a", Draining: true})
+	draining := named("a")
+	draining.Draining = true
+	d.Put(11*time.Second, Version{Server: draining, Revision: 4})
 	assert.Assert(t, !d.Expire(11500*time.Millisecond))
 	assert.Assert(t, d.Expire(12100*time.Millisecond))
 	assert.DeepEqual(t, ids(d), []string{"a"})
@@ -47,8 +54,97 @@
 func TestOutageExtendsTheGrace(t *testing.T) {
 	d := two()
 	d.Away(10 * time.Second)
-	d.Remove(11*time.Second, "a")
+	d.Remove(11*time.Second, "a", 3)
 	d.Away(12900 * time.Millisecond)
 	assert.Assert(t, !d.Expire(13*time.Second))
 	assert.DeepEqual(t, ids(d), []string{"a", "b"})
 }
+
+// Symptom: requests go to a server that has left.
+// Sequence: a host hears from the store that the entry ended; a list that is
+// seconds behind, or another host, then tells an earlier version of the entry.
+// Cause: whatever came last was believed.
+func TestEarlierVersionIsRefused(t *testing.T) {
+	draining := named("a")
+	draining.Draining = true
+	d := two()
+	assert.Equal(t, d.Put(0, Version{Server: draining, Revision: 5}), Taken)
+	assert.Equal(t, d.Put(0, Version{Server: named("a"), Revision: 4}), Outdated)
+	assert.Assert(t, d.Snapshot()[0].Draining)
+	d.Remove(0, "a", 4)
+	assert.DeepEqual(t, ids(d), []string{"a", "b"})
+	d.Remove(0, "a", 6)
+	assert.Equal(t, d.Put(0, Version{Server: draining, Revision: 5}), Outdated)
+	d.Replace(0, 5, []Version{{Server: draining, Revision: 5}, {Server: named("b"), Revision: 2}})
+	assert.DeepEqual(t, ids(d), []string{"b"})
+	assert.Equal(t, d.Put(0, Version{Server: named("a"), Revision: 7}), Taken)
+	d.Replace(0, 5, nil) // a list that is behind does not end what came after it
+	assert.DeepEqual(t, ids(d), []string{"a"})
+}
+
+// An end is remembered for a while, not for ever.
+func TestEndsAreForgotten(t *testing.T) {
+	d := two()
+	d.Remove(0, "a", 3)
+	d.Expire(endKept - 1)
+	assert.Equal(t, len(d.entries), 2)
+	d.Expire(endKept)
+	assert.Equal(t, len(d.entries), 1)
+}
+
+// Symptom: a server that has just started again is taken for its predecessor:
+// its requests are counted with those that ended with the process, and it is
+// believed to hold keys.
+// Sequence: a server crashes and starts again under its ID; a heartbeat that
+// the predecessor had sent is written after the first of the new process.
+// Cause: an entry was told from another by its ID alone.
+func TestEarlierStartIsRefused(t *testing.T) {
+	d := NewDirectory()
+	d.Put(0, Version{Server: started("a", 1000), Revision: 1})
+	assert.Equal(t, d.Put(0, Version{Server: started("a", 2000), Revision: 2}), Taken)
+	assert.Equal(t, d.Put(0, Version{Server: started("a", 1000), Revision: 3}), EarlierStart)
+	assert.Equal(t, d.Snapshot()[0].Start, int64(2000))
+	d.Remove(0, "a", 4)
+	assert.Equal(t, d.Put(0, Version{Server: started("a", 1000), Revision: 5}), EarlierStart)
+	assert.Equal(t, len(d.Snapshot()), 0)
+}
+
+// Symptom: a server is never used again.
+// Sequence: the time of day of a server's machine is set back between two
+// starts, so that the later one names the earlier time.
+// Cause: an earlier start was never believed. One that goes on writing, with
+// nothing of the later start in between, is the one that lives.
+func TestServerWhoseClockWasSetBackIsUsed(t *testing.T) {
+	d := NewDirectory()
+	d.Put(0, Version{Server: started("a", 2000), Revision: 1})
+	assert.Equal(t, d.Put(0, Version{Server: started("a", 1000), Revision: 2}), EarlierStart)
+	assert.Equal(t, d.Put(0, Version{Server: started("a", 1000), Revision: 3}), EarlierStart)
+	assert.Equal(t, d.Put(0, Version{Server: started("a", 2000), Revision: 4}), Taken)
+	for revision := uint64(5); revision < 5+believedWrites-1; revision++ {
+		assert.Equal(t, d.Put(0, Version{Server: started("a", 1000), Revision: revision}), EarlierStart)
+	}
+	assert.Equal(t, d.Put(0, Version{Server: started("a", 1000), Revision: 9}), Taken)
+	assert.Equal(t, d.Snapshot()[0].Start, int64(1000))
+}
+
+// Symptom: requests go on to an address that nobody vouches for.
+// Sequence: another writer puts something else into a server's entry.
+// Cause: the last entry that could be read was kept in use.
+func TestEntryThatNamesNoServerEndsItsUse(t *testing.T) {
+	d := two()
+	d.Away(0) // also right after an outage: this entry is not missing
+	d.Put(0, Version{Server: named("a"), Revision: 3, Unreadable: true})
+	assert.DeepEqual(t, ids(d), []string{"b"})
+	assert.Equal(t, d.Put(0, Version{Server: named("a"), Revision: 4}), Taken)
+	assert.DeepEqual(t, ids(d), []string{"a", "b"})
+}
+
+func TestIncarnationAsText(t *testing.T) {
+	for _, want := range []Incarnation{{ID: "a"}, {ID: "a", Start: 12}, {ID: "a@b"}, {ID: "a@12"}, {ID: "a@12", Start: 13}, {ID: ""}} {
+		encoded, err := json.Marshal(map[Incarnation]int{want: 1})
+		assert.NilError(t, err)
+		var got map[Incarnation]int
+		assert.NilError(t, json.Unmarshal(encoded, &got))
+		assert.DeepEqual(t, got, map[Incarnation]int{want: 1})
+	}
+}
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -8,6 +8,7 @@
 
 	"cicadarouter/contract/adapter"
 	"cicadarouter/contract/objects"
+	"cicadarouter/fleet"
 	"cicadarouter/host/clock"
 	"cicadarouter/keyspace"
 )
@@ -36,6 +37,7 @@
 type callEnded struct {
 	controller   *controller
 	machine      *keyspace.Machine
+	server       fleet.Server
 	call         keyspace.Call
 	result       keyspace.CallResult
 	handoff      string
@@ -58,7 +60,7 @@
 		path = current.Services[c.service.name].HealthPath
 	}
 	go func() {
-		ended := &callEnded{controller: c, machine: machine, call: call, began: g.boot.Now()}
+		ended := &callEnded{controller: c, machine: machine, server: server, call: call, began: g.boot.Now()}
 		switch call.Kind {
 		case keyspace.GrantCall:
 			calling, cancel := context.WithTimeout(ctx, grantTimeout)
@@ -92,17 +94,19 @@
 	case errors.As(e.err, &stale):
 		e.result = keyspace.CallStale
 	case errors.As(e.err, &other):
-		e.machine.Ended(other.Wanted)
 		e.result = keyspace.CallUnanswered
 	default:
 		e.result = keyspace.CallUnanswered
 	}
 	if (e.err != nil || e.call.Kind == keyspace.ReleaseCall) && g.callLines.take() {
-		g.log.Info("call about keys", "service", e.controller.service.name, "kind", e.call.Kind.String(), "server", e.call.Server,
+		g.log.Info("call about keys", "service", e.controller.service.name, "kind", e.call.Kind.String(), "server", e.call.Incarnation().String(), "called", e.server.Incarnation().String(),
 			"from", e.call.From, "to", e.call.To, "token", e.call.Token, "ms", (e.ended - e.began).Milliseconds(),
 			"handoff", e.handoff, "error", errorText(e.err))
 	}
 	e.machine.Answered(e.call, e.result, e.handoff, e.began, e.ended)
+	if other != nil {
+		e.machine.Ended(e.server.Incarnation())
+	}
 }
 
 func errorText(err error) string {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -264,7 +264,7 @@
 	var holders []keyspace.Server
 	for _, state := range c.service.serverStates() {
 		c.known[state.ID] = state.Server
-		holders = append(holders, keyspace.Server{ID: state.ID, Slots: state.Slots, Speed: state.Speed, Leaving: state.Draining})
+		holders = append(holders, keyspace.Server{ID: state.ID, Start: state.Start, Slots: state.Slots, Speed: state.Speed, Leaving: state.Draining})
 	}
 	return holders
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"cicadarouter/contract/objects"
-	"cicadarouter/fleet"
 	"cicadarouter/host/clock"
 	"cicadarouter/keyspace"
 )
@@ -149,85 +148,6 @@
 	return connected && !compacted
 }
 
-// followServers follows the entries of backend servers.
-func (g *Gateway) followServers(ctx context.Context) {
-	g.follow(ctx, follower{
-		kind: g.registry.Servers(), gather: gather,
-		replace: func(listing objects.Listing) {
-			servers := make([]fleet.Server, 0, len(listing.Objects))
-			for _, object := range listing.Objects {
-				if server, ok := g.decodeServer(object); ok {
-					servers = append(servers, server)
-				}
-			}
-			g.mu.Lock()
-			g.directory.Replace(g.now(), servers)
-			g.mu.Unlock()
-			g.listed.Store(true)
-			g.directoryChanged()
-		},
-		change: func(listing objects.Listing) {
-			for _, object := range listing.Objects {
-				g.changeServer(object)
-			}
-			g.directoryChanged()
-		},
-		away: g.registryAway,
-	})
-}
-
-// registryAway notes that entries which are missing now may only not have been
-// renewed. It is told by the prober as well, which goes on asking while the
-// store is away.
-func (g *Gateway) registryAway() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.directory.Away(g.now())
-}
-
-func (g *Gateway) decodeServer(object objects.Object) (fleet.Server, bool) {
-	server, err := g.registry.Server(object)
-	if err != nil {
-		g.log.Error("server entry left aside", "server", object.Name, "revision", object.Revision, "error", err.Error())
-		return fleet.Server{}, false
-	}
-	return server, true
-}
-
-func (g *Gateway) changeServer(object objects.Object) {
-	if object.Deleted {
-		g.log.Info("server entry gone", "server", object.Name, "revision", object.Revision)
-		g.mu.Lock()
-		g.directory.Remove(g.now(), object.Name)
-		g.mu.Unlock()
-		return
-	}
-	server, ok := g.decodeServer(object)
-	if !ok {
-		return
-	}
-	g.log.Info("server entry", "server", server.ID, "service", server.Service, "draining", server.Draining, "revision", object.Revision)
-	g.mu.Lock()
-	g.directory.Put(server)
-	g.mu.Unlock()
-}
-
-func (g *Gateway) directoryChanged() {
-	g.distribute()
-	g.nudge()
-}
-
-// expireServers drops servers whose entries did not come back.
-func (g *Gateway) expireServers() {
-	g.mu.Lock()
-	changed := g.directory.Expire(g.now())
-	g.mu.Unlock()
-	if changed {
-		g.log.Info("servers dropped whose entries did not return")
-		g.directoryChanged()
-	}
-}
-
 // followConfiguration follows the operator's configuration.
 func (g *Gateway) followConfiguration(ctx context.Context) {
 	take := func(listing objects.Listing) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,7 +58,7 @@
 
 	// Lines that come with the load are bounded, each kind by itself: those of
 	// requests that failed must not be crowded out by those that went well.
-	requestLines, failureLines, callLines *lineQuota
+	requestLines, failureLines, callLines, entryLines *lineQuota
 
 	inForce  routing.InForce
 	stopping atomic.Bool
@@ -89,6 +89,7 @@
 	g.requestLines = newLineQuota(logger, g.clock, "request")
 	g.failureLines = newLineQuota(logger, g.clock, "request that failed")
 	g.callLines = newLineQuota(logger, g.clock, "call about keys")
+	g.entryLines = newLineQuota(logger, g.clock, "entry that names no server")
 	return g
 }
 
--- a/gateway/keys_test.go
+++ b/gateway/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -129,3 +130,74 @@
 		return ok && s.allServed(second) && between > before && s.runs("k3") > between
 	})
 }
+
+// Symptom: a server that crashed and started again runs nothing until its lease
+// would have run out, or is granted its keys under the tokens that it had.
+// Sequence: a server starts again under its ID, holds nothing and knows no
+// token; its entry tells the later start.
+// Cause: the new process was taken for the one that ended.
+func TestServerThatStartedAgainIsServedAnew(t *testing.T) {
+	s, h := calm(t)
+	s.eventually("all keys are served", func() bool { return s.allServed(h) })
+	server := s.servers["k1"]
+	before := slices.Max(server.Tokens())
+	server.Restart()
+	s.registerStart("k1", "owned", s.addresses["k1"], "ready", firstStart+4000)
+	s.eventually("the new incarnation has been granted keys anew", func() bool {
+		granted := server.Tokens()
+		return len(granted) > 0 && granted[len(granted)-1] > before
+	})
+	s.eventually("all keys are served", func() bool { return s.allServed(h) })
+	s.heldOnce("k1", "k2")
+
+	// A heartbeat of the process that ended, written late, changes nothing.
+	s.registerStart("k1", "owned", s.addresses["k1"], "draining", firstStart)
+	s.configure(7, `,{"name":"more","path-prefix":"/more/","kind":"safe","timeout":"5000ms","service":"free","max-attempts":1}`)
+	s.eventually("the host has heard what came after it", func() bool {
+		return s.call(h, http.MethodGet, "/more/", "", "").status == http.StatusOK
+	})
+	assert.Assert(t, s.allServed(h))
+}
+
+// Symptom: no server is known any more, or a request goes to an address that
+// someone wrote into the registry.
+// Sequence: another writer adds entries that are none, and spoils the entry of a
+// server, which writes it anew with its next heartbeat.
+// Cause: one entry that could not be read ended the list, or was read in part.
+func TestEntriesOfOtherWriters(t *testing.T) {
+	s, h := calm(t)
+	s.eventually("all keys are served", func() bool { return s.allServed(h) })
+	trap := &platformtest.Server{ID: "trap", Slots: 8}
+	address := s.listen(trap)
+	for name, spec := range map[string]string{
+		"no-object":   `[1,2]`,
+		"nothing":     `null`,
+		"text":        `"\ufffd\u0000"`,
+		"state":       `{"service":"free","address":"` + address + `","zone":"a","version":"v1","slots":8,"state":"resting","cold-remaining":"0ms","seq":1,"born":5}`,
+		"born":        `{"service":"free","address":"` + address + `","zone":"a","version":"v1","slots":8,"state":"ready","cold-remaining":"0ms","seq":1,"born":5.5}`,
+		"slots":       `{"service":"free","address":"` + address + `","zone":"a","version":"v1","slots":"8","state":"ready","cold-remaining":"0ms","seq":1,"born":5}`,
+		"no-service":  `{"address":"` + address + `","zone":"a","version":"v1","slots":8,"state":"ready","cold-remaining":"0ms","seq":1,"born":5}`,
+		"its-service": `{"service":"none-such","address":"` + address + `","zone":"a","version":"v1","slots":8,"state":"ready","cold-remaining":"0ms","seq":1,"born":5}`,
+	} {
+		s.put("servers", name, spec)
+	}
+	s.put("servers", "f1", `{"service":"free"}`)
+	s.serve("f3", "free", false)
+	s.eventually("the host has heard of the last entry", func() bool {
+		s.call(h, http.MethodGet, "/free/x", "", "")
+		return s.runs("f3") > 0
+	})
+	second := s.host("two") // reads the entries from a list, the first host as changes
+	before := s.runs("f1")
+	for range 40 {
+		assert.Equal(t, s.call(h, http.MethodGet, "/free/x", "", "").status, http.StatusOK)
+		assert.Equal(t, s.call(second, http.MethodGet, "/free/x", "", "").status, http.StatusOK)
+	}
+	assert.Equal(t, len(trap.Runs()), 0)
+	assert.Equal(t, s.runs("f1"), before)
+	assert.Assert(t, s.allServed(second))
+	s.register("f1", "free", s.addresses["f1"], "ready")
+	s.eventually("the server is used again", func() bool {
+		return s.call(h, http.MethodGet, "/free/x", "", "").status == http.StatusOK && s.runs("f1") > before
+	})
+}
--- a/gateway/keyview.go
+++ b/gateway/keyview.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"cicadarouter/fleet"
 	"cicadarouter/keyspace"
 )
 
@@ -14,9 +15,9 @@
 	mu       sync.RWMutex
 	revision uint64
 	record   *keyspace.Record
-	seen     time.Duration // when record came
-	present  map[string]bool
-	vacant   map[uint16]time.Duration // by a range's first key: since when it has no owner
+	seen     time.Duration                // when record came
+	present  map[string]fleet.Incarnation // registered servers by ID
+	vacant   map[uint16]time.Duration     // by a range's first key: since when it has no owner
 }
 
 func newKeyView(now func() time.Duration) *keyView {
@@ -50,7 +51,7 @@
 	return v.now() - v.seen
 }
 
-func (v *keyView) setPresent(present map[string]bool) {
+func (v *keyView) setPresent(present map[string]fleet.Incarnation) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.present = present
@@ -67,13 +68,20 @@
 	if r == nil {
 		return "", 0
 	}
-	if !r.Moving() && v.present[r.Server] {
+	if !r.Moving() && v.runs(r.Holder) {
 		delete(v.vacant, r.From)
 		return r.Server, 0
 	}
 	return "", v.backAt(r)
 }
 
+// runs reports whether a holder is registered and has not started again since: a
+// later incarnation holds nothing until the record names it.
+func (v *keyView) runs(holder keyspace.Holder) bool {
+	incarnation, registered := v.present[holder.Server]
+	return registered && !incarnation.Replaces(holder.Incarnation())
+}
+
 // backAt estimates when a range has an owner again: a former holder that is
 // still registered releases it within the time of its requests; one that is
 // gone holds it until its lease has run out.
@@ -83,9 +91,11 @@
 		since = v.now()
 		v.vacant[r.From] = since
 	}
-	lost := !r.Moving()
+	_, alive := v.present[r.Server] // perhaps started again: then it is given the keys at once
+	lost := !r.Moving() && !alive
 	for _, former := range r.Former {
-		lost = lost || !v.present[former.Server]
+		_, registered := v.present[former.Server]
+		lost = lost || !registered
 	}
 	if !lost {
 		return 0
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -18,6 +18,7 @@
 	retries     *metrics.Counter
 	strays      *metrics.Counter
 	storeErrors *metrics.Counter
+	unreadable  *metrics.Counter
 	latency     *metrics.Histogram
 }
 
@@ -27,6 +28,7 @@
 		retries:     set.NewCounter("cicada_retries_total"),
 		strays:      set.NewCounter("cicada_stray_answers_total"),
 		storeErrors: set.NewCounter("cicada_store_errors_total"),
+		unreadable:  set.NewCounter("cicada_unreadable_entries_total"),
 		latency:     set.NewHistogram("cicada_request_seconds"),
 	}
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"cicadarouter/balance"
+	"cicadarouter/fleet"
 	"cicadarouter/keyspace"
 )
 
@@ -39,9 +40,8 @@
 	// Asked is the slot time asked for, in microseconds, by key.
 	Asked map[uint16]int64 `json:"asked"`
 	// WorkMicros is how long one request holds a slot, in microseconds.
-	WorkMicros int64 `json:"workMicros"`
-	// Paces are by server.
-	Paces map[string]balance.Pace `json:"paces,omitempty"`
+	WorkMicros int64                              `json:"workMicros"`
+	Paces      map[fleet.Incarnation]balance.Pace `json:"paces,omitempty"`
 }
 
 // loadAnswer tells a host that the controller lives.
--- /dev/null
+++ b/gateway/servers.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+
+	"cicadarouter/contract/objects"
+	"cicadarouter/fleet"
+)
+
+// followServers follows the entries of backend servers.
+func (g *Gateway) followServers(ctx context.Context) {
+	reader := &entryReader{gateway: g, reported: map[string]uint64{}}
+	g.follow(ctx, follower{
+		kind: g.registry.Servers(), gather: gather,
+		replace: func(listing objects.Listing) {
+			versions := make([]fleet.Version, 0, len(listing.Objects))
+			for _, object := range listing.Objects {
+				versions = append(versions, reader.read(object))
+			}
+			g.mu.Lock()
+			g.directory.Replace(g.now(), listing.Revision, versions)
+			g.mu.Unlock()
+			g.listed.Store(true)
+			g.directoryChanged()
+		},
+		change: func(listing objects.Listing) {
+			for _, object := range listing.Objects {
+				g.changeServer(reader, object)
+			}
+			g.directoryChanged()
+		},
+		away: g.registryAway,
+	})
+}
+
+// registryAway notes that entries which are missing now may only not have been
+// renewed. It is told by the prober as well, which goes on asking while the
+// store is away.
+func (g *Gateway) registryAway() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.directory.Away(g.now())
+}
+
+// changeServer takes one change of an entry.
+func (g *Gateway) changeServer(reader *entryReader, object objects.Object) {
+	if object.Deleted {
+		g.log.Info("server entry gone", "server", object.Name, "revision", object.Revision)
+		g.mu.Lock()
+		g.directory.Remove(g.now(), object.Name, object.Revision)
+		g.mu.Unlock()
+		return
+	}
+	version := reader.read(object)
+	g.mu.Lock()
+	verdict := g.directory.Put(g.now(), version)
+	g.mu.Unlock()
+	g.log.Info("server entry", "server", version.Incarnation().String(), "service", version.Service, "draining", version.Draining,
+		"unreadable", version.Unreadable, "revision", object.Revision, "verdict", verdict.String())
+}
+
+// directoryChanged hands on what the directory holds now.
+func (g *Gateway) directoryChanged() {
+	g.distribute()
+	g.nudge()
+}
+
+// expireServers drops servers whose entries did not come back.
+func (g *Gateway) expireServers() {
+	g.mu.Lock()
+	changed := g.directory.Expire(g.now())
+	g.mu.Unlock()
+	if changed {
+		g.log.Info("servers dropped whose entries did not return")
+		g.directoryChanged()
+	}
+}
+
+// mostReported bounds the unreadable entries that are remembered as reported.
+// Anyone may write any number of them.
+const mostReported = 1024
+
+// entryReader decodes entries. Whoever may write to the store may write what is
+// no server's entry; each version of such an entry is reported once, however
+// often it is listed.
+type entryReader struct {
+	gateway  *Gateway
+	reported map[string]uint64 // revisions by name
+}
+
+// read returns what an entry says.
+func (e *entryReader) read(object objects.Object) fleet.Version {
+	server, err := e.gateway.registry.Server(object)
+	if err == nil {
+		return fleet.Version{Server: server, Revision: object.Revision}
+	}
+	e.report(object, err)
+	return fleet.Version{Server: fleet.Server{ID: object.Name}, Revision: object.Revision, Unreadable: true}
+}
+
+func (e *entryReader) report(object objects.Object, cause error) {
+	if revision, known := e.reported[object.Name]; known && revision == object.Revision {
+		return
+	}
+	if len(e.reported) >= mostReported {
+		clear(e.reported)
+	}
+	e.reported[object.Name] = object.Revision
+	e.gateway.counts.unreadable.Inc()
+	if e.gateway.entryLines.take() {
+		e.gateway.log.Error("server entry names no server", "server", object.Name, "revision", object.Revision, "error", cause.Error())
+	}
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -38,16 +38,16 @@
 
 	mu      sync.Mutex
 	pool    *balance.Pool
-	links   map[string]*backendlink.Pool
+	links   map[fleet.Incarnation]*backendlink.Pool
 	budget  *dispatch.Budget
-	asked   map[uint16]time.Duration // slot time by key, since the last report
-	paces   map[string]balance.Pace  // by server, since the last report
+	asked   map[uint16]time.Duration           // slot time by key, since the last report
+	paces   map[fleet.Incarnation]balance.Pace // since the last report
 	pumping bool
 }
 
 func newService(name, domain string, keyed bool, seed uint64, now func() time.Duration) *service {
-	s := &service{name: name, now: now, links: map[string]*backendlink.Pool{},
-		budget: dispatch.NewBudget(retryShare, retryReserve), asked: map[uint16]time.Duration{}, paces: map[string]balance.Pace{}}
+	s := &service{name: name, now: now, links: map[fleet.Incarnation]*backendlink.Pool{},
+		budget: dispatch.NewBudget(retryShare, retryReserve), asked: map[uint16]time.Duration{}, paces: map[fleet.Incarnation]balance.Pace{}}
 	var owner balance.Owner
 	if keyed {
 		s.view = newKeyView(now)
@@ -61,17 +61,22 @@
 func (s *service) setServers(servers []fleet.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	present := map[string]bool{}
-	for _, server := range servers {
-		present[server.ID] = true
-		if s.links[server.ID] == nil {
-			s.links[server.ID] = backendlink.NewPool(server.Address, mostIdle, mostAnswer)
+	present := make(map[string]fleet.Incarnation, len(servers))
+	for i := range servers {
+		server := &servers[i]
+		incarnation := server.Incarnation()
+		present[server.ID] = incarnation
+		if link := s.links[incarnation]; link == nil || link.Address() != server.Address {
+			if link != nil {
+				link.Close()
+			}
+			s.links[incarnation] = backendlink.NewPool(server.Address, mostIdle, mostAnswer)
 		}
 	}
-	for id, link := range s.links {
-		if !present[id] {
+	for incarnation, link := range s.links {
+		if present[incarnation.ID] != incarnation {
 			link.Close()
-			delete(s.links, id)
+			delete(s.links, incarnation)
 		}
 	}
 	if s.view != nil {
@@ -121,7 +126,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	link := s.links[waiter.Server.ID]
+	link := s.links[waiter.Server.Incarnation()]
 	if link == nil {
 		s.pool.Done(s.now(), waiter.Server, balance.End{Outcome: balance.Abandoned})
 		return nil, nil, &balance.RejectedError{Reason: balance.NoServer, RetryAfter: retryAfterUnknown}
@@ -135,7 +140,7 @@
 	defer s.mu.Unlock()
 	pace := s.pool.Done(s.now(), server, end)
 	if s.view != nil && pace.Samples > 0 {
-		s.paces[server.ID] = s.paces[server.ID].Plus(pace)
+		s.paces[server.Incarnation()] = s.paces[server.Incarnation()].Plus(pace)
 	}
 	s.armPump()
 }
@@ -178,9 +183,8 @@
 	// asked is the slot time that was asked for, by key.
 	asked map[uint16]time.Duration
 	// work is how long one request holds a slot.
-	work time.Duration
-	// paces are by server.
-	paces map[string]balance.Pace
+	work  time.Duration
+	paces map[fleet.Incarnation]balance.Pace
 }
 
 // takeLoad returns the load since the last call.
@@ -188,16 +192,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	taken := keyLoad{asked: s.asked, work: s.pool.Mean(), paces: s.paces}
-	s.asked, s.paces = map[uint16]time.Duration{}, map[string]balance.Pace{}
+	s.asked, s.paces = map[uint16]time.Duration{}, map[fleet.Incarnation]balance.Pace{}
 	return taken
 }
 
 // learn takes what another host has measured of the servers' speed.
-func (s *service) learn(paces map[string]balance.Pace) {
+func (s *service) learn(paces map[fleet.Incarnation]balance.Pace) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, pace := range paces {
-		s.pool.Learn(id, pace)
+	for incarnation, pace := range paces {
+		s.pool.Learn(incarnation, pace)
 	}
 }
 
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -29,7 +29,9 @@
 	store   *platformtest.Store
 	address string
 	servers map[string]*platformtest.Server
-	hosts   []*hostUnderTest
+	// addresses are those under which servers are registered.
+	addresses map[string]string
+	hosts     []*hostUnderTest
 }
 
 // hostUnderTest is one gateway with its listeners.
@@ -43,7 +45,7 @@
 
 func newSite(t *testing.T) *site {
 	t.Parallel()
-	s := &site{t: t, store: platformtest.NewStore(), servers: map[string]*platformtest.Server{}}
+	s := &site{t: t, store: platformtest.NewStore(), servers: map[string]*platformtest.Server{}, addresses: map[string]string{}}
 	s.address = s.listen(s.store)
 	return s
 }
@@ -84,8 +86,16 @@
 }
 
 func (s *site) register(id, service, address, state string) {
+	s.registerStart(id, service, address, state, firstStart)
+}
+
+// firstStart is the start of the site's servers, in Unix milliseconds.
+const firstStart = 1_700_000_000_000
+
+func (s *site) registerStart(id, service, address, state string, start int64) {
+	s.addresses[id] = address
 	s.put("servers", id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":8,"state":%q,"cold-remaining":"0ms","seq":1}`, service, address, state))
+		`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":8,"state":%q,"cold-remaining":"0ms","seq":1,"born":%d}`, service, address, state, start))
 }
 
 // configure writes a version of the configuration. "/free/" goes to a service
--- a/keyspace/call.go
+++ b/keyspace/call.go
@@ -26,11 +26,12 @@
 
 // Call is a call to make to a server.
 type Call struct {
-	Kind   CallKind
-	Server string
-	From   uint16
-	To     uint16
-	Token  uint64
+	Kind CallKind
+	// Holder is the incarnation of the server that the call is meant for. One
+	// that has started again meanwhile is reached in its place.
+	Holder
+	From uint16
+	To   uint16
 	// Handoff is what the last holder's release returned.
 	Handoff string
 }
--- a/keyspace/change.go
+++ b/keyspace/change.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"cicadarouter/fleet"
 )
 
 // propose sets the pending record if something has to change: finished moves
@@ -11,6 +13,7 @@
 	next := m.record.Clone()
 	changed := m.finishMoves(next)
 	changed = m.renewStale(next) || changed
+	changed = m.grantAnew(now, next, live) || changed
 	if now >= m.settled {
 		changed = changed || len(next.Earlier) > 0
 		next.Earlier = nil
@@ -20,7 +23,7 @@
 			moves = rebalance(next, servers, m.loads)
 			m.planned = now
 		}
-		changed = m.apply(next, moves) || changed
+		changed = m.apply(next, moves, live) || changed
 		changed = m.merge(next, changed) || changed
 	}
 	if changed {
@@ -34,33 +37,35 @@
 // domain, whose keys would otherwise fill the other servers for seconds after.
 func (m *Machine) waitFor(now time.Duration, r *Range) bool {
 	l := m.lease(r, r.Holder)
-	return !m.gone[r.Server] && !l.heard && now < l.until
+	return !m.hasEnded(r.Holder) && !l.heard && now < l.until
 }
 
 // markSilent marks the servers that left a grant unanswered. One that has fallen
 // silent has no load soon, and would be given the busiest keys.
 func (m *Machine) markSilent(servers []Server) []Server {
-	silent := map[string]bool{}
+	silent := map[fleet.Incarnation]bool{}
 	for key, l := range m.leases {
 		if l.silent {
-			silent[key.holder.Server] = true
+			silent[key.holder.Incarnation()] = true
 		}
 	}
 	marked := slices.Clone(servers)
 	for i := range marked {
-		marked[i].Silent = silent[marked[i].ID]
+		marked[i].Silent = silent[fleet.Incarnation{ID: marked[i].ID, Start: marked[i].Start}]
 	}
 	return marked
 }
 
-// finishMoves takes the former holders out of ranges whose owner holds them.
+// finishMoves takes the former holders out of ranges whose owner holds them. An
+// owner takes over what binds its earlier incarnations.
 func (m *Machine) finishMoves(next *Record) bool {
 	changed := false
 	for i := range next.Ranges {
 		r := &next.Ranges[i]
-		if !r.Moving() || !m.lease(r, r.Holder).granted {
+		if !r.Moving() || !m.lease(r, r.Holder).granted || m.callingEarlier(r) {
 			continue
 		}
+		m.inherit(r)
 		r.Former = nil
 		changed = true
 	}
@@ -69,7 +74,7 @@
 
 // apply changes the record by the moves. Leases of ranges that are cut apart
 // pass to the parts.
-func (m *Machine) apply(next *Record, moves []Move) bool {
+func (m *Machine) apply(next *Record, moves []Move, live map[string]Server) bool {
 	changed := false
 	for _, move := range moves {
 		if m.calling(next, move) {
@@ -87,7 +92,7 @@
 			changed = true
 			next.LastToken++
 			r.Former = append(r.Former, r.Holder)
-			r.Holder = Holder{Server: move.Server, Token: next.LastToken}
+			r.Holder = Holder{Server: move.Server, Start: live[move.Server].Start, Token: next.LastToken}
 		}
 	}
 	return changed
@@ -101,7 +106,7 @@
 		if r.To < move.From || r.From > move.To {
 			continue
 		}
-		if m.lease(r, r.Holder).calling {
+		if m.lease(r, r.Holder).calling || m.callingEarlier(r) {
 			return true
 		}
 	}
@@ -161,7 +166,7 @@
 
 // joinable reports whether two neighbouring ranges can become one now.
 func (m *Machine) joinable(a, b *Range) bool {
-	if a.Server != b.Server || a.Moving() || b.Moving() || m.gone[a.Server] {
+	if a.Incarnation() != b.Incarnation() || a.Moving() || b.Moving() || m.hasEnded(a.Holder) {
 		return false
 	}
 	left, right := m.lease(a, a.Holder), m.lease(b, b.Holder)
--- a/keyspace/faults_test.go
+++ b/keyspace/faults_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cicadarouter/fleet"
 )
 
 // bench is a machine for two servers, with the time in the test's hands.
@@ -188,7 +190,7 @@
 	b := newBench(t, New(twoServers(), 0, 0), 0)
 	b.run(2 * time.Second)
 	b.loseA()
-	b.m.Ended("a")
+	b.m.Ended(fleet.Incarnation{ID: "a"})
 	b.run(b.now + 10*tick)
 	owner, held := b.owner()
 	assert.Equal(t, owner, "b")
--- a/keyspace/fuzz_test.go
+++ b/keyspace/fuzz_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"cicadarouter/fleet"
 )
 
 // Whatever calls are lost, late or take effect long after they arrived, whoever
@@ -32,7 +34,7 @@
 		"a controller steps": func(t *rapid.T) { w.step(pickHost(t)) },
 		"a call arrives": func(t *rapid.T) {
 			if c := w.drawCall(t, func(c *trueCall) bool { return !c.here && !c.told }); c != nil {
-				c.here, c.arrived = true, w.now
+				w.arrive(c)
 			}
 		},
 		"a call takes effect": func(t *rapid.T) {
@@ -108,10 +110,22 @@
 			s.up, s.registered, s.holds = false, false, nil
 			for _, h := range w.hosts {
 				if h.machine != nil {
-					h.machine.Ended(s.id)
+					h.machine.Ended(fleet.Incarnation{ID: s.id, Start: s.start})
 				}
 			}
 		},
+		"a server starts again under its ID": func(t *rapid.T) {
+			s := pickServer(t)
+			// Mostly later than before; the clock may have been set back.
+			s.restart(s.start + int64(rapid.SampledFrom([]int{1, 800, 5000, -3000}).Draw(t, "later by ms")))
+			if rapid.Bool().Draw(t, "its entry tells") {
+				s.told = s.start
+			}
+		},
+		"an entry catches up": func(t *rapid.T) {
+			s := pickServer(t)
+			s.told, s.registered = s.start, true
+		},
 		"a key gets busy": func(t *rapid.T) {
 			h := pickHost(t)
 			if h.machine != nil {
@@ -149,7 +163,7 @@
 func (w *world) answer(c *trueCall) {
 	c.told = true
 	switch {
-	case !w.server(c.call.Server).up:
+	case !w.server(c.call.Server).up, w.server(c.call.Server).lives != c.life:
 		w.tell(c, CallUnanswered, "")
 	case c.refused:
 		w.tell(c, CallStale, "")
@@ -177,7 +191,7 @@
 		if c.here || c.told {
 			continue
 		}
-		c.here, c.arrived = true, w.now
+		w.arrive(c)
 		w.effect(c)
 		w.answer(c)
 	}
--- a/keyspace/machine.go
+++ b/keyspace/machine.go
@@ -4,11 +4,15 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"cicadarouter/fleet"
 )
 
 // Server is a backend server that may hold keys.
 type Server struct {
-	ID    string
+	ID string
+	// Start is that of the incarnation that is registered.
+	Start int64
 	Slots int
 	// Speed is its measured speed over the mean; 1 if not known.
 	Speed float64
@@ -34,6 +38,9 @@
 	heard    bool          // the last call had an answer
 	granted  bool
 	stale    bool // refused: the server has seen a higher token
+	// successor is set if a later incarnation was asked to release the keys: it
+	// never worked on them and has nothing to hand over.
+	successor bool
 }
 
 // leaseKey names a lease: the holder's token is unique for a range and a time.
@@ -52,8 +59,9 @@
 	calm      time.Duration // from when nothing that it sent can take effect
 	planned   time.Duration
 	leases    map[leaseKey]*lease
-	gone      map[string]bool // servers proven ended
-	stopped   map[uint64]bool // incarnations of earlier controllers proven stopped
+	ended     map[fleet.Incarnation]bool // proven to have ended
+	earlier   map[string]time.Duration   // by server: since when its entry names an earlier start than the record
+	stopped   map[uint64]bool            // incarnations of earlier controllers proven stopped
 	loads     *KeyLoads
 }
 
@@ -61,7 +69,7 @@
 // acknowledged by a call begun at confirmed.
 func New(record *Record, confirmed, now time.Duration) *Machine {
 	return &Machine{record: record.Clone(), confirmed: confirmed, settled: now, calm: now,
-		leases: map[leaseKey]*lease{}, gone: map[string]bool{}, stopped: map[uint64]bool{}, loads: NewKeyLoads()}
+		leases: map[leaseKey]*lease{}, ended: map[fleet.Incarnation]bool{}, earlier: map[string]time.Duration{}, stopped: map[uint64]bool{}, loads: NewKeyLoads()}
 }
 
 // Adopt returns a machine for a record taken over from an earlier controller by
@@ -136,8 +144,20 @@
 }
 
 // Ended notes the proof that a server's process has ended: another server
-// answers at its address.
-func (m *Machine) Ended(server string) { m.gone[server] = true }
+// answers at its address. Other incarnations are not meant. The proof covers the
+// calls that have ended: one that is under way may yet reach a process that
+// starts under the same ID, and binds as if there were no proof.
+func (m *Machine) Ended(server fleet.Incarnation) {
+	m.ended[server] = true
+	for key, l := range m.leases {
+		if key.holder.Incarnation() == server && !l.calling {
+			l.until, l.late = 0, 0
+		}
+	}
+}
+
+// hasEnded reports whether a holder's process is proven to have ended.
+func (m *Machine) hasEnded(holder Holder) bool { return m.ended[holder.Incarnation()] }
 
 // forget drops leases that the record no longer speaks of.
 func (m *Machine) forget() {
@@ -179,6 +199,7 @@
 	for _, server := range servers {
 		live[server.ID] = server
 	}
+	m.noteEarlierStarts(now, live)
 	probed := map[string]bool{}
 	for i := range m.record.Ranges {
 		calls = m.stepRange(now, &m.record.Ranges[i], live, probed, calls)
@@ -195,7 +216,7 @@
 	handoff := ""
 	for _, former := range r.Former {
 		l := m.lease(r, former)
-		if m.clear(now, former, l) {
+		if m.clear(now, r, former, l) {
 			if l.handoff != "" {
 				handoff = l.handoff
 			}
@@ -204,20 +225,25 @@
 		free = false
 		if !l.calling && !l.released && now >= l.retry {
 			l.calling = true
-			calls = append(calls, Call{Kind: ReleaseCall, Server: former.Server, From: r.From, To: r.To, Token: former.Token})
+			l.successor = live[former.Server].Start > former.Start
+			calls = append(calls, Call{Kind: ReleaseCall, Holder: former, From: r.From, To: r.To})
 		}
 	}
 	if !free {
 		return calls
 	}
 	l := m.lease(r, r.Holder)
-	if _, alive := live[r.Server]; !alive {
-		if !l.heard && !l.silent && !l.calling && !probed[r.Server] && !m.gone[r.Server] {
+	server, alive := live[r.Server]
+	if !alive {
+		if !l.heard && !l.silent && !l.calling && !probed[r.Server] && !m.hasEnded(r.Holder) {
 			l.calling, probed[r.Server] = true, true
-			calls = append(calls, Call{Kind: ProbeCall, Server: r.Server, From: r.From, To: r.To, Token: r.Token})
+			calls = append(calls, Call{Kind: ProbeCall, Holder: r.Holder, From: r.From, To: r.To})
 		}
 		return calls
 	}
+	if m.replaced(now, r.Holder, server) {
+		return calls // it is granted the keys once the record gives them to it
+	}
 	if l.calling || now < l.next || m.changing(r) {
 		return calls
 	}
@@ -230,7 +256,10 @@
 		probed[r.Server] = true
 	}
 	l.calling = true
-	return append(calls, Call{Kind: kind, Server: r.Server, From: r.From, To: r.To, Token: r.Token, Handoff: handoff})
+	// Whoever may hold keys from now on is not known to have ended: a server that
+	// does not tell its starts may be back under its ID at another address.
+	delete(m.ended, r.Incarnation())
+	return append(calls, Call{Kind: kind, Holder: r.Holder, From: r.From, To: r.To, Handoff: handoff})
 }
 
 // changing reports whether the pending record takes the range from its owner:
@@ -244,8 +273,13 @@
 }
 
 // clear reports whether a former holder surely holds the keys no more.
-func (m *Machine) clear(now time.Duration, former Holder, l *lease) bool {
-	if m.gone[former.Server] || now >= l.until {
+func (m *Machine) clear(now time.Duration, r *Range, former Holder, l *lease) bool {
+	if now >= l.until {
+		return true
+	}
+	if r.Incarnation().Replaces(former.Incarnation()) {
+		// The earlier process has ended. What reached the later one in its place
+		// that one holds itself, and the keys are its own.
 		return true
 	}
 	return l.released && now >= l.late
@@ -258,7 +292,7 @@
 // An unanswered call must have been aborted, so that it can't arrive any more
 // after ended.
 func (m *Machine) Answered(call Call, result CallResult, handoff string, began, ended time.Duration) {
-	l, known := m.leases[leaseKey{from: call.From, to: call.To, holder: Holder{Server: call.Server, Token: call.Token}}]
+	l, known := m.leases[leaseKey{from: call.From, to: call.To, holder: call.Holder}]
 	if !known {
 		return
 	}
@@ -272,7 +306,10 @@
 			l.retry = ended + callRetry
 			return
 		}
-		l.released, l.handoff = true, handoff
+		l.released = true
+		if !l.successor {
+			l.handoff = handoff
+		}
 	case ProbeCall:
 		l.next = ended + callRetry
 		l.silent = result == CallUnanswered
--- a/keyspace/record.go
+++ b/keyspace/record.go
@@ -19,11 +19,17 @@
 //  4. A successor plans no move, and takes no release as final, before the
 //     predecessor's authorityBound has run out, unless it is proven stopped.
 //     Renewing an unchanged assignment with the same token harms nobody.
+//  5. A later incarnation of an owner holds nothing and has forgotten the tokens
+//     that it saw. It is granted the keys with a higher token. Calls that were
+//     made to the earlier incarnation may have reached the later one, so both
+//     are bound by them until the keys have passed to another server.
 package keyspace
 
 import (
 	"slices"
 	"time"
+
+	"cicadarouter/fleet"
 )
 
 // LastKey is the highest key.
@@ -54,10 +60,18 @@
 	return ended + LeaseTerm*(100+slowClock)/100 + clockMargin
 }
 
-// Holder is a server with the token under which it holds or held keys.
+// Holder is an incarnation of a server with the token under which it holds or
+// held keys.
 type Holder struct {
 	Server string `json:"server"`
-	Token  uint64 `json:"token"`
+	// Start is that of the incarnation; 0 if the server did not say.
+	Start int64  `json:"start,omitempty"`
+	Token uint64 `json:"token"`
+}
+
+// Incarnation returns the holder without its token.
+func (h Holder) Incarnation() fleet.Incarnation {
+	return fleet.Incarnation{ID: h.Server, Start: h.Start}
 }
 
 // Range is a range of keys, both ends included.
@@ -150,24 +164,24 @@
 func First(controller Controller, servers []Server) *Record {
 	record := &Record{Term: 1, Controller: controller}
 	turns := deal(servers)
-	for i, id := range turns {
+	for i, server := range turns {
 		record.LastToken++
 		record.Ranges = append(record.Ranges, Range{
 			From: uint16((LastKey + 1) * i / len(turns)), To: uint16((LastKey+1)*(i+1)/len(turns) - 1),
-			Holder: Holder{Server: id, Token: record.LastToken}})
+			Holder: Holder{Server: server.ID, Start: server.Start, Token: record.LastToken}})
 	}
 	return record
 }
 
 // deal returns the owners of the slices in order.
-func deal(servers []Server) []string {
-	var turns []string
+func deal(servers []Server) []Server {
+	var turns []Server
 	for round := 0; ; round++ {
 		before := len(turns)
 		for _, server := range servers {
 			enough := round >= server.Slots*slicesPerSlot || round > 0 && len(turns) >= mostSlices
 			if !enough {
-				turns = append(turns, server.ID)
+				turns = append(turns, server)
 			}
 		}
 		if len(turns) == before {
--- a/keyspace/vacancy_test.go
+++ b/keyspace/vacancy_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cicadarouter/fleet"
 )
 
 // entryLapse is after how long without heartbeats a server's entry is gone: three
@@ -36,7 +38,7 @@
 		return vacancy(b, func(_ string, held bool) bool { return held })
 	}},
 	{"server lost, another answers at its address", entryLapse + 300*time.Millisecond, func(b *bench) time.Duration {
-		return lost(b, func() { b.m.Ended("a") })
+		return lost(b, func() { b.m.Ended(fleet.Incarnation{ID: "a"}) })
 	}},
 	{"server silent", renewEvery + lapse(0) + 2*tick, func(b *bench) time.Duration {
 		return lost(b, func() {})
--- a/keyspace/world_test.go
+++ b/keyspace/world_test.go
@@ -23,7 +23,13 @@
 
 // trueServer is a backend server.
 type trueServer struct {
-	id         string
+	id    string
+	start int64
+	// told is the start that its entry names. The entry of a server that is cut
+	// off from the registry is behind.
+	told       int64
+	lives      int            // how often it has started
+	starts     map[int64]bool // all that it had
 	up         bool
 	registered bool
 	leaving    bool
@@ -67,17 +73,21 @@
 	began   time.Duration
 	arrived time.Duration
 	here    bool // arrived
+	life    int  // of the server that it arrived at
 	done    bool // took effect
 	told    bool // its end was told to the machine
 	refused bool
 }
 
+// firstStart is the start of the servers, in Unix milliseconds.
+const firstStart = 1_700_000_000_000
+
 const tick = 50 * time.Millisecond
 
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, now: time.Second}
 	for i := range 4 {
-		w.servers = append(w.servers, &trueServer{id: fmt.Sprintf("s%d", i), up: true, registered: i < 3, slow: i % 3})
+		w.servers = append(w.servers, &trueServer{id: fmt.Sprintf("s%d", i), start: firstStart, told: firstStart, starts: map[int64]bool{firstStart: true}, up: true, registered: i < 3, slow: i % 3})
 	}
 	for i := range 3 {
 		w.hosts = append(w.hosts, &trueHost{id: i, incarnation: uint64(i + 1)})
@@ -97,7 +107,7 @@
 	var servers []Server
 	for _, s := range w.servers {
 		if s.registered {
-			servers = append(servers, Server{ID: s.id, Slots: 2, Speed: 1, Leaving: s.leaving})
+			servers = append(servers, Server{ID: s.id, Start: s.told, Slots: 2, Speed: 1, Leaving: s.leaving})
 		}
 	}
 	return servers
@@ -166,7 +176,7 @@
 func (w *world) effect(c *trueCall) {
 	c.done = true
 	s := w.server(c.call.Server)
-	if !s.up {
+	if !s.up || s.lives != c.life {
 		c.refused = true
 		return
 	}
@@ -185,6 +195,22 @@
 	}
 }
 
+// arrive lets a call reach the server that runs under the ID it was made to.
+func (w *world) arrive(c *trueCall) {
+	c.here, c.arrived, c.life = true, w.now, w.server(c.call.Server).lives
+}
+
+// restart lets a server start again under its ID: it holds nothing, has
+// forgotten the tokens that it saw, and what it had not answered is lost.
+func (s *trueServer) restart(start int64) {
+	for s.starts[start] {
+		start++ // no two starts are within the same millisecond
+	}
+	s.starts[start] = true
+	s.start, s.up, s.holds = start, true, nil
+	s.lives++
+}
+
 // drop ends what a server holds of a range.
 func (s *trueServer) drop(from, to uint16) {
 	var kept []trueHold
--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -80,6 +80,9 @@
 	return &Pool{address: address, maxIdle: maxIdle, maxAnswer: maxAnswer}
 }
 
+// Address returns the server's IP number and port.
+func (p *Pool) Address() string { return p.address }
+
 // Do sends a request and returns its whole answer, or a *SendError. lastCheck
 // is called when the request is encoded and the connection stands, immediately
 // before the first byte leaves; if it returns false, nothing is sent.
