Soak: servers that start again under their IDs; mutants for incarnations and entries

Cause: nothing outside the cores showed a server that starts again under its ID. Change: the soak has the fault; kept seeds play the series of faults that they failed with, since a longer list would draw others. Mutants for each rule.

--- a/cmd/cicada-soak/main.go
+++ b/cmd/cicada-soak/main.go
@@ -20,6 +20,7 @@
 	Program string        `long:"program" default:"bin/cicada-gateway" description:"the built daemon"`
 	Dir     string        `long:"dir" default:"run/soak" description:"where logs of failed seeds are left"`
 	Seeds   []uint64      `long:"seed" description:"seed to play; may be given more than once"`
+	Series  int           `long:"series" description:"version of the list of faults that the seeds were drawn with; the current one if not given"`
 	Fresh   int           `long:"fresh" description:"further seeds drawn now"`
 	Kept    bool          `long:"kept" description:"play the seeds that have failed once"`
 	Hosts   int           `long:"hosts" default:"4" description:"hosts"`
@@ -48,16 +49,18 @@
 func play(given options) (failed int, err error) {
 	ctx, stop := program.Signals()
 	defer stop()
-	seeds := given.Seeds
+	var chosen []soak.Regression
+	for _, seed := range given.Seeds {
+		chosen = append(chosen, soak.Regression{Seed: seed, Series: soak.Series(given.Series)})
+	}
 	if given.Kept {
-		for _, kept := range soak.Regressions() {
-			seeds = append(seeds, kept.Seed)
-		}
+		chosen = append(chosen, soak.Regressions()...)
 	}
 	for range given.Fresh {
-		seeds = append(seeds, rand.Uint64()>>32)
+		chosen = append(chosen, soak.Regression{Seed: rand.Uint64() >> 32, Series: soak.CurrentSeries})
 	}
-	for _, seed := range seeds {
+	for _, each := range chosen {
+		seed := each.Seed
 		dir := filepath.Join(given.Dir, fmt.Sprintf("seed-%d", seed))
 		if err := os.MkdirAll(dir, 0o700); err != nil {
 			return failed, eris.Wrap(err, "folder for logs")
@@ -66,7 +69,7 @@
 		if given.Quiet {
 			print = func(string) {}
 		}
-		result, err := soak.Run(ctx, soak.Options{Program: given.Program, Dir: dir, Seed: seed, Hosts: given.Hosts, Servers: given.Servers,
+		result, err := soak.Run(ctx, soak.Options{Program: given.Program, Dir: dir, Seed: seed, Series: each.Series, Hosts: given.Hosts, Servers: given.Servers,
 			Callers: given.Callers, Length: given.Length, Every: given.Every, Print: print})
 		if err != nil {
 			return failed, eris.Wrapf(err, "seed %d; logs in %s", seed, dir)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -117,8 +117,8 @@
 		present[version.ID] = true
 		d.Put(now, version)
 	}
-	for id, known := range d.entries {
-		if !present[id] && known.revision <= asOf {
+	for id := range d.entries {
+		if !present[id] {
 			d.Remove(now, id, asOf)
 		}
 	}
--- a/keyspace/machine.go
+++ b/keyspace/machine.go
@@ -144,13 +144,13 @@
 }
 
 // Ended notes the proof that a server's process has ended: another server
-// answers at its address. Other incarnations are not meant. The proof covers the
-// calls that have ended: one that is under way may yet reach a process that
+// answers at its address. Other incarnations are not meant. The proof covers what
+// was granted until now: a call that is under way may yet reach a process that
 // starts under the same ID, and binds as if there were no proof.
 func (m *Machine) Ended(server fleet.Incarnation) {
 	m.ended[server] = true
 	for key, l := range m.leases {
-		if key.holder.Incarnation() == server && !l.calling {
+		if key.holder.Incarnation() == server {
 			l.until, l.late = 0, 0
 		}
 	}
--- a/keyspace/restart_test.go
+++ b/keyspace/restart_test.go
@@ -27,7 +27,7 @@
 // Cause: the controller told servers by their IDs, and waited for the renewal.
 func TestServerThatStartedAgainIsGrantedItsKeysAtOnce(t *testing.T) {
 	b := restarting(t)
-	before := b.m.Record().At(0).Token
+	before := b.m.Record().LastToken
 	b.servers[0].Start = laterStart
 	b.run(b.now + 3*tick)
 	r := b.m.Record().At(0)
@@ -159,6 +159,7 @@
 	b.run(b.now + time.Second)
 	_, held := b.owner()
 	assert.Assert(t, held)
+	b.m.Ended(fleet.Incarnation{ID: "a", Start: firstStart}) // told once more
 	b.loseA()
 	b.run(b.grants["a"] + LeaseTerm)
 	owner, held := b.owner()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -18,37 +18,55 @@
 	// harmless kinds excuse nothing: planned work that bounds in time are judged
 	// by, and that would otherwise excuse itself.
 	harmless bool
+	// since is the first series that has the fault. A seed that has failed once
+	// is played with the series of that time: with more faults to draw from, it
+	// would draw others.
+	since Series
 	// plan draws where it strikes.
 	plan func(r *run, random *rand.Rand, length time.Duration) func(ctx context.Context)
 }
 
+// Series is a version of the list of faults.
+type Series int
+
+// The series.
+const (
+	FirstSeries Series = 1 + iota
+	// RestartSeries has servers that start again under their IDs.
+	RestartSeries
+)
+
+// CurrentSeries is the one of fresh seeds.
+const CurrentSeries = RestartSeries
+
 // faults lists all kinds.
 func faults() []fault {
 	return []fault{
-		{"a host is stopped and started", 3, false, onHost(func(ctx context.Context, h *host, _ time.Duration) { h.terminate() })},
-		{"a host is killed", 3, false, onHost(func(ctx context.Context, h *host, length time.Duration) { h.kill(); pause(ctx, length/4) })},
-		{"a host is paused", 3, false, onHost(func(ctx context.Context, h *host, length time.Duration) { h.pause(length) })},
-		{"a host reads its settings", 1, true, onHost(func(ctx context.Context, h *host, _ time.Duration) { h.signal(syscall.SIGHUP, false) })},
-		{"all hosts are killed", 1, false, killAll},
-		{"a host is cut off from the store", 2, false, onStoreLink(Link{CutTo: true, CutFrom: true})},
-		{"the store hears a host but its answers are lost", 2, false, onStoreLink(Link{CutFrom: true})},
-		{"a host's calls to the store are slow", 1, false, onStoreLink(Link{Delay: 150 * time.Millisecond})},
-		{"connections to the store are reset", 1, false, resetStoreLinks},
-		{"the store turns calls away", 2, false, onStore(platformtest.Faults{Refuse: true})},
-		{"the store loses answers to writes", 2, false, onStore(platformtest.Faults{LoseAnswers: 5})},
-		{"the store's watches are deaf", 1, false, deafen},
-		{"a server is cut off", 3, false, onServerLink(Link{CutTo: true, CutFrom: true})},
-		{"a server's answers are held up", 2, false, onServerLink(Link{CutFrom: true})},
-		{"what goes to a server is held up", 2, false, onServerLink(Link{CutTo: true})},
-		{"connections to a server are reset", 2, false, resetServerLink},
-		{"a server turns requests away", 1, false, onServer(platformtest.ServerFaults{Shed: true})},
-		{"a server loses answers", 3, false, onServer(platformtest.ServerFaults{LoseAnswers: 30})},
-		{"a server breaks answers off", 1, false, onServer(platformtest.ServerFaults{BreakOff: 10})},
-		{"a server gives other requests' answers", 1, false, onServer(platformtest.ServerFaults{OtherID: true})},
-		{"a server leaves grants unanswered", 2, false, onServer(platformtest.ServerFaults{IgnoreGrants: true})},
-		{"a server joins", 2, true, joins},
-		{"a server leaves", 2, true, leaves},
-		{"the configuration changes", 3, true, configures},
+		{"a host is stopped and started", 3, false, FirstSeries, onHost(func(ctx context.Context, h *host, _ time.Duration) { h.terminate() })},
+		{"a host is killed", 3, false, FirstSeries, onHost(func(ctx context.Context, h *host, length time.Duration) { h.kill(); pause(ctx, length/4) })},
+		{"a host is paused", 3, false, FirstSeries, onHost(func(ctx context.Context, h *host, length time.Duration) { h.pause(length) })},
+		{"a host reads its settings", 1, true, FirstSeries, onHost(func(ctx context.Context, h *host, _ time.Duration) { h.signal(syscall.SIGHUP, false) })},
+		{"all hosts are killed", 1, false, FirstSeries, killAll},
+		{"a host is cut off from the store", 2, false, FirstSeries, onStoreLink(Link{CutTo: true, CutFrom: true})},
+		{"the store hears a host but its answers are lost", 2, false, FirstSeries, onStoreLink(Link{CutFrom: true})},
+		{"a host's calls to the store are slow", 1, false, FirstSeries, onStoreLink(Link{Delay: 150 * time.Millisecond})},
+		{"connections to the store are reset", 1, false, FirstSeries, resetStoreLinks},
+		{"the store turns calls away", 2, false, FirstSeries, onStore(platformtest.Faults{Refuse: true})},
+		{"the store loses answers to writes", 2, false, FirstSeries, onStore(platformtest.Faults{LoseAnswers: 5})},
+		{"the store's watches are deaf", 1, false, FirstSeries, deafen},
+		{"a server is cut off", 3, false, FirstSeries, onServerLink(Link{CutTo: true, CutFrom: true})},
+		{"a server's answers are held up", 2, false, FirstSeries, onServerLink(Link{CutFrom: true})},
+		{"what goes to a server is held up", 2, false, FirstSeries, onServerLink(Link{CutTo: true})},
+		{"connections to a server are reset", 2, false, FirstSeries, resetServerLink},
+		{"a server turns requests away", 1, false, FirstSeries, onServer(platformtest.ServerFaults{Shed: true})},
+		{"a server loses answers", 3, false, FirstSeries, onServer(platformtest.ServerFaults{LoseAnswers: 30})},
+		{"a server breaks answers off", 1, false, FirstSeries, onServer(platformtest.ServerFaults{BreakOff: 10})},
+		{"a server gives other requests' answers", 1, false, FirstSeries, onServer(platformtest.ServerFaults{OtherID: true})},
+		{"a server leaves grants unanswered", 2, false, FirstSeries, onServer(platformtest.ServerFaults{IgnoreGrants: true})},
+		{"a server joins", 2, true, FirstSeries, joins},
+		{"a server leaves", 2, true, FirstSeries, leaves},
+		{"the configuration changes", 3, true, FirstSeries, configures},
+		{"a server starts again under its ID", 3, false, RestartSeries, restarts},
 	}
 }
 
@@ -58,9 +76,12 @@
 	pool   []fault // each as often as its weight says
 }
 
-func newSeries(seed uint64) *series {
+func newSeries(seed uint64, version Series) *series {
 	s := &series{random: rand.New(rand.NewPCG(seed, 1))}
 	for _, kind := range faults() {
+		if kind.since > version {
+			continue
+		}
 		for range kind.weight {
 			s.pool = append(s.pool, kind)
 		}
@@ -177,6 +198,16 @@
 	}
 }
 
+// restarts lets a server start again. Its connections end with its process.
+func restarts(r *run, random *rand.Rand, _ time.Duration) func(ctx context.Context) {
+	n := random.IntN(len(r.first))
+	return func(ctx context.Context) {
+		server := r.site.Servers()[n]
+		r.first[n].Reset()
+		r.fail(r.site.Restart(ctx, server))
+	}
+}
+
 func joins(r *run, _ *rand.Rand, _ time.Duration) func(ctx context.Context) {
 	return func(context.Context) { r.fail(r.site.AddKeyed(r.serving)) }
 }
--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -3,6 +3,8 @@
 // Regression is a seed that broke a promise once.
 type Regression struct {
 	Seed uint64
+	// Series is the version of the list of faults that it failed with.
+	Series Series
 	// Cause is why.
 	Cause string
 }
@@ -11,8 +13,8 @@
 // "cicada-soak --kept".
 func Regressions() []Regression {
 	return []Regression{
-		{2651125409, "after an outage of the store the followers of a host waited for a watch of 25 s at the controller; " +
+		{2651125409, FirstSeries, "after an outage of the store the followers of a host waited for a watch of 25 s at the controller; " +
 			"and of the soak itself: a proxy delivered a grant whose sender had reset the connection, a paused host did not stop in time"},
-		{2114909493, "of the soak itself: an outgoing connection took the port of a host that was about to start"},
+		{2114909493, FirstSeries, "of the soak itself: an outgoing connection took the port of a host that was about to start"},
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -8,6 +8,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -34,6 +35,8 @@
 	// Dir takes the hosts' settings and logs.
 	Dir  string
 	Seed uint64
+	// Series is the version of the list of faults; 0 for the current one.
+	Series Series
 	// Hosts are processes; Servers are stand-ins for each of two services.
 	Hosts, Servers, Callers int
 	// Length is for how long faults begin.
@@ -166,7 +169,7 @@
 
 // makeFaults draws the whole series first, and then plays it.
 func (r *run) makeFaults(ctx context.Context) {
-	drawn := newSeries(r.options.Seed)
+	drawn := newSeries(r.options.Seed, cmp.Or(r.options.Series, CurrentSeries))
 	var playing sync.WaitGroup
 	start := time.Now()
 	for at := time.Duration(0); at < r.options.Length; at += time.Duration(drawn.random.ExpFloat64() * float64(r.options.Every)) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,7 +32,7 @@
 func TestSeedGivesTheSameSeries(t *testing.T) {
 	series := func() []string {
 		var names []string
-		random := newSeries(9)
+		random := newSeries(9, CurrentSeries)
 		for range 50 {
 			kind, length := random.next()
 			names = append(names, kind.name+length.String())
@@ -42,6 +42,17 @@
 	assert.DeepEqual(t, series(), series())
 }
 
+// A seed that failed once draws the same faults as then, whatever kinds came since.
+func TestSeriesDoNotChange(t *testing.T) {
+	drawn := newSeries(2651125409, FirstSeries)
+	var names []string
+	for range 4 {
+		kind, _ := drawn.next()
+		names = append(names, kind.name)
+	}
+	assert.DeepEqual(t, names, []string{"a server leaves grants unanswered", "a host is killed", "a server leaves", "the configuration changes"})
+}
+
 // echo answers what it is sent, on a free port.
 func echo(t *testing.T) string {
 	t.Helper()
--- a/tools/mutants/balance.go
+++ b/tools/mutants/balance.go
@@ -34,5 +34,8 @@
 		in("pool.go", "begin with the same servers everywhere", " + tieBreak*p.random.Float64()", ""),
 		in("server.go", "prefer no domain", "	if s.Domain != domain {", "	if false {"),
 		in("server.go", "count a shared server as one's own", "	return max(s.gap, alone)", "	return alone"),
+		in("pool.go", "incarnations: keep what is known of an earlier one", "if !known || !server.sameRun(listed) {", "if !known {"),
+		in("server.go", "incarnations: overlook another address", "listed.Incarnation() && s.Address == listed.Address", "listed.Incarnation()"),
+		in("pool.go", "incarnations: take an earlier one's speed", "server.Incarnation() == incarnation && ", ""),
 	}
 }
--- /dev/null
+++ b/tools/mutants/entries.go
@@ -0,0 +1,21 @@
+package main
+
+// entryMutants break the rules by which entries of servers are read and believed.
+func entryMutants() []mutant {
+	in := func(pkg, file, name, old, fresh string) mutant {
+		return mutant{name: "entries: " + name, file: pkg + "/" + file, old: old, new: fresh, pkg: pkg, run: "."}
+	}
+	return []mutant{
+		in("fleet", "fleet.go", "believe older versions", "version.Revision < known.revision || version.Revision == known.revision && known.ended", "false"),
+		in("fleet", "fleet.go", "believe an old end", "known.ended || revision < known.revision {", "known.ended {"),
+		in("fleet", "fleet.go", "believe an earlier start at once", "known.earlier < believedWrites", "false"),
+		in("fleet", "fleet.go", "never believe an earlier start", "known.earlier < believedWrites", "true"),
+		in("fleet", "fleet.go", "keep using what can't be read", "		known.end(now)\n		return Taken\n", "		return Taken\n"),
+		in("fleet", "fleet.go", "never forget an end", "now-known.endedAt >= endKept", "false"),
+		in("platform", "fields.go", "overlook missing fields", "		f.fail(field, []byte(missing), \"must be given\")\n", ""),
+		in("platform", "fields.go", "take any state", "	if slices.Contains(allowed, text) {", "	if true || slices.Contains(allowed, text) {"),
+		in("platform", "fields.go", "take numbers out of bounds", "err != nil || number < least || number > most", "err != nil"),
+		in("platform", "fields.go", "take negative times", "err != nil || parsed < 0", "err != nil"),
+		in("platform", "store.go", "let one object spoil the list", "		return nil // no object: it names nothing\n", "		return errConflict\n"),
+	}
+}
--- a/tools/mutants/keyspace.go
+++ b/tools/mutants/keyspace.go
@@ -7,7 +7,7 @@
 	}
 	return []mutant{
 		in("record.go", "trust servers' clocks", "LeaseTerm*(100+slowClock)/100 + clockMargin", "LeaseTerm"),
-		in("machine.go", "take keys from a silent server at once", "if m.gone[former.Server] || now >= l.until {", "if m.gone[former.Server] || l.silent || now >= l.until {"),
+		in("machine.go", "take keys from a silent server at once", "	if now >= l.until {\n		return true", "	if l.silent || now >= l.until {\n		return true"),
 		in("machine.go", "forget grants that had no answer", "return l.released && now >= l.late", "return l.released"),
 		in("machine.go", "do not count an unanswered grant", "		l.late = max(l.late, lapse(ended))\n", ""),
 		in("machine.go", "count an unanswered grant as never made", "	l.until = max(l.until, lapse(ended))\n	switch", "	if result == CallDone {\n		l.until = max(l.until, lapse(ended))\n	}\n	switch"),
@@ -22,7 +22,18 @@
 		in("change.go", "forget the leases of a range that is cut", "			m.leases[keyOf(&part, holder)] = &copied\n", "			_ = copied\n			_ = part\n"),
 		in("machine.go", "take a predecessor's yield as the end of its calls", "m.settled, m.calm = now, lapse(now+underWay)", "m.settled, m.calm = now, now"),
 		in("change.go", "forget the leases of ranges that are joined", "&lease{until: max(left.until, right.until), late: max(left.late, right.late), granted: true}", "&lease{granted: left.granted || right.granted}"),
-		in("change.go", "join ranges of different owners", "if a.Server != b.Server || a.Moving()", "if a.Moving()"),
+		in("change.go", "join ranges of different owners", "if a.Incarnation() != b.Incarnation() || a.Moving()", "if a.Moving()"),
 		in("change.go", "leave the former holder out of the record", "			r.Former = append(r.Former, r.Holder)\n			r.Holder = Holder{Server: move.Server", "			r.Holder = Holder{Server: move.Server"),
+
+		in("restart.go", "incarnations: grant a later one nothing anew", "		if !alive || !m.replaced(now, r.Holder, server) {", "		if true || !alive || !m.replaced(now, r.Holder, server) {"),
+		in("restart.go", "incarnations: no new token for a later one", "		next.LastToken++\n", ""),
+		in("restart.go", "incarnations: believe an earlier start at once", "now-since >= earlierBelieved", "now >= since"),
+		in("restart.go", "incarnations: never believe an earlier start", "behind && server.Start < holder.Start && now-since >= earlierBelieved", "behind && now < since"),
+		in("restart.go", "incarnations: forget what binds the earlier one", "		own.until, own.late = max(own.until, l.until), max(own.late, l.late)\n", "		_, _ = own, l\n"),
+		in("machine.go", "incarnations: renew a later one under the earlier token", "	if m.replaced(now, r.Holder, server) {", "	if false && m.replaced(now, r.Holder, server) {"),
+		in("machine.go", "incarnations: free an earlier one's keys for all", "	if r.Incarnation().Replaces(former.Incarnation()) {", "	if r.Incarnation().Replaces(former.Incarnation()) || l.successor {"),
+		in("machine.go", "incarnations: take a later one's hand-over", "		if !l.successor {", "		if true {"),
+		in("machine.go", "incarnations: let a proof cover calls under way", "	if now >= l.until {\n		return true", "	if m.hasEnded(former) || now >= l.until {\n		return true"),
+		in("machine.go", "incarnations: take a proof for all under the ID", "key.holder.Incarnation() == server", "key.holder.Server == server.ID"),
 	}
 }
