A stopping controller goes on renewing while the store is away

The controller's host was stopped as planned in an outage of the store; it gave control up, could not say so in the store, and lived on for 3.3 s without renewing; nobody could take over. Change: it resigns once the store has confirmed it after the stop, and leads on until then or until its process ends. Ruled out: to try the resignation and go on if it fails; a write without an answer may yet take effect, and a successor would believe that it has stopped. TestStoppingControllerGoesOnWhileTheStoreIsAway fails before.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -85,6 +85,8 @@
 	written      time.Duration // when the last write was acknowledged
 	asked        time.Duration // when earlier controllers were last asked whether they have stopped
 	unauthorized bool          // logged that authority ran out
+	leaving      bool          // this process stops, since leavingAt
+	leavingAt    time.Duration
 }
 
 // runControl is the control loop. Answers are taken in as they come; what to do
@@ -345,12 +347,24 @@
 }
 
 // resignAll stops all controllers and tells the others through the store, so
-// that the next takes over without waiting for leases.
+// that the next takes over without waiting for leases. One that does not reach
+// the store goes on until it does or its process ends: nobody can take over
+// meanwhile, and keys whose leases nobody renews have no owner 5 s later. It must
+// have stopped before it writes that it has, and can't go on if that write fails,
+// which may yet take effect; so the store has to confirm it once more before.
 func (g *Gateway) resignAll(ctx context.Context) {
+	now := g.boot.Now()
 	for _, c := range g.control.services {
 		if c.machine == nil {
 			continue
 		}
+		if !c.leaving {
+			c.leaving, c.leavingAt, c.confirm = true, now, 0
+		}
+		if c.machine.ConfirmedAge(now) > now-c.leavingAt {
+			g.lead(ctx, c)
+			continue
+		}
 		record := c.machine.Record().Clone()
 		record.Controller.Resigned = true
 		revision := c.revision
--- a/gateway/keys_test.go
+++ b/gateway/keys_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"context"
+	"encoding/json"
 	"net/http"
 	"slices"
 	"strconv"
@@ -8,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"cicadarouter/gateway"
+	"cicadarouter/keyspace"
 	"cicadarouter/platform/platformtest"
 )
 
@@ -201,3 +205,32 @@
 		return s.call(h, http.MethodGet, "/free/x", "", "").status == http.StatusOK && s.runs("f1") > before
 	})
 }
+
+// Symptom: all keys are without an owner for seconds.
+// Sequence: the store is away; the controller's host is stopped as planned, and
+// serves its callers for some seconds more; its resignation is not written.
+// Cause: it gave control up although nobody could take it.
+func TestStoppingControllerGoesOnWhileTheStoreIsAway(t *testing.T) {
+	s, h := calm(t)
+	s.eventually("all keys are served", func() bool { return s.allServed(h) })
+	before := s.store.Calls()
+	s.store.SetFaults(platformtest.Faults{Refuse: true})
+	s.eventually("the host has noticed", func() bool { return s.store.Calls() > before+3 })
+	h.gateway.Stop()
+	granted := len(s.servers["k1"].Tokens())
+	more := len(s.assignment().Ranges) * 3 / 4 // half of the ranges are the server's: over one round
+	s.eventually("leases are renewed", func() bool { return len(s.servers["k1"].Tokens()) > granted+more })
+	s.store.SetFaults(platformtest.Faults{})
+	second := s.host("two")
+	s.eventually("another host takes over", func() bool { return s.assignment().Controller.Host == "two" && s.allServed(second) })
+}
+
+// assignment returns the assignment of keys that is stored.
+func (s *site) assignment() *keyspace.Record {
+	s.t.Helper()
+	object, err := s.store.Kept().Get(context.Background(), gateway.Assignments, "owned")
+	assert.NilError(s.t, err)
+	record := &keyspace.Record{}
+	assert.NilError(s.t, json.Unmarshal(object.Spec, record))
+	return record
+}
