A successor finishes at once the moves that its predecessor had begun

The successor took the old owner's release as final only once its predecessor could not grant any more and the longest lease from then was over. Change: the record says of a move whether all grants to the former holders had been answered (Range.Answered). By the record that it wrote last the predecessor grants to the new owner only, so a confirmed release is enough; not if a controller before it may still grant by an older record. Records without the field are read as before.

--- a/keyspace/change.go
+++ b/keyspace/change.go
@@ -12,7 +12,7 @@
 func (m *Machine) propose(now time.Duration, servers []Server, live map[string]Server) {
 	next := m.record.Clone()
 	changed := m.finishMoves(next)
-	changed = m.renewStale(next) || changed
+	changed = m.renewStale(now, next) || changed
 	changed = m.grantAnew(now, next, live) || changed
 	if now >= m.settled {
 		changed = changed || len(next.Earlier) > 0
@@ -23,7 +23,7 @@
 			moves = rebalance(next, servers, m.loads)
 			m.planned = now
 		}
-		changed = m.apply(next, moves, live) || changed
+		changed = m.apply(now, next, moves, live) || changed
 		changed = m.merge(next, changed) || changed
 	}
 	if changed {
@@ -66,7 +66,7 @@
 			continue
 		}
 		m.inherit(r)
-		r.Former = nil
+		r.Former, r.Answered = nil, false
 		changed = true
 	}
 	return changed
@@ -74,7 +74,7 @@
 
 // apply changes the record by the moves. Leases of ranges that are cut apart
 // pass to the parts.
-func (m *Machine) apply(next *Record, moves []Move, live map[string]Server) bool {
+func (m *Machine) apply(now time.Duration, next *Record, moves []Move, live map[string]Server) bool {
 	changed := false
 	for _, move := range moves {
 		if m.calling(next, move) {
@@ -91,8 +91,7 @@
 			}
 			changed = true
 			next.LastToken++
-			r.Former = append(r.Former, r.Holder)
-			r.Holder = Holder{Server: move.Server, Start: live[move.Server].Start, Token: next.LastToken}
+			r.take(Holder{Server: move.Server, Start: live[move.Server].Start, Token: next.LastToken}, m.answered(now, r))
 		}
 	}
 	return changed
@@ -115,7 +114,7 @@
 
 // renewStale gives a new token to owners that have seen a higher one than the
 // record gives them: they refuse every renewal.
-func (m *Machine) renewStale(next *Record) bool {
+func (m *Machine) renewStale(now time.Duration, next *Record) bool {
 	changed := false
 	for i := range next.Ranges {
 		r := &next.Ranges[i]
@@ -124,8 +123,7 @@
 			continue
 		}
 		next.LastToken++
-		r.Former = append(r.Former, r.Holder)
-		r.Holder.Token = next.LastToken
+		r.take(Holder{Server: r.Server, Start: r.Start, Token: next.LastToken}, m.answered(now, r))
 		changed = true
 	}
 	return changed
--- a/keyspace/faults_test.go
+++ b/keyspace/faults_test.go
@@ -300,3 +300,70 @@
 	assert.Equal(t, owner, "b")
 	assert.Assert(t, held)
 }
+
+// begun is a record in which controller one has begun to move the keys of a to b.
+func begun(answered bool) *Record {
+	record := twoServers()
+	record.LastToken++
+	record.Ranges[0].take(Holder{Server: "b", Token: record.LastToken}, answered)
+	return record
+}
+
+// Symptom: a key that all callers ask for has no owner for ten seconds.
+// Sequence: the controller writes that the key is to move, from an owner that has
+// answered all grants, and its host is lost for good.
+// Cause: its successor waited until the controller could not grant any more, and
+// then for the longest lease that it could have granted. By the record that it
+// wrote last, it grants the keys to no one but their new owner.
+func TestSuccessorFinishesWhatItsPredecessorBegan(t *testing.T) {
+	start := time.Minute
+	b := newBench(t, Adopt(begun(true).Succeed(Controller{Host: "two", Incarnation: 2}), start, start), start)
+	b.run(start + 5*tick)
+	owner, held := b.owner()
+	assert.Equal(t, owner, "b")
+	assert.Assert(t, held)
+}
+
+// Symptom: two servers hold the same keys.
+// Sequence: as above, but a grant to the old owner had no answer, or a controller
+// before the lost one could still renew its lease.
+// Cause: the old owner's release was taken as final.
+func TestSuccessorWaitsForGrantsThatMayTakeEffect(t *testing.T) {
+	cutOff := begun(true)
+	cutOff.Earlier = []Controller{{Host: "zero", Incarnation: 9}}
+	twice := begun(false)
+	twice.LastToken++
+	twice.Ranges[0].take(Holder{Server: "b", Token: twice.LastToken}, true)
+	for _, record := range []*Record{begun(false), cutOff, twice} {
+		start := time.Minute
+		b := newBench(t, Adopt(record.Succeed(Controller{Host: "two", Incarnation: 2}), start, start), start)
+		b.run(start + AuthorityBound + LeaseTerm)
+		_, held := b.owner()
+		assert.Assert(t, !held)
+	}
+}
+
+// What the record says of grants is what the controller knows of them.
+func TestRecordTellsWhetherGrantsWereAnswered(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		b := newBench(t, New(twoServers(), 0, 0), 0)
+		b.run(2 * time.Second)
+		if !answered {
+			b.answer = func(call Call) CallResult { return CallUnanswered }
+			b.run(b.now + renewEvery)
+			b.answer = nil
+		}
+		b.servers[0].Leaving = true
+		for range 10 {
+			if pending := b.m.Pending(); pending != nil && pending.At(0).Moving() {
+				break
+			}
+			b.m.Confirm(b.now)
+			for _, call := range b.m.Step(b.now, b.servers) {
+				b.m.Answered(call, CallDone, "", b.now, b.now)
+			}
+			b.now += tick
+		}
+		assert.Equal(t, b.m.Pending().At(0).Answered, answered)
+	}
+}
--- a/keyspace/machine.go
+++ b/keyspace/machine.go
@@ -84,9 +84,14 @@
 	m.calm = lapse(m.settled + underWay)
 	for i := range m.record.Ranges {
 		r := &m.record.Ranges[i]
-		for _, holder := range append(slices.Clone(r.Former), r.Holder) {
-			l := m.lease(r, holder)
-			l.until, l.late = m.calm, m.calm
+		l := m.lease(r, r.Holder)
+		l.until, l.late = m.calm, m.calm
+		for _, former := range r.Former {
+			l := m.lease(r, former)
+			l.until = m.calm
+			if !r.Answered {
+				l.late = m.calm
+			}
 		}
 	}
 	return m
@@ -272,6 +277,13 @@
 	return next == nil || next.Holder != r.Holder || next.To != r.To
 }
 
+// answered reports whether all grants to the owner of a range have been answered
+// that may still take effect.
+func (m *Machine) answered(now time.Duration, r *Range) bool {
+	l := m.lease(r, r.Holder)
+	return !l.calling && now >= l.late
+}
+
 // clear reports whether a former holder surely holds the keys no more.
 func (m *Machine) clear(now time.Duration, r *Range, former Holder, l *lease) bool {
 	if now >= l.until {
--- a/keyspace/record.go
+++ b/keyspace/record.go
@@ -81,6 +81,19 @@
 	Holder
 	// Former lists earlier holders that may still hold the keys.
 	Former []Holder `json:"former,omitempty"`
+	// Answered is set if all grants to the former holders had been answered when
+	// the keys were taken from them, and nobody can make another: their confirmed
+	// release is all that is needed then. It lets a successor finish at once what
+	// its predecessor had begun.
+	Answered bool `json:"answered,omitempty"`
+}
+
+// take gives the keys to another holder. answered tells whether all grants to
+// the one before have been answered.
+func (r *Range) take(next Holder, answered bool) {
+	r.Answered = answered && (r.Answered || !r.Moving())
+	r.Former = append(r.Former, r.Holder)
+	r.Holder = next
 }
 
 // Moving reports whether the keys are between owners.
@@ -124,6 +137,12 @@
 func (r *Record) Succeed(controller Controller) *Record {
 	next := r.Clone()
 	next.Term++
+	if len(r.Earlier) > 0 {
+		// Those know an older record, by which they may grant to former holders.
+		for i := range next.Ranges {
+			next.Ranges[i].Answered = false
+		}
+	}
 	if !r.Controller.Resigned {
 		next.Earlier = append(next.Earlier, r.Controller)
 	}
--- a/keyspace/restart.go
+++ b/keyspace/restart.go
@@ -68,8 +68,7 @@
 			continue
 		}
 		next.LastToken++
-		r.Former = append(r.Former, r.Holder)
-		r.Holder = Holder{Server: server.ID, Start: server.Start, Token: next.LastToken}
+		r.take(Holder{Server: server.ID, Start: server.Start, Token: next.LastToken}, m.answered(now, r))
 		changed = true
 	}
 	return changed
--- a/tools/mutants/keyspace.go
+++ b/tools/mutants/keyspace.go
@@ -23,7 +23,11 @@
 		in("machine.go", "take a predecessor's yield as the end of its calls", "m.settled, m.calm = now, lapse(now+underWay)", "m.settled, m.calm = now, now"),
 		in("change.go", "forget the leases of ranges that are joined", "&lease{until: max(left.until, right.until), late: max(left.late, right.late), granted: true}", "&lease{granted: left.granted || right.granted}"),
 		in("change.go", "join ranges of different owners", "if a.Incarnation() != b.Incarnation() || a.Moving()", "if a.Moving()"),
-		in("change.go", "leave the former holder out of the record", "			r.Former = append(r.Former, r.Holder)\n			r.Holder = Holder{Server: move.Server", "			r.Holder = Holder{Server: move.Server"),
+		in("record.go", "leave the former holder out of the record", "	r.Former = append(r.Former, r.Holder)\n", ""),
+		in("machine.go", "moves begun by a predecessor: believe that all grants were answered", "	return !l.calling && now >= l.late\n", "	return l != nil\n"),
+		in("machine.go", "moves begun by a predecessor: wait for a lease all the same", "			if !r.Answered {\n", "			if r.Moving() {\n"),
+		in("record.go", "moves begun by a predecessor: forget the controllers before it", "			next.Ranges[i].Answered = false\n", "			_ = i\n"),
+		in("record.go", "moves begun by a predecessor: forget the holders before the last", "answered && (r.Answered || !r.Moving())", "answered"),
 
 		in("restart.go", "incarnations: grant a later one nothing anew", "		if !alive || !m.replaced(now, r.Holder, server) {", "		if true || !alive || !m.replaced(now, r.Holder, server) {"),
 		in("restart.go", "incarnations: no new token for a later one", "		next.LastToken++\n", ""),
