The share of repeated requests follows the operators' setting

Cause: the operators' ratio of repeats is a setting of the deployment; the code assumed 0.2. A deployment with a smaller one would have been handed more repeats than it allows. Change: [retries] ratio, filled in from the platform's settings; 0.8 of it is used as before (0.16 at 0.2). No change at 0.2.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -64,7 +64,7 @@
 func newStore(s Settings) *platform.Store { return platform.NewStore(s.Store) }
 
 func newIdentity(s Settings) gateway.Identity {
-	return gateway.Identity{Host: s.Host, Domain: s.Domain, Peers: s.Peers, Incarnation: rand.Uint64() >> 1, FirstStart: s.FirstStart,
+	return gateway.Identity{Host: s.Host, Domain: s.Domain, Peers: s.Peers, Incarnation: rand.Uint64() >> 1, FirstStart: s.FirstStart, RetryRatio: s.RetryRatio,
 		Small: s.Processor < smallProcessor || s.LinkMbps < smallLinkMbps}
 }
 
--- a/gateway/daemon/settings.go
+++ b/gateway/daemon/settings.go
@@ -25,6 +25,9 @@
 	// link's bandwidth. Small hosts leave control to larger ones.
 	Processor float64
 	LinkMbps  float64
+	// RetryRatio is the share of requests that may be sent once more, over all
+	// hosts together.
+	RetryRatio float64
 	// FirstStart is set if the whole system starts for the first time.
 	FirstStart bool
 	// LeaveFor is how long the host goes on taking callers after SIGTERM: the
@@ -53,6 +56,7 @@
 		{Section: "listen", Name: "peers", Required: true, Allowed: addressAllowed, Set: settings.Address(&s.Peers)},
 		{Section: "listen", Name: "metrics", Required: true, Allowed: addressAllowed, Set: settings.Address(&s.Metrics)},
 		{Section: "store", Name: "address", Required: true, Allowed: addressAllowed, Set: settings.Address(&s.Store)},
+		{Section: "retries", Name: "ratio", Default: "0.2", Allowed: "0.001 to 1", Set: settings.Float(&s.RetryRatio, 0.001, 1)},
 		{Section: "stop", Name: "leave-for", Default: "3300ms", Allowed: "0s to 1h", Set: settings.Duration(&s.LeaveFor, 0, time.Hour)},
 		{Section: "stop", Name: "within", Default: "6s", Allowed: "1s to 1h", Set: settings.Duration(&s.StopWithin, time.Second, time.Hour)},
 		{Section: "log", Name: "level", Default: "info", Allowed: "debug, info, warn or error",
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -211,7 +211,7 @@
 	defer g.mu.Unlock()
 	s := g.services[name]
 	if s == nil {
-		s = newService(name, g.identity.Domain, true, g.identity.Incarnation, g.now)
+		s = newService(name, g.identity, true, g.now)
 		g.services[name] = s
 	}
 	return s
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -106,7 +106,7 @@
 // Cause: hosts claimed without having the store themselves.
 func TestNoClaimWhileTheStoreIsAway(t *testing.T) {
 	g := New(Identity{Host: "one"}, Platform{}, logs.Discard())
-	c := &controller{service: newService("s", "", true, 1, g.now), wanted: time.Second}
+	c := &controller{service: newService("s", Identity{Incarnation: 1}, true, g.now), wanted: time.Second}
 	g.reach.lost()
 	g.wantClaim(context.Background(), c, time.Hour, nil, 0, 0)
 	assert.Assert(t, !c.claiming)
@@ -143,7 +143,7 @@
 func TestControllersWordEndsTheWait(t *testing.T) {
 	g := New(Identity{}, Platform{}, logs.Discard())
 	g.reach.lost()
-	c := &controller{service: newService("s", "", true, 1, g.now)}
+	c := &controller{service: newService("s", Identity{Incarnation: 1}, true, g.now)}
 	ended := &reportEnded{controller: c, to: keyspace.Controller{Incarnation: 7}, answer: loadAnswer{Incarnation: 7, Controls: true}}
 	ended.apply(g, g.boot.Now())
 	assert.Assert(t, !g.reach.isAway())
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -78,7 +78,7 @@
 	g.fresh.tend(0, true)
 	_, watching := plan(&g.fresh, Assignments, 0)
 	g.fresh.known(Assignments, 7, true)
-	c := &controller{service: newService("s", "", true, 1, g.now), revision: 9, written: time.Second}
+	c := &controller{service: newService("s", Identity{Incarnation: 1}, true, g.now), revision: 9, written: time.Second}
 	g.hearOwnWrites(c, time.Second)
 	assert.NilError(t, watching.Err())
 	g.hearOwnWrites(c, time.Second+ownWriteWait)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,9 @@
 	Peers string
 	// Small hosts claim control later than others.
 	Small bool
+	// RetryRatio is the share of requests that operators allow to be sent once
+	// more, over all hosts; 0 if they name none.
+	RetryRatio float64
 	// FirstStart is set if the whole system starts for the first time: no
 	// configuration has been in force yet that this host could fall behind.
 	FirstStart bool
@@ -145,7 +148,7 @@
 	g.mu.Lock()
 	for name, described := range offered.Services {
 		if g.services[name] == nil {
-			g.services[name] = newService(name, g.identity.Domain, described.Keyed, g.identity.Incarnation, g.now)
+			g.services[name] = newService(name, g.identity, described.Keyed, g.now)
 		}
 	}
 	g.mu.Unlock()
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -19,10 +20,14 @@
 	// mostAnswer bounds answers that are read whole by backendlink's callers;
 	// the gateway streams longer ones.
 	mostAnswer = 1 << 20
-	// retryShare is the share of requests that may be sent once more. Operators
-	// allow 0.2 of all hosts together, counted over windows of their own, and some
-	// tens beyond; what is left of it covers the reserves of all hosts.
-	retryShare = 0.16
+	// defaultRetryRatio is the share of requests that may be sent once more, over
+	// all hosts, where operators name none.
+	defaultRetryRatio = 0.2
+	// retryPart is the part of the operators' ratio that is used. They count over
+	// windows of their own and allow some tens beyond; what is left covers the
+	// reserves of all hosts: 3 each are 48 when 8 hosts start twice in a window of
+	// 10 s, and 0.04 of 300 requests a second 120.
+	retryPart = 0.8
 	// retryReserve is how many may be at once after a calm time.
 	retryReserve = 3
 	// pumpEvery is how often waiting requests are looked at when nothing else
@@ -45,15 +50,16 @@
 	pumping bool
 }
 
-func newService(name, domain string, keyed bool, seed uint64, now func() time.Duration) *service {
+func newService(name string, identity Identity, keyed bool, now func() time.Duration) *service {
+	share := retryPart * cmp.Or(identity.RetryRatio, defaultRetryRatio)
 	s := &service{name: name, now: now, links: map[fleet.Incarnation]*backendlink.Pool{},
-		budget: dispatch.NewBudget(retryShare, retryReserve), asked: map[uint16]time.Duration{}, paces: map[fleet.Incarnation]balance.Pace{}}
+		budget: dispatch.NewBudget(share, retryReserve), asked: map[uint16]time.Duration{}, paces: map[fleet.Incarnation]balance.Pace{}}
 	var owner balance.Owner
 	if keyed {
 		s.view = newKeyView(now)
 		owner = s.view
 	}
-	s.pool = balance.NewPool(domain, owner, seed)
+	s.pool = balance.NewPool(identity.Domain, owner, identity.Incarnation)
 	return s
 }
 
