--- a/balance/pool.go
+++ b/balance/pool.go
@@ -230,7 +230,7 @@
 	switch {
 	case server.Draining:
 		return unusable
-	case !server.usable(now):
+	case !server.reachable(now):
 		return passedOver
 	case slices.Contains(waiter.Tried, server.ID):
 		return tried
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -359,7 +359,7 @@
 		full := Load{Running: 1, Waiting: 9, Slots: 1}
 		p.Done(20*ms, lost.Server, End{Outcome: Unreachable, Load: &full})
 		assert.Equal(t, server.InFlight(), 0)
-		assert.Assert(t, server.usable(20*ms))
+		assert.Assert(t, server.reachable(20*ms))
 		got := enter(p, 20*ms, Waiter{})
 		assert.Assert(t, got.settled() && got.Server == server, "%+v", got.Rejected)
 	}
--- a/balance/server.go
+++ b/balance/server.go
@@ -185,13 +185,13 @@
 // silent reports a server that several attempts in a row could not reach.
 func (s *Server) silent(now time.Duration) bool { return s.strikes > 1 && now < s.suspect }
 
-// usable reports whether the server may take new requests now. One that could not
-// be reached is tried with one request first.
-func (s *Server) usable(now time.Duration) bool {
+// reachable reports whether the server is believed to be. One that could not be
+// reached is tried with one request first.
+func (s *Server) reachable(now time.Duration) bool {
 	if s.strikes > 0 && s.inFlight > 0 {
 		return false
 	}
-	return !s.Draining && now >= s.suspect
+	return now >= s.suspect
 }
 
 // cost is the expected time of one more request, in service times of the
--- a/tools/mutants/keyspace.go
+++ b/tools/mutants/keyspace.go
@@ -47,6 +47,6 @@
 		in("renew.go", "incarnations: free an earlier one's keys for all", "	return r.Incarnation().Replaces(former.Incarnation())\n", "	return r.Incarnation().Replaces(former.Incarnation()) || l.successor\n"),
 		in("answers.go", "incarnations: take a later one's hand-over", "		if !l.successor {", "		if true {"),
 		in("renew.go", "incarnations: let a proof cover calls under way", "	if l.over(now) {\n", "	if m.hasEnded(former) || l.over(now) {\n"),
-		in("answers.go", "incarnations: take a proof for all under the ID", "key.holder.Incarnation() == server", "key.holder.Server == server.ID"),
+		in("machine.go", "incarnations: take a proof for all under the ID", "key.holder.Incarnation() == server", "key.holder.Server == server.ID"),
 	}
 }
