Soak: what was planned last is judged too

Cause: the check that leaving servers are left alone had never been seen to find a daemon that does not. Change: the run goes on under load for 4 s more.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -112,6 +112,8 @@
 	checks.Go(func() { r.watchVersions(loading) })
 	r.makeFaults(ctx)
 	r.recovered()
+	// What was planned last is judged too: its time has to be over under load.
+	pause(ctx, leaveWithin+2*margin)
 	endLoad()
 	checks.Wait()
 	return r.judge(), ctx.Err()
