--- a/cmd/cicadactl/hosted_test.go
+++ b/cmd/cicadactl/hosted_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -26,8 +27,9 @@
 	assert.ErrorContains(t, err, "configuration")
 
 	put("config", "main", `{"version":"r7","services":[{"name":"owned","sharded":true}]}`)
-	put("servers", "a", `{"service":"owned","address":"10.0.0.1:80","slots":4,"state":"draining"}`)
-	put("servers", "b", `{"service":"owned","address":"nowhere","slots":4,"state":"ready"}`)
+	entry := `{"service":"owned","address":%q,"zone":"z","version":"v1","slots":4,"state":%q,"cold-remaining":"0ms","seq":1,"born":5}`
+	put("servers", "a", fmt.Sprintf(entry, "10.0.0.1:80", "draining"))
+	put("servers", "b", fmt.Sprintf(entry, "nowhere", "ready"))
 	record := keyspace.First(keyspace.Controller{Host: "one"}, []keyspace.Server{{ID: "a", Slots: 1}})
 	record.Ranges[0].Former = []keyspace.Holder{{Server: "z", Token: 1}}
 	spec, err := json.Marshal(record)
