--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Two commands do everything: "make run" runs the main job on embedded
 # stand-ins, "make test" passes the tests.
-.PHONY: run hosted soak test check mutants fuzz slopes failover changes compare stops domain-lost pauses generate
+.PHONY: run hosted soak test race check mutants fuzz slopes failover changes compare stops domain-lost pauses generate
 
 run:
 	./scripts/run.sh
@@ -63,3 +63,7 @@
 generate:
 	go run github.com/google/wire/cmd/wire ./host
 	./link/linkpb/generate.sh
+
+# The packages of the hosted daemon under the race detector.
+race:
+	go test -race ./gateway/... ./keyspace ./balance ./fleet ./platform/...
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -70,22 +70,10 @@
 		if !known || !server.sameRun(listed) {
 			// Requests at an earlier incarnation ended with it. Were they counted
 			// on, a server that has just started again would look full, or silent.
-			server = &Server{ratio: 1}
+			server = newServer(listed)
 			p.servers[listed.ID] = server
 		}
-		slots := server.Slots
-		if listed.Draining && !server.Draining {
-			server.leavingAt = now
-		}
-		server.Server = listed
-		if slots > 0 {
-			server.Slots = slots
-		}
-		if listed.ColdFor > 0 {
-			server.coldUntil = now + listed.ColdFor
-		} else {
-			server.coldUntil = 0
-		}
+		server.relist(now, listed)
 		p.order = append(p.order, server)
 	}
 	for id := range p.servers {
--- a/balance/server.go
+++ b/balance/server.go
@@ -128,6 +128,28 @@
 	stalledAt time.Duration // when that was given up
 }
 
+// newServer returns a server of which nothing is known but who it is.
+func newServer(listed fleet.Server) *Server {
+	return &Server{Server: fleet.Server{ID: listed.ID, Start: listed.Start, Address: listed.Address}, ratio: 1}
+}
+
+// relist takes what the server's entry says now. Who it is stays as it is:
+// requests under way read that without the pool's lock. So do its slots once it
+// has told them itself.
+func (s *Server) relist(now time.Duration, listed fleet.Server) {
+	if listed.Draining && !s.Draining {
+		s.leavingAt = now
+	}
+	s.Service, s.Domain, s.Draining, s.ColdFor = listed.Service, listed.Domain, listed.Draining, listed.ColdFor
+	if s.Slots == 0 {
+		s.Slots = listed.Slots
+	}
+	s.coldUntil = 0
+	if listed.ColdFor > 0 {
+		s.coldUntil = now + listed.ColdFor
+	}
+}
+
 // sameRun reports whether a listed server is this one, still running. One
 // address is for one process.
 func (s *Server) sameRun(listed fleet.Server) bool {
