--- a/fleet/incarnation.go
+++ b/fleet/incarnation.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"strconv"
 	"strings"
 )
@@ -22,11 +21,6 @@
 	return i.ID == other.ID && i.Start > other.Start
 }
 
-// Compare orders incarnations by ID and start.
-func (i Incarnation) Compare(other Incarnation) int {
-	return cmp.Or(cmp.Compare(i.ID, other.ID), cmp.Compare(i.Start, other.Start))
-}
-
 // startMark separates ID and start in an incarnation's text.
 const startMark = "@"
 
--- a/keyspace/change.go
+++ b/keyspace/change.go
@@ -72,8 +72,8 @@
 // live servers renew their entries within about 2 s.
 const returnWait = 2 * time.Second
 
-// markSilent marks the servers that left a grant unanswered or have ended. One that has fallen
-// silent has no load soon, and would be given the busiest keys.
+// markSilent marks the servers that left a grant unanswered or have ended. One
+// that has fallen silent has no load soon, and would be given the busiest keys.
 func (m *Machine) markSilent(servers []Server) []Server {
 	silent := map[fleet.Incarnation]bool{}
 	for key, l := range m.leases {
@@ -83,7 +83,7 @@
 	}
 	marked := slices.Clone(servers)
 	for i := range marked {
-		incarnation := fleet.Incarnation{ID: marked[i].ID, Start: marked[i].Start}
+		incarnation := marked[i].Incarnation()
 		marked[i].Silent = silent[incarnation] || m.ended[incarnation]
 	}
 	return marked
--- a/keyspace/machine.go
+++ b/keyspace/machine.go
@@ -21,6 +21,11 @@
 	Silent bool
 }
 
+// Incarnation returns who the server is.
+func (s *Server) Incarnation() fleet.Incarnation {
+	return fleet.Incarnation{ID: s.ID, Start: s.Start}
+}
+
 // Machine runs the assignment of one service while this process is its
 // controller. It is not safe for concurrent use.
 type Machine struct {
