--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -202,14 +202,15 @@
 	controller *controller
 	machine    *keyspace.Machine
 	object     objects.Object
-	began      time.Duration
+	began      time.Duration // on the boot clock
+	asked      time.Duration // the same moment on the clock of watches
 	err        error
 }
 
 func (g *Gateway) startConfirm(ctx context.Context, c *controller) {
 	machine := c.machine
 	go func() {
-		ended := &confirmed{controller: c, machine: machine, began: g.boot.Now()}
+		ended := &confirmed{controller: c, machine: machine, began: g.boot.Now(), asked: g.now()}
 		ended.object, ended.err = g.store.Get(ctx, Assignments, c.service.name)
 		g.post(ctx, ended)
 	}()
@@ -237,6 +238,7 @@
 		return
 	}
 	c.machine.Confirm(e.began)
+	g.fresh.confirm(e.asked)
 }
 
 // claimEnded is the end of an attempt to become the controller.
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -44,6 +44,11 @@
 	firstWaitMost = 4500 * time.Millisecond
 	// yieldEvery is how often a predecessor is asked whether it has stopped.
 	yieldEvery = 400 * time.Millisecond
+	// recordCost is the pause after a record for each host that it is sent to. A
+	// host spends some 2 ms on a record of 868 ranges (go test -bench
+	// AssignmentTaken), 12 ms where it has 0.16 cores; with 295 hosts records then
+	// follow each other 8 times a second at most, a tenth of such a host's processor.
+	recordCost = 400 * time.Microsecond
 	// mostEvents bounds answers that wait for the controller.
 	mostEvents = 4096
 )
@@ -74,6 +79,8 @@
 	writing      bool
 	reading      bool
 	claiming     bool
+	members      members // hosts that report, while this process is the controller
+	shares       map[uint16]float64
 	firstAt      time.Duration // when the service was first seen
 	firstCount   int           // servers when they were last counted, before the first assignment
 	countedAt    time.Duration // since when their number is the same
@@ -85,6 +92,7 @@
 	written      time.Duration // when the last write was acknowledged
 	asked        time.Duration // when earlier controllers were last asked whether they have stopped
 	unauthorized bool          // logged that authority ran out
+	crowded      bool          // logged that the record has as many ranges as it may have
 	leaving      bool          // this process stops, since leavingAt
 	leavingAt    time.Duration
 }
@@ -149,7 +157,7 @@
 	for _, s := range g.keyedServices() {
 		c := g.control.services[s.name]
 		if c == nil {
-			c = &controller{service: s, known: map[string]fleet.Server{}, firstAt: g.boot.Now(), heard: g.boot.Now()}
+			c = &controller{service: s, known: map[string]fleet.Server{}, members: newMembers(), firstAt: g.boot.Now(), heard: g.boot.Now()}
 			g.control.services[s.name] = c
 		}
 		if c.machine != nil {
@@ -279,13 +287,19 @@
 		g.stepDown(c, "another controller took over", record.Controller.Host)
 		return
 	}
+	servers := g.holders(c)
 	if now-c.reported >= reportEvery {
 		c.reported = now
 		load := c.service.takeLoad()
 		c.machine.Loads().Add(now, load.asked, load.work)
+		c.shares = c.machine.Shares(servers)
+		c.service.setShares(c.shares)
 	}
 	g.noteAuthority(c, now)
-	for _, call := range c.machine.Step(now, g.holders(c)) {
+	c.machine.Advertise(c.members.all(now))
+	c.machine.SetPace(time.Duration(len(c.members.hosts)) * recordCost)
+	g.noteCrowded(c, len(servers))
+	for _, call := range c.machine.Step(now, servers) {
 		g.startCall(ctx, c, call)
 	}
 	if pending := c.machine.Pending(); pending != nil && !c.writing {
@@ -328,9 +342,27 @@
 	g.log.Info("authority confirmed again", "service", c.service.name)
 }
 
+// noteCrowded logs when keys can't be moved any more for balance, and when they can
+// again.
+func (g *Gateway) noteCrowded(c *controller, servers int) {
+	crowded := c.machine.Crowded(servers)
+	if crowded == c.crowded {
+		return
+	}
+	c.crowded = crowded
+	ranges := len(c.machine.Record().Ranges)
+	if crowded {
+		g.counts.crowded.Inc()
+		g.log.Warn("assignment has as many ranges as it may have; hardly any key is moved for balance", "service", c.service.name, "ranges", ranges, "servers", servers)
+		return
+	}
+	g.log.Info("assignment has room for ranges again", "service", c.service.name, "ranges", ranges)
+}
+
 func (g *Gateway) stepDown(c *controller, why, successor string) {
 	g.log.Info("control given up", "service", c.service.name, "why", why, "successor", successor)
 	c.machine, c.writing, c.reading, c.unauthorized = nil, false, false, false
+	c.members = newMembers()
 	c.heard = g.boot.Now()
 }
 
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"sync"
 	"syscall"
@@ -65,6 +66,7 @@
 
 func newIdentity(s Settings) gateway.Identity {
 	return gateway.Identity{Host: s.Host, Domain: s.Domain, Peers: s.Peers, Incarnation: rand.Uint64() >> 1, FirstStart: s.FirstStart, RetryRatio: s.RetryRatio,
+		Seeds: s.Seeds, ObeyWithin: min(s.ConfigurationWithin, s.DrainWithin),
 		Small: s.Processor < smallProcessor || s.LinkMbps < smallLinkMbps}
 }
 
@@ -224,5 +226,5 @@
 	d.log.SetLevel(logs.Level(fresh.LogLevel))
 	kept := fresh
 	kept.Store, kept.LogLevel = d.settings.Store, d.settings.LogLevel
-	d.log.Info("settings read again", "store", fresh.Store, "level", fresh.LogLevel, "others-wait-for-restart", kept != d.settings)
+	d.log.Info("settings read again", "store", fresh.Store, "level", fresh.LogLevel, "others-wait-for-restart", !reflect.DeepEqual(kept, d.settings))
 }
--- a/gateway/daemon/settings.go
+++ b/gateway/daemon/settings.go
@@ -28,6 +28,11 @@
 	// RetryRatio is the share of requests that may be sent once more, over all
 	// hosts together.
 	RetryRatio float64
+	// Seeds are addresses of other hosts, for one that starts while the store is away.
+	Seeds []string
+	// ConfigurationWithin and DrainWithin are the times in which a configuration
+	// must be in force, and a leaving server must get nothing more.
+	ConfigurationWithin, DrainWithin time.Duration
 	// FirstStart is set if the whole system starts for the first time.
 	FirstStart bool
 	// LeaveFor is how long the host goes on taking callers after SIGTERM: the
@@ -56,6 +61,9 @@
 		{Section: "listen", Name: "peers", Required: true, Allowed: addressAllowed, Set: settings.Address(&s.Peers)},
 		{Section: "listen", Name: "metrics", Required: true, Allowed: addressAllowed, Set: settings.Address(&s.Metrics)},
 		{Section: "store", Name: "address", Required: true, Allowed: addressAllowed, Set: settings.Address(&s.Store)},
+		{Section: "peers", Name: "seeds", Allowed: "IP numbers and ports, separated by commas", Set: settings.Addresses(&s.Seeds)},
+		{Section: "changes", Name: "configuration-within", Default: "2s", Allowed: "1s to 1m", Set: settings.Duration(&s.ConfigurationWithin, time.Second, time.Minute)},
+		{Section: "changes", Name: "drain-within", Default: "2s", Allowed: "1s to 1m", Set: settings.Duration(&s.DrainWithin, time.Second, time.Minute)},
 		{Section: "retries", Name: "ratio", Default: "0.2", Allowed: "0.001 to 1", Set: settings.Float(&s.RetryRatio, 0.001, 1)},
 		{Section: "stop", Name: "leave-for", Default: "3300ms", Allowed: "0s to 1h", Set: settings.Duration(&s.LeaveFor, 0, time.Hour)},
 		{Section: "stop", Name: "within", Default: "6s", Allowed: "1s to 1h", Set: settings.Duration(&s.StopWithin, time.Second, time.Hour)},
--- a/gateway/deltas.go
+++ b/gateway/deltas.go
@@ -155,7 +155,7 @@
 		if err != nil {
 			return objects.Listing{}, &unfitError{Name: name, Cause: err}
 		}
-		listing.Objects = append(listing.Objects, object)
+		listing.Objects = append(listing.Objects, canonical(objects.Listing{Objects: []objects.Object{object}}).Objects...)
 	}
 	return listing, nil
 }
--- a/gateway/deltas_test.go
+++ b/gateway/deltas_test.go
@@ -39,9 +39,9 @@
 // versions returns a relay that has seen three versions of a document.
 func versions(routes int) *relay {
 	r := &relay{}
-	r.note("documents", objects.Listing{Revision: 5, Objects: []objects.Object{stored(4, document(routes, 0))}}, true)
-	r.note("documents", objects.Listing{Revision: 7, Objects: []objects.Object{stored(7, document(routes, 1))}}, false)
-	r.note("documents", objects.Listing{Revision: 9, Objects: []objects.Object{stored(9, document(routes, 2))}}, false)
+	r.note("documents", canonical(objects.Listing{Revision: 5, Objects: []objects.Object{stored(4, document(routes, 0))}}), true)
+	r.note("documents", canonical(objects.Listing{Revision: 7, Objects: []objects.Object{stored(7, document(routes, 1))}}), false)
+	r.note("documents", canonical(objects.Listing{Revision: 9, Objects: []objects.Object{stored(9, document(routes, 2))}}), false)
 	return r
 }
 
@@ -58,7 +58,7 @@
 // hostKnowing returns a host that has listed one version from the store.
 func hostKnowing(object objects.Object, store objects.Store) *Gateway {
 	g := New(Identity{}, Platform{Store: store}, logs.Discard())
-	g.relay.note("documents", objects.Listing{Revision: object.Revision, Objects: []objects.Object{object}}, true)
+	g.relay.note("documents", canonical(objects.Listing{Revision: object.Revision, Objects: []objects.Object{object}}), true)
 	return g
 }
 
@@ -116,8 +116,8 @@
 func TestVeryLongDocumentsAreReadInTheStore(t *testing.T) {
 	const routes = 5000
 	r := &relay{}
-	r.note("documents", objects.Listing{Revision: 5, Objects: []objects.Object{stored(4, document(200, 0))}}, true)
-	r.note("documents", objects.Listing{Revision: 9, Objects: []objects.Object{stored(9, document(routes, 0))}}, false)
+	r.note("documents", canonical(objects.Listing{Revision: 5, Objects: []objects.Object{stored(4, document(200, 0))}}), true)
+	r.note("documents", canonical(objects.Listing{Revision: 9, Objects: []objects.Object{stored(9, document(routes, 0))}}), false)
 	listing, _, _ := r.since("documents", 5)
 	answer := sent(t, (&deltas{}).shorten(r, "documents", listing, 5))
 	assert.DeepEqual(t, answer.InStore, []string{"d"})
@@ -143,7 +143,7 @@
 	r := &relay{}
 	r.note("documents", objects.Listing{Revision: 1}, true)
 	for revision := uint64(2); revision < 40; revision++ {
-		r.note("documents", objects.Listing{Revision: revision, Objects: []objects.Object{stored(revision, document(1400, int(revision)))}}, false)
+		r.note("documents", canonical(objects.Listing{Revision: revision, Objects: []objects.Object{stored(revision, document(1400, int(revision)))}}), false)
 	}
 	size := 0
 	for _, change := range r.kind("documents").kept {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -24,8 +24,8 @@
 	// gather is left between two watches of a kind that changes often, so that
 	// one call brings several changes. A tenth of the time to obey them.
 	gather = 200 * time.Millisecond
-	// firstGather takes its place while the system starts and all servers
-	// register: each change wakes every host.
+	// firstGather takes its place while the system starts for the first time and all
+	// servers register: each change wakes every host.
 	firstGather = 800 * time.Millisecond
 	// Assignments is the kind of the records in which owners of keys lie.
 	Assignments = "cicada-assignments"
@@ -86,7 +86,7 @@
 
 // gatherFor returns the pause after a call of a kind that changes often.
 func (g *Gateway) gatherFor(usual time.Duration) time.Duration {
-	if g.now() < firstWatches && !g.fresh.vouchedOnce() {
+	if g.identity.FirstStart && g.now() < firstWatches && !g.fresh.vouchedOnce() {
 		return max(usual, firstGather)
 	}
 	return usual
@@ -96,41 +96,104 @@
 // be behind.
 func (g *Gateway) next(ctx context.Context, f follower, connected bool, revision uint64) (listing objects.Listing, ended bool, err error) {
 	kind := f.kind
-	reader := g.reader()
 	if !connected {
-		listing, err = reader.List(ctx, kind)
+		listing, err = g.list(ctx, kind, revision)
 		return listing, false, err
 	}
-	watching, cancel, plan := g.fresh.begin(ctx, kind, g.now())
+	watching, cancel, plan := g.fresh.begin(ctx, kind, g.now(), g.sources.known())
 	defer cancel()
+	if plan.news != nil {
+		waitFor(watching, plan.news, plan.wait)
+		return listing, true, nil
+	}
 	if f.prober && g.reach.isAway() {
 		// Whoever answers: the others wait for it.
 		plan.wait = min(plan.wait, awayWatch)
 	}
-	if plan.controller == "" {
-		listing, err = reader.Watch(watching, kind, revision, plan.wait)
+	if plan.source == "" {
+		listing, err = g.watchStore(watching, kind, revision, plan.wait)
 		return listing, err != nil && watching.Err() != nil && ctx.Err() == nil, err
 	}
-	listing, err = g.relayedWatch(watching, plan.controller, kind, revision, plan.wait)
+	listing, err = g.relayedWatch(watching, plan.source, kind, revision, plan.wait)
 	if err == nil || errors.Is(err, objects.ErrCompacted) || ctx.Err() != nil {
 		return listing, false, err
 	}
 	if watching.Err() == nil {
-		g.fresh.doubt()
-		g.log.Info("controller does not pass on what the store holds; asking the store", "kind", kind, "controller", plan.controller, "error", err.Error())
+		g.fresh.failed(plan.source)
+		g.sources.pass(plan.source)
+		g.log.Info("source does not pass on what the store holds", "kind", kind, "source", plan.source, "error", err.Error())
 	}
 	return listing, true, err
 }
 
-// reader returns how the store is read now. While the whole system starts, every
-// host lists every kind and hears of each server that registers: on 76 hosts
-// that was two thirds of the calls of a calm day. Before the first callers come
-// nothing depends on seconds, so these calls are made at the lower price.
-func (g *Gateway) reader() objects.Reader {
+// waitFor returns when there is news, after a time, or when the context ends.
+func waitFor(ctx context.Context, news <-chan struct{}, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-news:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// list lists a kind that this host knows up to a revision, 0 if it has just
+// started. A later list comes from the host that this one follows; one that was
+// too far behind for its source's changes would otherwise read a page of the store
+// for each 500 entries.
+func (g *Gateway) list(ctx context.Context, kind string, revision uint64) (objects.Listing, error) {
+	if revision == 0 {
+		return g.firstList(ctx, kind)
+	}
+	if source := g.fresh.follows(g.now()); source != "" {
+		listing, err := g.relayedList(ctx, source, kind)
+		if err == nil {
+			return listing, nil
+		}
+		g.log.Info("source does not list what the store holds; asking the store", "kind", kind, "source", source, "error", err.Error())
+	}
+	began := g.now()
+	listing, err := g.store.List(ctx, kind)
+	if err == nil {
+		g.fresh.touch(kind, began)
+	}
+	return canonical(listing), err
+}
+
+// firstList lists a kind after the start of the process. It may be seconds old, at
+// a tenth of the price: the watch that follows brings what it lacks. A host that
+// starts while the store is away takes what another host knows, however old. Else
+// it would turn away every request until the store is back, though its servers
+// serve; a watch of the store brings what has changed as soon as there is one.
+func (g *Gateway) firstList(ctx context.Context, kind string) (objects.Listing, error) {
+	listing, err := g.store.Stale().List(ctx, kind)
+	source := g.sources.current()
+	if err == nil || source == "" || ctx.Err() != nil {
+		return canonical(listing), err
+	}
+	listing, peerErr := g.relayedList(ctx, source, kind)
+	if peerErr != nil {
+		g.sources.miss()
+		return listing, errors.Join(err, peerErr)
+	}
+	return listing, nil
+}
+
+// watchStore watches the store itself. While the whole system starts for the first
+// time, every host hears of each server that registers: on 76 hosts that was two
+// thirds of the calls of a calm day. Before the first callers come nothing depends
+// on seconds, so these calls are made at the lower price.
+func (g *Gateway) watchStore(ctx context.Context, kind string, revision uint64, wait time.Duration) (objects.Listing, error) {
 	if g.identity.FirstStart && g.fresh.startingNow(g.now()) {
-		return g.store.Stale()
+		listing, err := g.store.Stale().Watch(ctx, kind, revision, wait)
+		return canonical(listing), err
+	}
+	began := g.now()
+	listing, err := g.store.Watch(ctx, kind, revision, wait)
+	if err == nil {
+		g.fresh.touch(kind, began)
 	}
-	return g.store
+	return canonical(listing), err
 }
 
 // lost notes a failed call, and reports whether the watch may go on from its
@@ -198,6 +261,7 @@
 		g.log.Error("assignment of a service without keys left aside", "service", object.Name)
 		return
 	}
+	g.sources.read(record.Controller)
 	if s.view.offer(object.Revision, record) {
 		g.log.Info("assignment known", "service", object.Name, "revision", object.Revision, "term", record.Term,
 			"controller", record.Controller.Host, "ranges", len(record.Ranges))
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -49,6 +49,9 @@
 	return s.Store.List(ctx, kind)
 }
 
+// Stale implements objects.Store: the first lists are refused like all others.
+func (s *refusingStore) Stale() objects.Reader { return s }
+
 func (s *refusingStore) count(kind string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,7 +133,7 @@
 	}))
 	defer controller.Close()
 	g := New(Identity{}, Platform{Store: memobjects.New(), Registry: kinds{}}, logs.Discard())
-	g.fresh.told(g.now(), strings.TrimPrefix(controller.URL, "http://"), nil)
+	g.fresh.told(wordOf(g.now(), strings.TrimPrefix(controller.URL, "http://"), nil))
 	g.reach.lost()
 	listing, _, err := g.next(context.Background(), follower{prober: true, kind: "configurations"}, true, 5)
 	assert.NilError(t, err)
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -3,56 +3,107 @@
 import (
 	"context"
 	"maps"
+	"math"
+	"slices"
 	"sync"
 	"time"
 )
 
 // Times of watches.
 const (
-	// longWatch is how long a watch waits while a controller vouches for its
+	// longWatch is how long a watch waits while another host vouches for its
 	// freshness: long, since each call has a price.
 	longWatch = 25 * time.Second
-	// shortWatch is how long it waits otherwise. A watch can miss changes
-	// without an error, when its connection fell silent or the store dropped
-	// its history; a change must be in force within 2 s.
-	shortWatch = 1200 * time.Millisecond
-	// firstWatch is how long it waits while the system starts and has no
-	// controller yet: hundreds of hosts would make short turns at once.
+	// firstWatch is how long it waits while the system starts for the first time
+	// and has no controller yet: hundreds of hosts would make short turns at once.
 	firstWatch = 5 * time.Second
 	// firstWatches is how long after the start of the process that is.
 	firstWatches = 8 * time.Second
-	// vouchedFor is how long a controller's word counts, from when the store had
-	// last confirmed the controller: one confirmation and two reports. A change
-	// that the controller can't hear of is then known by own watches in 2 s.
-	vouchedFor = 1500 * time.Millisecond
+	// relayTurn is how long a watch of a relay waits that others rely on while no
+	// controller vouches: the relay's word is two turns and the pause between
+	// two watches old at most, 1 s.
+	relayTurn = 400 * time.Millisecond
+	// relayFor is for how long a host is a relay after it was last asked: four
+	// questions.
+	relayFor = 2 * time.Second
+	// relayAfter is the age of a source's word from which on relays are asked. A
+	// controller's word is 1.1 s old at most while all is well: one confirmation by
+	// the store and one report.
+	relayAfter = 1200 * time.Millisecond
+	// firstSource is how long a host that has just started waits for a relay's
+	// word before it watches the store itself.
+	firstSource = 1500 * time.Millisecond
+	// defaultObeyWithin is within which a change has to be obeyed where operators
+	// name no time.
+	defaultObeyWithin = 2 * time.Second
+	// vouchedShare and shortShare are the parts of that time for which another
+	// host's word counts, from when the store had last confirmed it, and after which
+	// a watch that nobody vouches for is made anew. A watch can miss changes without
+	// an error, when its connection fell silent or the store dropped its history.
+	// What remains is the way of the news to the hosts.
+	vouchedShare = 0.75
+	shortShare   = 0.6
 )
 
-// freshness tells how long a host's watches may wait, and ends those that have
-// missed something. One controller a service watches in short turns and tells
-// the others, with its answers to their reports, at which revision each kind
-// last changed; so only one host pays for short turns.
+// freshness tells whom a host's watches ask and how long they may wait, and ends
+// those that have missed something. One controller a service watches the store in
+// short turns and tells the others, with its answers to their reports, at which
+// revision each kind last changed; so one host pays for short turns. While its
+// word is missing, a few relays do so for the others, and only where none of
+// them answers does a host watch the store itself: with one host's word between
+// them and the store, 295 hosts made some 900 calls each time it was missed.
 type freshness struct {
-	mu      sync.Mutex
-	leads   bool          // this host is a controller
-	vouched time.Duration // when the store had last confirmed the controller that answered
-	address string        // that controller's
+	// within is the time in which a change has to be obeyed.
+	within time.Duration
+
+	mu    sync.Mutex
+	leads bool // this host is a controller
+	// vouched is the latest moment as of which a source had the store's word;
+	// source is whom to follow, empty if that failed.
+	vouched time.Duration
 	heard   bool
-	doubted bool // a controller's word has ended once: the system is under way
-	kinds   map[string]*kindState
+	source  string
+	teller  string // who gave the word: the source, or the controller that it follows
+	doubted bool   // a controller's word has been missed once: the system is under way
+	// askedAt is when another host last asked this one in a controller's place.
+	askedAt time.Duration
+	asked   bool
+	// confirmed is when the last call to the store by which it confirmed this
+	// controller began.
+	confirmed time.Duration
+	kinds     map[string]*kindState
+	news      chan struct{} // closed when a source has spoken
 }
 
 // kindState is a watched kind.
 type kindState struct {
-	revision uint64 // up to which this host knows the kind
-	changed  uint64 // of the listing that last brought a change
+	revision uint64        // up to which this host knows the kind
+	changed  uint64        // of the listing that last brought a change
+	contact  time.Duration // when the last call to the store that brought it up to date began
+	touched  bool
 	cancel   context.CancelFunc
 	long     bool
+	source   string // whom the watch asks; empty for the store
+	behind   int    // words in a row by which the watch was behind
+	direct   bool   // the source was behind for long: the teller is asked
 }
 
-func (f *freshness) kind(name string) *kindState {
-	if f.kinds == nil {
-		f.kinds = map[string]*kindState{}
+func newFreshness(within time.Duration) freshness {
+	if within <= 0 {
+		within = defaultObeyWithin
 	}
+	return freshness{within: within, kinds: map[string]*kindState{}, news: make(chan struct{})}
+}
+
+// vouchedFor is how long another host's word counts.
+func (f *freshness) vouchedFor() time.Duration {
+	return time.Duration(vouchedShare * float64(f.within))
+}
+
+// shortWatch is how long a watch of the store waits that nobody vouches for.
+func (f *freshness) shortWatch() time.Duration { return time.Duration(shortShare * float64(f.within)) }
+
+func (f *freshness) kind(name string) *kindState {
 	state := f.kinds[name]
 	if state == nil {
 		state = &kindState{}
@@ -64,58 +115,192 @@
 // watchPlan says how the next watch of a kind is made.
 type watchPlan struct {
 	wait time.Duration
-	// controller is whom to ask in place of the store; empty for the store.
-	controller string
+	// source is the host to ask in place of the store; empty for the store.
+	source string
+	// news is set if the host is not to watch now, but to wait for a source's
+	// word; it is closed when there is one.
+	news <-chan struct{}
 }
 
-// begin returns the context and the plan for the next watch of a kind.
-func (f *freshness) begin(ctx context.Context, name string, now time.Duration) (context.Context, context.CancelFunc, watchPlan) {
+// begin returns the context and the plan for the next watch of a kind. hasRelays
+// tells whether there are hosts to ask in a controller's place.
+func (f *freshness) begin(ctx context.Context, name string, now time.Duration, hasRelays bool) (context.Context, context.CancelFunc, watchPlan) {
 	ctx, cancel := context.WithCancel(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	state := f.kind(name)
-	state.cancel = cancel
+	plan := f.plan(state, name, now, hasRelays)
+	state.cancel, state.source = cancel, plan.source
 	state.long = f.trusted(name, now)
+	return ctx, cancel, plan
+}
+
+func (f *freshness) plan(state *kindState, name string, now time.Duration, hasRelays bool) watchPlan {
 	switch {
-	case !state.long:
-		return ctx, cancel, watchPlan{wait: shortWatch}
-	case f.starting(now):
-		return ctx, cancel, watchPlan{wait: firstWatch}
+	case f.leads && name == Assignments:
+		return watchPlan{wait: longWatch}
 	case f.leads:
-		return ctx, cancel, watchPlan{wait: longWatch}
+		return watchPlan{wait: f.shortWatch()}
+	case f.relaying(now) && f.wordAge(now) > relayAfter:
+		if now-state.contact > 2*relayTurn {
+			return watchPlan{wait: awayWatch} // others wait for its word
+		}
+		return watchPlan{wait: relayTurn}
+	case f.starting(now) && hasRelays && now < firstSource:
+		return watchPlan{wait: firstSource - now, news: f.news}
+	case f.starting(now):
+		return watchPlan{wait: firstWatch}
+	case !f.trusted(name, now):
+		return watchPlan{wait: f.shortWatch()}
+	case f.source == "" && hasRelays:
+		return watchPlan{wait: f.vouched + f.vouchedFor() - now, news: f.news}
+	case f.source == "":
+		return watchPlan{wait: f.shortWatch()}
+	}
+	if state.direct {
+		return watchPlan{wait: longWatch, source: f.teller}
+	}
+	return watchPlan{wait: longWatch, source: f.source}
+}
+
+// relaying reports whether other hosts rely on this one.
+func (f *freshness) relaying(now time.Duration) bool {
+	return !f.leads && f.asked && now-f.askedAt < relayFor
+}
+
+// wordAge returns how old the last source's word is.
+func (f *freshness) wordAge(now time.Duration) time.Duration {
+	if !f.heard {
+		return math.MaxInt64
+	}
+	return now - f.vouched
+}
+
+// age returns how old this host's knowledge of the store may be: as old as what
+// the store last told it itself of the kind that it has not heard of for longest,
+// or as the word of the host that it follows.
+func (f *freshness) age(now time.Duration) time.Duration {
+	if f.leads {
+		return now - f.confirmed
+	}
+	own := time.Duration(0)
+	for _, state := range f.kinds {
+		if !state.touched {
+			own = math.MaxInt64
+			break
+		}
+		own = max(own, now-state.contact)
+	}
+	if len(f.kinds) == 0 {
+		own = math.MaxInt64
+	}
+	return min(own, f.wordAge(now))
+}
+
+// ageNow is age for callers without the lock.
+func (f *freshness) ageNow(now time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.age(now)
+}
+
+// touch notes that a call to the store which began at a time has brought a kind up
+// to date.
+func (f *freshness) touch(name string, began time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.kind(name)
+	state.contact, state.touched = max(state.contact, began), true
+}
+
+// confirm notes that the store confirmed this controller by a call that began at a
+// time.
+func (f *freshness) confirm(began time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.confirmed = max(f.confirmed, began)
+}
+
+// follows returns the host whose word counts now; empty if none does.
+func (f *freshness) follows(now time.Duration) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leads || !f.heard || now-f.vouched >= f.vouchedFor() {
+		return ""
 	}
-	return ctx, cancel, watchPlan{wait: longWatch, controller: f.address}
+	return f.source
+}
+
+// serves reports whether this host may pass on what it knows: it follows the store
+// in short turns itself, or a source whose word counts.
+func (f *freshness) serves(now time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leads || f.relaying(now) || f.age(now) < f.vouchedFor()
 }
 
-// leading reports whether this host is a controller.
-func (f *freshness) leading() bool {
+// question notes that another host asks this one in a controller's place, and
+// returns the age of its knowledge and the revisions. A host that is asked follows
+// the store itself while no source vouches for it.
+func (f *freshness) question(now time.Duration) (age time.Duration, revisions map[string]uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.leads
+	f.askedAt, f.asked = now, true
+	f.endUntrusted(now)
+	return f.age(now), f.changes()
 }
 
-// vouchedOnce reports whether a controller has ever vouched for itself.
+// vouchedOnce reports whether a source has ever vouched.
 func (f *freshness) vouchedOnce() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.heard || f.doubted
 }
 
-// doubt notes that a controller failed as a relay: the store is asked until it
-// vouches again.
+// doubt notes that a controller failed to answer. What it vouched for before
+// counts until it is too old.
 func (f *freshness) doubt() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.heard, f.doubted = false, true
+	f.doubted = true
+}
+
+// failed notes that a source did not pass on what the store holds.
+func (f *freshness) failed(source string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.doubted = true
+	if f.source == source {
+		f.source = ""
+	}
+}
+
+// needsSource reports whether relays are to be asked: the last word is getting
+// old, or its host failed.
+func (f *freshness) needsSource(now time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.leads && f.age(now) > relayAfter || !f.leads && f.heard && f.source == ""
+}
+
+// renewal reports whether the word of a relay that this host follows is due again.
+func (f *freshness) renewal(now time.Duration, relay string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.leads && f.source == relay && f.wordAge(now) > reportEvery
 }
 
 // trusted reports whether a kind's watch may wait long. A controller reads its
-// own record again and again, and nobody else changes it while it leads.
+// own record again and again, and nobody else changes it while it leads. A relay
+// must not wait for others while hosts wait for it.
 func (f *freshness) trusted(name string, now time.Duration) bool {
 	if f.leads {
 		return name == Assignments
 	}
-	return f.starting(now) || f.heard && now-f.vouched < vouchedFor
+	if f.relaying(now) {
+		return f.wordAge(now) <= relayAfter
+	}
+	return f.starting(now) || f.heard && now-f.vouched < f.vouchedFor()
 }
 
 // starting reports whether the process has just started and has neither heard
@@ -137,6 +322,7 @@
 	defer f.mu.Unlock()
 	state := f.kind(name)
 	state.revision = max(state.revision, revision)
+	state.behind, state.direct = 0, false
 	if changed {
 		state.changed = max(state.changed, revision)
 	}
@@ -146,6 +332,10 @@
 func (f *freshness) revisions() map[string]uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.changes()
+}
+
+func (f *freshness) changes() map[string]uint64 {
 	revisions := make(map[string]uint64, len(f.kinds))
 	for name, state := range f.kinds {
 		revisions[name] = state.changed
@@ -153,19 +343,44 @@
 	return revisions
 }
 
-// told takes a controller's word, which the store confirmed at a time, and
-// returns the kinds whose watches it ended because they are behind.
-func (f *freshness) told(confirmed time.Duration, controller string, revisions map[string]uint64) []string {
+// word is what a host says of the store.
+type word struct {
+	// confirmed is when the store's word reached it, on this host's clock.
+	confirmed time.Duration
+	teller    string
+	// source is whom to follow: the teller, or a relay that follows it.
+	source    string
+	revisions map[string]uint64
+}
+
+// relayLag is how many words in a row a watch that asks a relay must be behind: what
+// the teller knows takes some milliseconds to get there.
+const relayLag = 2
+
+// told takes a word, and returns the kinds whose watches it ended because they are
+// behind. A word that is older than the last one says nothing new.
+func (f *freshness) told(w word) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.vouched, f.heard, f.address = confirmed, true, controller
+	if f.heard && w.confirmed < f.vouched && f.source != "" {
+		return nil
+	}
+	f.vouched, f.heard, f.source, f.teller = max(f.vouched, w.confirmed), true, w.source, w.teller
+	close(f.news)
+	f.news = make(chan struct{})
 	var behind []string
-	for name, revision := range maps.All(revisions) {
+	for _, name := range slices.Sorted(maps.Keys(w.revisions)) {
 		state := f.kinds[name]
-		if state != nil && state.revision < revision && state.long && state.cancel != nil {
-			state.cancel()
-			behind = append(behind, name)
+		if state == nil || state.revision >= w.revisions[name] || !state.long || state.cancel == nil {
+			continue
+		}
+		state.behind++
+		if state.source != "" && state.source != w.teller && state.behind < relayLag {
+			continue
 		}
+		state.direct = true
+		state.cancel()
+		behind = append(behind, name)
 	}
 	return behind
 }
@@ -190,11 +405,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leads = leads
+	f.endUntrusted(now)
+}
+
+func (f *freshness) endUntrusted(now time.Duration) {
 	for name, state := range f.kinds {
-		if f.trusted(name, now) {
-			continue
-		}
-		if state.long && state.cancel != nil {
+		if !f.trusted(name, now) && state.long && state.cancel != nil {
 			state.cancel()
 			state.long = false
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,11 +27,16 @@
 	Domain string
 	// Peers is the address at which other hosts reach this one.
 	Peers string
+	// Seeds are addresses of hosts that one which has just started may ask.
+	Seeds []string
 	// Small hosts claim control later than others.
 	Small bool
 	// RetryRatio is the share of requests that operators allow to be sent once
 	// more, over all hosts; 0 if they name none.
 	RetryRatio float64
+	// ObeyWithin is the time in which a change in the store has to be obeyed; 0 if
+	// operators name none.
+	ObeyWithin time.Duration
 	// FirstStart is set if the whole system starts for the first time: no
 	// configuration has been in force yet that this host could fall behind.
 	FirstStart bool
@@ -73,6 +78,7 @@
 
 	control control
 	fresh   freshness
+	sources *sources
 	reach   reach
 	relay   relay
 	deltas  deltas
@@ -86,7 +92,7 @@
 		identity: identity, codec: platform.Codec, registry: platform.Registry, store: platform.Store, keys: platform.Keys,
 		clock: clock.System(), boot: clock.Boot(), log: logger, counts: newCounts(),
 		directory: fleet.NewDirectory(), services: map[string]*service{},
-		control: newControl(), peers: newPeerClient(), wake: make(chan struct{}, 1),
+		control: newControl(), fresh: newFreshness(identity.ObeyWithin), sources: newSources(identity), peers: newPeerClient(), wake: make(chan struct{}, 1),
 	}
 	g.counts.set.NewGauge("cicada_in_flight", g.inFlight)
 	g.requestLines = newLineQuota(logger, g.clock, "request")
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -19,6 +19,7 @@
 	strays      *metrics.Counter
 	storeErrors *metrics.Counter
 	unreadable  *metrics.Counter
+	crowded     *metrics.Counter
 	latency     *metrics.Histogram
 }
 
@@ -28,6 +29,7 @@
 		retries:     set.NewCounter("cicada_retries_total"),
 		strays:      set.NewCounter("cicada_stray_answers_total"),
 		storeErrors: set.NewCounter("cicada_store_errors_total"),
+		crowded:     set.NewCounter("cicada_crowded_assignments_total"),
 		unreadable:  set.NewCounter("cicada_unreadable_entries_total"),
 		latency:     set.NewHistogram("cicada_request_seconds"),
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -22,6 +22,9 @@
 	pathLoad  = "/keys/load"
 	pathYield = "/keys/yield"
 	pathWatch = "/store/watch"
+	pathList  = "/store/list"
+	// pathSource asks whether a host has the store's word.
+	pathSource = "/store/source"
 )
 
 const (
@@ -37,6 +40,10 @@
 type loadReport struct {
 	Service string `json:"service"`
 	Host    string `json:"host"`
+	// Address is where other hosts reach the host, Domain its failure domain.
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	Small   bool   `json:"small,omitempty"`
 	// Asked is the slot time asked for, in microseconds, by key.
 	Asked map[uint16]int64 `json:"asked"`
 	// WorkMicros is how long one request holds a slot, in microseconds.
@@ -53,6 +60,14 @@
 	StoreAgeMs int64 `json:"storeAgeMs"`
 	// Revisions tells at which revision each watched kind last changed.
 	Revisions map[string]uint64 `json:"revisions"`
+	// Shares tells of keys that ask for more than their owners can do which part of
+	// it these can take on.
+	Shares map[uint16]float64 `json:"shares,omitempty"`
+	// Relays are the hosts to ask in the controller's place.
+	Relays []string `json:"relays,omitempty"`
+	// FollowRelays is set if there are so many hosts that all but the relays are to
+	// follow those.
+	FollowRelays bool `json:"followRelays,omitempty"`
 }
 
 // yieldRequest asks a controller to stop for a successor's term.
@@ -118,7 +133,8 @@
 
 func (g *Gateway) sendReport(ctx context.Context, c *controller, to keyspace.Controller) {
 	load := c.service.takeLoad()
-	report := loadReport{Service: c.service.name, Host: g.identity.Host, Asked: map[uint16]int64{},
+	report := loadReport{Service: c.service.name, Host: g.identity.Host, Address: g.identity.Peers, Domain: g.identity.Domain,
+		Small: g.identity.Small, Asked: map[uint16]int64{},
 		WorkMicros: load.work.Microseconds(), Paces: load.paces}
 	for key, asked := range load.asked {
 		report.Asked[key] = asked.Microseconds()
@@ -147,9 +163,13 @@
 	default:
 		c.heard = now
 		g.reach.back() // what this host can't read in the store it hears from the controller
+		g.sources.name(e.answer.Relays, e.answer.FollowRelays)
+		c.service.setShares(e.answer.Shares)
 		confirmed := g.now() - time.Duration(e.answer.StoreAgeMs)*time.Millisecond
-		if behind := g.fresh.told(confirmed, e.to.Address, e.answer.Revisions); len(behind) > 0 {
-			g.log.Warn("watches were behind", "kinds", behind, "controller", e.to.Host)
+		vouch := word{confirmed: confirmed, teller: e.to.Address, source: g.sources.upstream(e.to.Address), revisions: e.answer.Revisions}
+		if behind := g.fresh.told(vouch); len(behind) > 0 {
+			g.sources.pass(vouch.source)
+			g.log.Warn("watches were behind", "kinds", behind, "controller", e.to.Host, "source", vouch.source)
 		}
 	}
 }
@@ -214,7 +234,10 @@
 	}
 	c.machine.Loads().Add(now, asked, time.Duration(report.WorkMicros)*time.Microsecond)
 	c.service.learn(report.Paces)
-	answer.Controls = true
+	c.members.note(report.Host, member{address: report.Address, domain: report.Domain, small: report.Small, seen: now})
+	answer.Relays = c.members.relaysFor(report.Host, report.Domain, now)
+	answer.FollowRelays = len(c.members.hosts) > mostFollowers
+	answer.Controls, answer.Shares = true, c.shares
 	answer.Revisions = g.fresh.revisions()
 	answer.StoreAgeMs = c.machine.ConfirmedAge(now).Milliseconds()
 	return answer
@@ -249,6 +272,8 @@
 		}
 	})
 	mux.HandleFunc("POST "+pathWatch, g.answerWatch)
+	mux.HandleFunc("POST "+pathList, g.answerList)
+	mux.HandleFunc("POST "+pathSource, g.answerSource)
 	return mux
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -19,12 +20,14 @@
 	// hosts that are behind. One that is further behind lists the kind anew.
 	relayKept  = 32
 	relayBytes = 512 << 10
+	// listTimeout bounds a list between hosts: 1,000 entries are some 250 KB, a
+	// quarter of a second on a link of 10 Mbit/s.
+	listTimeout = 2 * time.Second
 )
 
-// relay passes what a controller learns of the store on to the other hosts:
-// each call to the store has a price, a call between hosts has none. A host
-// uses it only while the controller vouches for its own contact with the store,
-// and goes to the store itself otherwise.
+// relay passes what a host learns of the store on to others: each call to the
+// store has a price, a call between hosts has none. A host uses it only while the
+// other vouches for its knowledge of the store.
 type relay struct {
 	mu    sync.Mutex
 	kinds map[string]*relayed
@@ -33,6 +36,8 @@
 // relayed is what is known of one kind.
 type relayed struct {
 	revision uint64
+	// current are the objects as of the revision; nil before the first listing.
+	current map[string]objects.Object
 	// first holds the long documents as they were before the kept changes.
 	first   map[string]objects.Object
 	kept    []relayedChange
@@ -57,31 +62,94 @@
 	return known
 }
 
-// note takes a listing as this host's follower got it. A complete listing makes
-// an end of what was kept: deletions before it are not known.
+// note takes a listing as this host's follower got it. A complete listing that
+// follows an earlier one is passed on as what differs: when a store dropped its
+// history, one host lists it anew, and those that follow this host need not.
+//
+// Long documents come in their canonical form: see canonical.
 func (r *relay) note(name string, listing objects.Listing, complete bool) {
-	listing = canonical(listing)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.kind(name)
+	if complete && known.current == nil {
+		known.begin(listing)
+		known.announce()
+		return
+	}
+	if listing.Revision < known.revision {
+		return // a list that was made before what is known
+	}
 	if complete {
-		known.kept, known.first = nil, map[string]objects.Object{}
-		known.fold(listing.Objects)
-	} else if len(listing.Objects) > 0 {
+		listing.Objects = known.differences(listing)
+	}
+	if len(listing.Objects) > 0 {
 		known.kept = append(known.kept, relayedChange{after: known.revision, listing: listing})
+		known.take(listing.Objects)
 		known.trim()
+		known.announce()
 	}
-	moved := complete || len(listing.Objects) > 0
 	known.revision = listing.Revision
-	if moved {
-		close(known.changed)
-		known.changed = make(chan struct{})
+}
+
+// begin takes the first complete listing.
+func (k *relayed) begin(listing objects.Listing) {
+	k.current, k.first, k.revision = map[string]objects.Object{}, map[string]objects.Object{}, listing.Revision
+	k.take(listing.Objects)
+	k.fold(listing.Objects)
+}
+
+// take makes the changes part of the current objects.
+func (k *relayed) take(changes []objects.Object) {
+	for _, object := range changes {
+		if object.Deleted {
+			delete(k.current, object.Name)
+			continue
+		}
+		k.current[object.Name] = object
+	}
+}
+
+// announce wakes those that wait for a change.
+func (k *relayed) announce() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// differences returns how a complete listing differs from the current objects.
+func (k *relayed) differences(listing objects.Listing) []objects.Object {
+	var changes []objects.Object
+	present := make(map[string]bool, len(listing.Objects))
+	for _, object := range listing.Objects {
+		present[object.Name] = true
+		if have, known := k.current[object.Name]; !known || have.Revision < object.Revision {
+			changes = append(changes, object)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(k.current)) {
+		if !present[name] {
+			gone := k.current[name]
+			changes = append(changes, objects.Object{Kind: gone.Kind, Name: name, Revision: listing.Revision, Deleted: true})
+		}
+	}
+	return changes
+}
+
+// list returns a kind as this host knows it; ok is false before it does.
+func (r *relay) list(name string) (listing objects.Listing, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.kind(name)
+	listing.Revision = known.revision
+	for _, each := range slices.Sorted(maps.Keys(known.current)) {
+		listing.Objects = append(listing.Objects, known.current[each])
 	}
+	return listing, known.current != nil
 }
 
-// canonical returns the listing with its long documents in the one form in which
-// they pass between hosts. A delta is made of bytes, and the store may space the
-// same document differently.
+// canonical returns a listing of the store with its long documents in the one form
+// in which they pass between hosts. A delta is made of bytes, and the store may space
+// the same document differently. What comes from a host has that form already; to
+// make it again took a quarter of what a host spends on a change of an assignment.
 func canonical(listing objects.Listing) objects.Listing {
 	listing.Objects = slices.Clone(listing.Objects)
 	for i := range listing.Objects {
@@ -206,7 +274,45 @@
 	}
 }
 
-// watchRequest asks a controller for the changes of a kind.
+// listRequest asks a host for all objects of a kind.
+type listRequest struct {
+	Kind string `json:"kind"`
+}
+
+// relayedList asks another host in place of the store.
+func (g *Gateway) relayedList(ctx context.Context, source, kind string) (objects.Listing, error) {
+	var answer listAnswer
+	if err := g.askPeer(ctx, listTimeout, source, pathList, listRequest{Kind: kind}, &answer); err != nil {
+		return objects.Listing{}, err
+	}
+	g.log.Info("listed from a host", "kind", kind, "source", source, "revision", answer.Revision, "objects", len(answer.Objects), "age-ms", answer.AgeMs)
+	return answer.Listing, nil
+}
+
+// listAnswer is what a host knows of a kind.
+type listAnswer struct {
+	objects.Listing
+	// AgeMs is how old the host's knowledge of the store may be, in milliseconds.
+	AgeMs int64 `json:"ageMs"`
+}
+
+// answerList answers another host's list, if this host knows the kind.
+func (g *Gateway) answerList(w http.ResponseWriter, r *http.Request) {
+	var request listRequest
+	if !g.readPeer(w, r, &request) {
+		return
+	}
+	listing, ok := g.relay.list(request.Kind)
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if err := json.NewEncoder(w).Encode(listAnswer{Listing: listing, AgeMs: g.fresh.ageNow(g.now()).Milliseconds()}); err != nil {
+		g.log.Info("answer to a host not written", "error", err.Error())
+	}
+}
+
+// watchRequest asks a host for the changes of a kind.
 type watchRequest struct {
 	Kind     string `json:"kind"`
 	Revision uint64 `json:"revision"`
@@ -215,24 +321,24 @@
 	Whole bool `json:"whole,omitempty"`
 }
 
-// relayedWatch asks a controller in place of the store.
-func (g *Gateway) relayedWatch(ctx context.Context, controller, kind string, revision uint64, wait time.Duration) (objects.Listing, error) {
+// relayedWatch asks another host in place of the store.
+func (g *Gateway) relayedWatch(ctx context.Context, source, kind string, revision uint64, wait time.Duration) (objects.Listing, error) {
 	request := watchRequest{Kind: kind, Revision: revision, WaitMs: wait.Milliseconds()}
-	listing, err := g.askRelay(ctx, controller, request)
+	listing, err := g.askRelay(ctx, source, request)
 	var unfit *unfitError
 	if errors.As(err, &unfit) {
 		g.log.Info("document asked for whole", "kind", kind, "name", unfit.Name, "base", unfit.Base, "known", unfit.Known,
-			"controller", controller, "why", eris.ToString(unfit.Cause, false))
+			"source", source, "why", eris.ToString(unfit.Cause, false))
 		request.Whole = true
-		return g.askRelay(ctx, controller, request)
+		return g.askRelay(ctx, source, request)
 	}
 	return listing, err
 }
 
-func (g *Gateway) askRelay(ctx context.Context, controller string, request watchRequest) (objects.Listing, error) {
+func (g *Gateway) askRelay(ctx context.Context, source string, request watchRequest) (objects.Listing, error) {
 	var answer watchAnswer
 	wait := time.Duration(request.WaitMs) * time.Millisecond
-	err := g.askPeer(ctx, wait+peerTimeout, controller, pathWatch, request, &answer)
+	err := g.askPeer(ctx, wait+peerTimeout, source, pathWatch, request, &answer)
 	var status *peerStatusError
 	if errors.As(err, &status) && status.Status == http.StatusGone {
 		return objects.Listing{}, objects.ErrCompacted
@@ -243,14 +349,14 @@
 	return g.unfold(ctx, request.Kind, &answer)
 }
 
-// answerWatch answers another host's watch, as long as this host is a
-// controller.
+// answerWatch answers another host's watch, as long as this host's knowledge of
+// the store counts.
 func (g *Gateway) answerWatch(w http.ResponseWriter, r *http.Request) {
 	var request watchRequest
 	if !g.readPeer(w, r, &request) {
 		return
 	}
-	if !g.fresh.leading() {
+	if !g.fresh.serves(g.now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -24,9 +24,14 @@
 			g.directoryChanged()
 		},
 		change: func(listing objects.Listing) {
+			gone := 0
 			for _, object := range listing.Objects {
 				g.changeServer(reader, object)
+				if object.Deleted {
+					gone++
+				}
 			}
+			g.log.Info("servers changed", "revision", listing.Revision, "entries", len(listing.Objects), "gone", gone)
 			g.directoryChanged()
 		},
 		away: g.registryAway,
@@ -45,20 +50,32 @@
 // changeServer takes one change of an entry.
 func (g *Gateway) changeServer(reader *entryReader, object objects.Object) {
 	if object.Deleted {
-		g.log.Info("server entry gone", "server", object.Name, "revision", object.Revision)
 		g.mu.Lock()
 		g.directory.Remove(g.now(), object.Name, object.Revision)
 		g.mu.Unlock()
+		if g.tellsEntries() {
+			g.log.Info("server entry gone", "server", object.Name, "revision", object.Revision)
+		}
 		return
 	}
 	version := reader.read(object)
 	g.mu.Lock()
 	verdict := g.directory.Put(g.now(), version)
 	g.mu.Unlock()
+	if verdict == fleet.Taken && !g.tellsEntries() {
+		return
+	}
 	g.log.Info("server entry", "server", version.Incarnation().String(), "service", version.Service, "draining", version.Draining,
 		"unreadable", version.Unreadable, "revision", object.Revision, "verdict", verdict.String())
 }
 
+// tellsEntries reports whether this host writes a line for each entry. One that
+// follows another host writes one a change of several, with the revision by which
+// the lines are found in the logs of those that follow the store: with a line an
+// entry on every host, 295 hosts and 1,080 servers wrote four fifths of all lines,
+// 216 MB in 27 s. An entry that is not taken is told by every host that refuses it.
+func (g *Gateway) tellsEntries() bool { return g.fresh.follows(g.now()) == "" }
+
 // directoryChanged hands on what the directory holds now.
 func (g *Gateway) directoryChanged() {
 	g.distribute()
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -211,6 +211,13 @@
 	}
 }
 
+// setShares takes the parts of what is asked of keys that their owners can take on.
+func (s *service) setShares(parts map[uint16]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.SetShares(s.now(), parts)
+}
+
 // serverState is what the controller of a service's keys needs of its servers.
 type serverState struct {
 	fleet.Server
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -38,11 +38,45 @@
 type hostUnderTest struct {
 	gateway *gateway.Gateway
 	callers *httptest.Server
-	peers   *httptest.Server
+	peers   *peerAddress
 	cancel  context.CancelFunc
 	done    func()
 }
 
+// peerAddress is where other hosts reach a host. It stays while the host's process
+// ends and another starts in its place.
+type peerAddress struct {
+	server  *httptest.Server
+	address string
+	// process answers; nil while none runs.
+	process atomic.Pointer[gateway.Gateway]
+	// reports is how many reports of other hosts came.
+	reports atomic.Int64
+}
+
+func (s *site) newPeerAddress() *peerAddress {
+	p := &peerAddress{}
+	p.server = httptest.NewServer(p)
+	p.address = p.server.Listener.Addr().String()
+	s.t.Cleanup(func() {
+		p.server.CloseClientConnections()
+		p.server.Close()
+	})
+	return p
+}
+
+// ServeHTTP implements http.Handler.
+func (p *peerAddress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	process := p.process.Load()
+	if process == nil {
+		panic(http.ErrAbortHandler) // the connection ends, as if nobody listened
+	}
+	if r.URL.Path == "/keys/load" {
+		p.reports.Add(1)
+	}
+	process.PeerHandler().ServeHTTP(w, r)
+}
+
 func newSite(t *testing.T) *site {
 	t.Parallel()
 	s := &site{t: t, store: platformtest.NewStore(), servers: map[string]*platformtest.Server{}, addresses: map[string]string{}}
@@ -120,24 +154,38 @@
 
 // unready starts a gateway.
 func (s *site) unready(name string) *hostUnderTest {
-	h := &hostUnderTest{}
-	store := platform.NewStore(s.address)
-	peers := httptest.NewUnstartedServer(nil)
-	identity := gateway.Identity{Host: name, Domain: "a", Peers: peers.Listener.Addr().String(), Incarnation: uint64(len(s.hosts) + 1)}
+	return s.start(hostSetup{name: name, store: s.address})
+}
+
+// hostSetup says how a gateway is started.
+type hostSetup struct {
+	name  string
+	store string // address at which it reaches the store
+	seeds []string
+	// peers is where other hosts reach it; nil for a new address.
+	peers *peerAddress
+}
+
+func (s *site) start(setup hostSetup) *hostUnderTest {
+	s.t.Helper()
+	h := &hostUnderTest{peers: setup.peers}
+	if h.peers == nil {
+		h.peers = s.newPeerAddress()
+	}
+	store := platform.NewStore(setup.store)
+	identity := gateway.Identity{Host: setup.name, Domain: "a", Peers: h.peers.address, Seeds: setup.seeds, Incarnation: uint64(len(s.hosts) + 1)}
 	h.gateway = gateway.New(identity, gateway.Platform{Store: store, Registry: platform.Registry{}, Codec: platform.Codec{}, Keys: platform.NewKeys()}, logs.Discard())
-	peers.Config.Handler = h.gateway.PeerHandler()
-	peers.Start()
-	h.peers = peers
+	h.peers.process.Store(h.gateway)
 	h.callers = httptest.NewServer(h.gateway)
 	ctx, cancel := context.WithCancel(context.Background())
 	duties := h.gateway.Start(ctx)
 	h.cancel = cancel
 	h.done = func() {
 		h.callers.Close()
+		h.peers.process.Store(nil)
 		cancel()
 		duties.Wait()
-		h.peers.CloseClientConnections()
-		h.peers.Close()
+		h.peers.server.CloseClientConnections()
 	}
 	s.t.Cleanup(func() {
 		if h.done != nil {
--- /dev/null
+++ b/gateway/sources.go
@@ -0,0 +1,328 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"cicadarouter/host/clock"
+	"cicadarouter/keyspace"
+)
+
+// Times and bounds of relays.
+const (
+	// relaysPerDomain is how many hosts of each failure domain a controller names
+	// as relays: the second stands in for the first.
+	relaysPerDomain = 2
+	// mostRelays bounds the relays that a host or a record names.
+	mostRelays = 16
+	// mostFollowers is how many hosts a controller passes changes on to itself. With
+	// more they follow the relays of their domains, and the controller those only: a
+	// change of an assignment is some 0.1 ms of its processor a host, and comes up to
+	// eight times a second.
+	mostFollowers = 32
+	// memberKept is for how long a host that has reported is taken to live: four
+	// reports.
+	memberKept = 4 * reportEvery
+	// namedEvery is how often a controller chooses relays anew.
+	namedEvery = time.Second
+	// askEvery is how often a host without a source's word asks a relay.
+	askEvery = 100 * time.Millisecond
+	// askTimeout bounds the question: hosts answer within milliseconds.
+	askTimeout = 300 * time.Millisecond
+	// askPause is left when no relay had the store's word: all of them may be cut
+	// off together, or the store is away for all.
+	askPause = 400 * time.Millisecond
+)
+
+// sources are the hosts that this one may ask in a controller's place.
+type sources struct {
+	self string // this host's address
+
+	mu sync.Mutex
+	// named are those that the last answer of a controller named, written those
+	// that an assignment in the store names. A host that has just started knows
+	// the latter only.
+	named, written []string
+	// follow is set if this host is to follow a relay in the controller's place also
+	// while that vouches.
+	follow bool
+	// seeds are those of the settings, for a host that has just started and does not
+	// reach the store.
+	seeds  []string
+	next   int // index of the one to ask
+	missed int // that had nothing to tell, one after the other
+}
+
+// newSources returns the hosts that one which has just started may ask. While the
+// whole system starts for the first time nobody knows more than the store tells
+// everybody at a tenth of the price, and hundreds of hosts would ask three.
+func newSources(identity Identity) *sources {
+	s := &sources{self: identity.Peers}
+	if !identity.FirstStart {
+		s.seeds = identity.Seeds
+	}
+	return s
+}
+
+// name takes the relays that a controller names.
+func (s *sources) name(relays []string, follow bool) {
+	if len(relays) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follow = follow && !slices.Contains(relays, s.self)
+	if !slices.Equal(s.named, relays) {
+		s.named, s.next, s.missed = slices.Clone(relays), 0, 0
+	}
+}
+
+// upstream returns whom to follow while a controller vouches: a relay in a large
+// fleet, else the controller itself.
+func (s *sources) upstream(controller string) string {
+	s.mu.Lock()
+	follow := s.follow
+	s.mu.Unlock()
+	if relay := s.current(); follow && relay != "" {
+		return relay
+	}
+	return controller
+}
+
+// read takes the hosts that an assignment names: its controller and the relays.
+func (s *sources) read(controller keyspace.Controller) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written = append(slices.Clone(controller.Relays), controller.Address)
+}
+
+// known reports whether there is anybody to ask.
+func (s *sources) known() bool { return s.current() != "" }
+
+// current returns whom to ask; empty if nobody is known.
+func (s *sources) current() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	candidates := s.candidates()
+	if len(candidates) == 0 {
+		return ""
+	}
+	return candidates[s.next%len(candidates)]
+}
+
+func (s *sources) candidates() []string {
+	candidates := s.named
+	if len(candidates) == 0 {
+		candidates = s.written
+	}
+	if len(candidates) == 0 {
+		candidates = s.seeds
+	}
+	return slices.DeleteFunc(slices.Clone(candidates), func(address string) bool { return address == s.self || address == "" })
+}
+
+// miss notes that a host had nothing to tell, and reports whether none has.
+func (s *sources) miss() (all bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	s.missed++
+	candidates := len(s.candidates())
+	if s.missed < candidates {
+		return false
+	}
+	s.missed = 0
+	return true
+}
+
+// pass goes on to the next host if a host that failed is the current one.
+func (s *sources) pass(failed string) {
+	if s.current() != failed {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+}
+
+// found notes that the current host had the store's word.
+func (s *sources) found() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.missed = 0
+}
+
+// member is a host that reports to a controller.
+type member struct {
+	address, domain string
+	small           bool
+	seen            time.Duration
+}
+
+// members are the hosts that report to a controller.
+type members struct {
+	hosts  map[string]member
+	relays map[string][]string // addresses by failure domain
+	chosen time.Duration       // when the relays were
+}
+
+func newMembers() members { return members{hosts: map[string]member{}} }
+
+// note takes a report.
+func (m *members) note(host string, reporting member) {
+	m.hosts[host] = reporting
+}
+
+// choose names relays anew if it is time.
+func (m *members) choose(now time.Duration) {
+	if m.relays != nil && now-m.chosen < namedEvery {
+		return
+	}
+	m.chosen, m.relays = now, map[string][]string{}
+	var names []string
+	for name, each := range m.hosts {
+		if now-each.seen > memberKept {
+			delete(m.hosts, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	// Large hosts first: dozens of others may come to follow a relay.
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(boolOrder(m.hosts[a].small, m.hosts[b].small), cmp.Compare(hashOf(a), hashOf(b)), cmp.Compare(a, b))
+	})
+	for _, name := range names {
+		each := m.hosts[name]
+		if len(m.relays[each.domain]) < relaysPerDomain {
+			m.relays[each.domain] = append(m.relays[each.domain], each.address)
+		}
+	}
+}
+
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+func hashOf(name string) uint32 {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(name)) // never fails
+	return hash.Sum32()
+}
+
+// relaysFor returns the relays for a host of a domain: its own domain's first, each
+// the first of as many hosts, then one of each other domain, for when its own has
+// lost the store.
+func (m *members) relaysFor(host, domain string, now time.Duration) []string {
+	m.choose(now)
+	relays := slices.Clone(m.relays[domain])
+	if n := uint32(len(relays)); n > 0 {
+		turn := hashOf(host) % n
+		relays = slices.Concat(relays[turn:], relays[:turn])
+	}
+	for _, other := range m.domains() {
+		if other != domain {
+			relays = append(relays, m.relays[other][0])
+		}
+	}
+	return relays[:min(len(relays), mostRelays)]
+}
+
+// all returns the relays of all domains, the first of each before the second.
+func (m *members) all(now time.Duration) []string {
+	m.choose(now)
+	var relays []string
+	for i := range relaysPerDomain {
+		for _, domain := range m.domains() {
+			if i < len(m.relays[domain]) {
+				relays = append(relays, m.relays[domain][i])
+			}
+		}
+	}
+	return relays[:min(len(relays), mostRelays)]
+}
+
+func (m *members) domains() []string {
+	domains := make([]string, 0, len(m.relays))
+	for domain := range m.relays {
+		domains = append(domains, domain)
+	}
+	slices.Sort(domains)
+	return domains
+}
+
+// sourceQuestion asks a host whether it has the store's word.
+type sourceQuestion struct {
+	Host string `json:"host"`
+}
+
+// sourceAnswer tells how old a host's knowledge of the store may be.
+type sourceAnswer struct {
+	// AgeMs is that age in milliseconds.
+	AgeMs int64 `json:"ageMs"`
+	// Revisions tells at which revision each watched kind last changed.
+	Revisions map[string]uint64 `json:"revisions"`
+}
+
+// followSources asks relays for the store's word while no controller gives it.
+func (g *Gateway) followSources(ctx context.Context) {
+	following := ""
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, askEvery)
+		now := g.now()
+		if !g.fresh.needsSource(now) && (following == "" || !g.fresh.renewal(now, following)) {
+			continue
+		}
+		address := g.sources.current()
+		if address == "" {
+			continue
+		}
+		answer, err := g.askSource(ctx, address)
+		age := time.Duration(answer.AgeMs) * time.Millisecond
+		if err != nil || age >= g.fresh.vouchedFor() {
+			following = ""
+			if g.sources.miss() {
+				g.log.Info("no relay has the store's word", "last", address, "age-ms", answer.AgeMs, "error", errorText(err))
+				clock.Sleep(ctx, askPause)
+			}
+			continue
+		}
+		g.sources.found()
+		g.reach.back() // what this host can't read in the store it hears from the relay
+		behind := g.fresh.told(word{confirmed: now - age, teller: address, source: address, revisions: answer.Revisions})
+		if following != address || len(behind) > 0 {
+			g.log.Info("relay vouches for the store's state", "relay", address, "age-ms", answer.AgeMs, "behind", behind)
+		}
+		following = address
+	}
+}
+
+func (g *Gateway) askSource(ctx context.Context, address string) (sourceAnswer, error) {
+	var answer sourceAnswer
+	err := g.askPeer(ctx, askTimeout, address, pathSource, sourceQuestion{Host: g.identity.Host}, &answer)
+	return answer, err
+}
+
+// answerSource answers a host that asks this one in a controller's place.
+func (g *Gateway) answerSource(w http.ResponseWriter, r *http.Request) {
+	var question sourceQuestion
+	if !g.readPeer(w, r, &question) {
+		return
+	}
+	age, revisions := g.fresh.question(g.now())
+	answer := sourceAnswer{AgeMs: age.Milliseconds(), Revisions: revisions}
+	if err := json.NewEncoder(w).Encode(answer); err != nil {
+		g.log.Info("answer to a host not written", "error", err.Error())
+	}
+}
--- /dev/null
+++ b/gateway/sources_test.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/keyspace"
+)
+
+// A controller names two large hosts of each failure domain as relays, those that
+// have reported lately; a host is told its own domain's first, and hosts of a domain
+// are spread over them.
+func TestRelaysAreLargeHostsThatReport(t *testing.T) {
+	m := newMembers()
+	for _, domain := range []string{"a", "b"} {
+		for i := range 20 {
+			name := fmt.Sprintf("%s%02d", domain, i)
+			m.note(name, member{address: name + ":1", domain: domain, small: i >= 3})
+		}
+	}
+	first := map[string]int{}
+	for i := range 20 {
+		relays := m.relaysFor(fmt.Sprintf("a%02d", i), "a", 0)
+		assert.Equal(t, len(relays), relaysPerDomain+1)
+		for _, near := range relays[:relaysPerDomain] {
+			assert.Assert(t, !m.hosts[near[:3]].small && near[0] == 'a', near)
+		}
+		assert.Equal(t, relays[relaysPerDomain][0], byte('b'))
+		first[relays[0]]++
+	}
+	assert.Equal(t, len(first), relaysPerDomain)
+	assert.Equal(t, len(m.all(0)), 2*relaysPerDomain)
+
+	// Those that stop reporting are replaced, at last by small ones.
+	later := memberKept + namedEvery
+	for name, each := range m.hosts {
+		if each.small || each.domain == "b" {
+			each.seen = later
+			m.note(name, each)
+		}
+	}
+	for _, near := range m.relaysFor("a10", "a", later)[:relaysPerDomain] {
+		assert.Assert(t, m.hosts[near[:3]].small, near)
+	}
+}
+
+// A host asks those that the controller named last, before that those that the
+// assignment names, before that the seeds; never itself, and the next one after a
+// failure.
+func TestWhomAHostAsks(t *testing.T) {
+	s := newSources(Identity{Peers: "self", Seeds: []string{"self", "seed"}})
+	assert.Equal(t, s.current(), "seed")
+	s.read(keyspace.Controller{Address: "controller", Relays: []string{"written"}})
+	assert.Equal(t, s.current(), "written")
+	assert.Assert(t, !s.miss())
+	assert.Equal(t, s.current(), "controller")
+	assert.Assert(t, s.miss(), "all have been asked")
+	s.name([]string{"near", "self", "far"}, true)
+	assert.Equal(t, s.current(), "near")
+	assert.Equal(t, s.upstream("controller"), "controller", "a relay follows the controller itself")
+	s.name([]string{"near", "far"}, true)
+	assert.Equal(t, s.upstream("controller"), "near")
+	s.pass("near")
+	assert.Equal(t, s.upstream("controller"), "far")
+	s.pass("near")
+	assert.Equal(t, s.upstream("controller"), "far")
+	s.name([]string{"near", "far"}, false)
+	assert.Equal(t, s.upstream("controller"), "controller")
+
+	assert.Equal(t, newSources(Identity{Seeds: []string{"seed"}, FirstStart: true}).current(), "")
+}
+
+// Symptom: each time the controller's word is missed, 295 hosts make some 900 calls
+// to the store.
+// Sequence: the controller falls silent; its word is too old after some time.
+// Cause: nobody else could vouch. A relay that is asked follows the store in short
+// turns, and its word counts as the controller's did.
+func TestRelayTakesTheControllersPlace(t *testing.T) {
+	const silent = 10 * time.Second
+	relay, host := newFreshness(0), newFreshness(0)
+	for _, f := range []*freshness{&relay, &host} {
+		f.known("things", 5, true)
+		f.told(wordOf(silent-relayAfter, "controller", nil))
+	}
+	assert.Assert(t, !host.needsSource(silent))
+	_, watching := plan(&relay, "things", silent)
+	now := silent + 10*time.Millisecond
+	assert.Assert(t, host.needsSource(now))
+
+	// The relay is asked. It ends its watch of the controller and watches the store.
+	age, _ := relay.question(now)
+	assert.Assert(t, age > relayAfter)
+	assert.Assert(t, watching.Err() != nil)
+	made, _ := plan(&relay, "things", now)
+	assert.Equal(t, made, watchPlan{wait: awayWatch})
+	relay.touch("things", now)
+	made, _ = plan(&relay, "things", now+awayWatch)
+	assert.Equal(t, made, watchPlan{wait: relayTurn})
+
+	// It is asked again, and vouches.
+	now += askEvery
+	age, revisions := relay.question(now)
+	assert.Equal(t, age, askEvery)
+	assert.Assert(t, relay.serves(now))
+	host.told(word{confirmed: now - age, teller: "relay", source: "relay", revisions: revisions})
+	made, _ = plan(&host, "things", silent+time.Second)
+	assert.Equal(t, made, watchPlan{wait: longWatch, source: "relay"})
+
+	// Nobody asks it any more: it asks others itself.
+	now += relayFor + askEvery
+	assert.Assert(t, relay.needsSource(now))
+	assert.Assert(t, !relay.serves(now))
+}
+
+// A host whose source fails waits for another as long as the last word counts, and
+// then asks the store.
+func TestHostWaitsForASourceWhileTheLastWordCounts(t *testing.T) {
+	f := newFreshness(0)
+	f.told(wordOf(0, "controller", nil))
+	f.failed("controller")
+	assert.Assert(t, f.needsSource(time.Millisecond))
+	begin := func(now time.Duration, relays bool) watchPlan {
+		_, cancel, made := f.begin(t.Context(), "things", now, relays)
+		cancel()
+		return made
+	}
+	made := begin(time.Second, true)
+	assert.Assert(t, made.news != nil)
+	assert.Equal(t, made.wait, f.vouchedFor()-time.Second)
+	assert.Equal(t, begin(time.Second, false), watchPlan{wait: f.shortWatch()}, "there is nobody to ask")
+	assert.Equal(t, begin(f.vouchedFor(), true), watchPlan{wait: f.shortWatch()})
+	f.told(wordOf(time.Second, "relay", nil))
+	<-made.news
+	assert.Equal(t, begin(time.Second, true), watchPlan{wait: longWatch, source: "relay"})
+}
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -12,5 +12,6 @@
 	duties.Go(func() { g.followConfiguration(ctx) })
 	duties.Go(func() { g.followAssignments(ctx) })
 	duties.Go(func() { g.runControl(ctx) })
+	duties.Go(func() { g.followSources(ctx) })
 	return &duties
 }
--- a/tools/mutants/main.go
+++ b/tools/mutants/main.go
@@ -47,7 +47,7 @@
 		return code
 	}
 	var chosen []mutant
-	for _, m := range slices.Concat(ownershipMutants(), pathMutants(), keyspaceMutants(), balanceMutants(), entryMutants()) {
+	for _, m := range slices.Concat(ownershipMutants(), pathMutants(), keyspaceMutants(), balanceMutants(), entryMutants(), gatewayMutants()) {
 		if strings.Contains(m.name, given.Only) {
 			chosen = append(chosen, m)
 		}
