--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,7 @@
 	sources *sources
 	reach   reach
 	relay   relay
+	calls   storeCalls
 	deltas  deltas
 	peers   *http.Client
 	wake    chan struct{} // the controller has something to do
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -20,6 +20,7 @@
 	storeErrors *metrics.Counter
 	unreadable  *metrics.Counter
 	crowded     *metrics.Counter
+	crowdedOut  *metrics.Counter
 	latency     *metrics.Histogram
 }
 
@@ -29,6 +30,7 @@
 		retries:     set.NewCounter("cicada_retries_total"),
 		strays:      set.NewCounter("cicada_stray_answers_total"),
 		storeErrors: set.NewCounter("cicada_store_errors_total"),
+		crowdedOut:  set.NewCounter("cicada_host_calls_turned_away_total"),
 		crowded:     set.NewCounter("cicada_crowded_assignments_total"),
 		unreadable:  set.NewCounter("cicada_unreadable_entries_total"),
 		latency:     set.NewHistogram("cicada_request_seconds"),
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -289,6 +289,10 @@
 func (g *Gateway) answerPeer(w http.ResponseWriter, r *http.Request, call *peerCall) {
 	call.answer = make(chan any, 1)
 	if !g.control.events.Offer(call) {
+		g.counts.crowdedOut.Inc()
+		if g.callLines.take() {
+			g.log.Warn("call of a host turned away: too many answers wait for the control loop", "path", r.URL.Path, "most", mostEvents)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -13,5 +13,6 @@
 	duties.Go(func() { g.followAssignments(ctx) })
 	duties.Go(func() { g.runControl(ctx) })
 	duties.Go(func() { g.followSources(ctx) })
+	duties.Go(func() { g.tellStoreCalls(ctx) })
 	return &duties
 }
