--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -133,7 +133,7 @@
 	}))
 	defer controller.Close()
 	g := New(Identity{}, Platform{Store: memobjects.New(), Registry: kinds{}}, logs.Discard())
-	g.fresh.told(wordOf(g.now(), strings.TrimPrefix(controller.URL, "http://"), nil))
+	g.fresh.told(g.now(), wordOf(g.now(), strings.TrimPrefix(controller.URL, "http://"), nil))
 	g.reach.lost()
 	listing, _, err := g.next(context.Background(), follower{prober: true, kind: "configurations"}, true, 5)
 	assert.NilError(t, err)
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -26,10 +26,14 @@
 	// relayFor is for how long a host is a relay after it was last asked: four
 	// questions.
 	relayFor = 2 * time.Second
-	// relayAfter is the age of a source's word from which on relays are asked. A
-	// controller's word is 1.1 s old at most while all is well: one confirmation by
-	// the store and one report.
+	// relayAfter is the age of a source's word from which on relays are asked, if it
+	// was also too old when it came (oldWord), or the next one is overdue (nextWord).
+	// While all is well a word is 0.6 s old when it comes, one confirmation by the
+	// store, and 1.1 s when the next one does, after a report. Age alone would ask
+	// relays for nothing each time that a report is a little late.
 	relayAfter = 1200 * time.Millisecond
+	oldWord    = time.Second
+	nextWord   = 700 * time.Millisecond
 	// firstSource is how long a host that has just started waits for a relay's
 	// word before it watches the store itself.
 	firstSource = 1500 * time.Millisecond
@@ -62,6 +66,8 @@
 	// source is whom to follow, empty if that failed.
 	vouched time.Duration
 	heard   bool
+	toldAt  time.Duration // when the last word came
+	toldAge time.Duration // how old it was then
 	source  string
 	teller  string // who gave the word: the source, or the controller that it follows
 	doubted bool   // a controller's word has been missed once: the system is under way
@@ -83,7 +89,8 @@
 	touched  bool
 	cancel   context.CancelFunc
 	long     bool
-	source   string // whom the watch asks; empty for the store
+	watching bool   // a watch is under way
+	source   string // whom it asks; empty for the store
 	behind   int    // words in a row by which the watch was behind
 	direct   bool   // the source was behind for long: the teller is asked
 }
@@ -130,7 +137,8 @@
 	defer f.mu.Unlock()
 	state := f.kind(name)
 	plan := f.plan(state, name, now, hasRelays)
-	state.cancel, state.source = cancel, plan.source
+	state.source, state.watching = plan.source, plan.news == nil
+	state.cancel = cancel
 	state.long = f.trusted(name, now)
 	return ctx, cancel, plan
 }
@@ -141,7 +149,7 @@
 		return watchPlan{wait: longWatch}
 	case f.leads:
 		return watchPlan{wait: f.shortWatch()}
-	case f.relaying(now) && f.wordAge(now) > relayAfter:
+	case f.relaying(now) && f.doubtful(now):
 		if now-state.contact > 2*relayTurn {
 			return watchPlan{wait: awayWatch} // others wait for its word
 		}
@@ -280,7 +288,22 @@
 func (f *freshness) needsSource(now time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.leads && f.age(now) > relayAfter || !f.leads && f.heard && f.source == ""
+	switch {
+	case f.leads:
+		return false
+	case f.heard && f.source == "":
+		return true
+	}
+	return f.doubtful(now) && f.age(now) > relayAfter
+}
+
+// doubtful reports that the last source's word is getting old, and not only because
+// the next one is not due yet.
+func (f *freshness) doubtful(now time.Duration) bool {
+	if !f.heard || f.wordAge(now) >= f.vouchedFor() {
+		return true
+	}
+	return f.wordAge(now) > relayAfter && (f.toldAge > oldWord || now-f.toldAt > nextWord)
 }
 
 // renewal reports whether the word of a relay that this host follows is due again.
@@ -298,7 +321,7 @@
 		return name == Assignments
 	}
 	if f.relaying(now) {
-		return f.wordAge(now) <= relayAfter
+		return !f.doubtful(now)
 	}
 	return f.starting(now) || f.heard && now-f.vouched < f.vouchedFor()
 }
@@ -359,16 +382,27 @@
 
 // told takes a word, and returns the kinds whose watches it ended because they are
 // behind. A word that is older than the last one says nothing new.
-func (f *freshness) told(w word) []string {
+//
+// It also ends watches of the store by which this host made do without a source: one
+// that the store leaves unanswered would keep a host ignorant for a second that its
+// source could tell.
+func (f *freshness) told(now time.Duration, w word) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.heard && w.confirmed < f.vouched && f.source != "" {
 		return nil
 	}
 	f.vouched, f.heard, f.source, f.teller = max(f.vouched, w.confirmed), true, w.source, w.teller
+	f.toldAt, f.toldAge = now, now-w.confirmed
 	close(f.news)
 	f.news = make(chan struct{})
 	var behind []string
+	for name, state := range f.kinds {
+		if state.watching && state.source == "" && !state.long && f.trusted(name, now) {
+			state.watching = false
+			state.cancel()
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(w.revisions)) {
 		state := f.kinds[name]
 		if state == nil || state.revision >= w.revisions[name] || !state.long || state.cancel == nil {
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -41,7 +41,7 @@
 	started.doubt()
 	started.tend(time.Second, false)
 	assert.Assert(t, first.Err() != nil, "the first watch outlives the doubt")
-	f.told(wordOf(time.Second, "controller", nil))
+	f.told(time.Second, wordOf(time.Second, "controller", nil))
 	made, watching := plan(&f, "things", time.Second)
 	assert.Equal(t, made, watchPlan{wait: longWatch, source: "controller"})
 	f.tend(time.Second+vouchedFor-1, false)
@@ -52,12 +52,12 @@
 	assert.Assert(t, vouchedFor < mostForAChange-idleEvery)
 
 	// Sequence: the controller is cut off from the store, and still answers.
-	f.told(wordOf(time.Second, "controller", nil))
+	f.told(time.Second, wordOf(time.Second, "controller", nil))
 	made, _ = plan(&f, "things", time.Second+vouchedFor)
 	assert.Equal(t, made, watchPlan{wait: shortWatch}, "the word of a controller counts though the store no longer confirms it")
 
 	// Sequence: a report gets no answer, and nor do those that follow.
-	f.told(wordOf(3*time.Second, "controller", nil))
+	f.told(3*time.Second, wordOf(3*time.Second, "controller", nil))
 	_, watching = plan(&f, "things", 3*time.Second)
 	f.doubt()
 	f.tend(3*time.Second+vouchedFor, false)
@@ -67,12 +67,12 @@
 // A watch that is behind what the controller knows ends at once.
 func TestWatchThatIsBehindEnds(t *testing.T) {
 	f := newFreshness(0)
-	f.told(wordOf(0, "controller", nil))
+	f.told(0, wordOf(0, "controller", nil))
 	_, watching := plan(&f, "things", 0)
 	f.known("things", 5, true)
-	assert.Equal(t, len(f.told(wordOf(0, "controller", map[string]uint64{"things": 5, "others": 9}))), 0)
+	assert.Equal(t, len(f.told(0, wordOf(0, "controller", map[string]uint64{"things": 5, "others": 9}))), 0)
 	assert.NilError(t, watching.Err())
-	assert.DeepEqual(t, f.told(wordOf(0, "controller", map[string]uint64{"things": 6})), []string{"things"})
+	assert.DeepEqual(t, f.told(0, wordOf(0, "controller", map[string]uint64{"things": 6})), []string{"things"})
 	assert.Assert(t, watching.Err() != nil)
 }
 
@@ -143,7 +143,7 @@
 func TestRelayThatIsBehind(t *testing.T) {
 	f := newFreshness(0)
 	vouch := func(revision uint64) []string {
-		return f.told(word{teller: "controller", source: "relay", revisions: map[string]uint64{"things": revision}})
+		return f.told(0, word{teller: "controller", source: "relay", revisions: map[string]uint64{"things": revision}})
 	}
 	vouch(5)
 	f.known("things", 5, true)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -165,9 +165,10 @@
 		g.reach.back() // what this host can't read in the store it hears from the controller
 		g.sources.name(e.answer.Relays, e.answer.FollowRelays)
 		c.service.setShares(e.answer.Shares)
-		confirmed := g.now() - time.Duration(e.answer.StoreAgeMs)*time.Millisecond
+		told := g.now()
+		confirmed := told - time.Duration(e.answer.StoreAgeMs)*time.Millisecond
 		vouch := word{confirmed: confirmed, teller: e.to.Address, source: g.sources.upstream(e.to.Address), revisions: e.answer.Revisions}
-		if behind := g.fresh.told(vouch); len(behind) > 0 {
+		if behind := g.fresh.told(told, vouch); len(behind) > 0 {
 			g.sources.pass(vouch.source)
 			g.log.Warn("watches were behind", "kinds", behind, "controller", e.to.Host, "source", vouch.source)
 		}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -300,7 +300,7 @@
 		}
 		g.sources.found()
 		g.reach.back() // what this host can't read in the store it hears from the relay
-		behind := g.fresh.told(word{confirmed: now - age, teller: address, source: address, revisions: answer.Revisions})
+		behind := g.fresh.told(g.now(), word{confirmed: now - age, teller: address, source: address, revisions: answer.Revisions})
 		if following != address || len(behind) > 0 {
 			g.log.Info("relay vouches for the store's state", "relay", address, "age-ms", answer.AgeMs, "behind", behind)
 		}
--- a/gateway/sources_test.go
+++ b/gateway/sources_test.go
@@ -83,7 +83,7 @@
 	relay, host := newFreshness(0), newFreshness(0)
 	for _, f := range []*freshness{&relay, &host} {
 		f.known("things", 5, true)
-		f.told(wordOf(silent-relayAfter, "controller", nil))
+		f.told(silent-relayAfter, wordOf(silent-relayAfter, "controller", nil))
 	}
 	assert.Assert(t, !host.needsSource(silent))
 	_, watching := plan(&relay, "things", silent)
@@ -105,7 +105,7 @@
 	age, revisions := relay.question(now)
 	assert.Equal(t, age, askEvery)
 	assert.Assert(t, relay.serves(now))
-	host.told(word{confirmed: now - age, teller: "relay", source: "relay", revisions: revisions})
+	host.told(now, word{confirmed: now - age, teller: "relay", source: "relay", revisions: revisions})
 	made, _ = plan(&host, "things", silent+time.Second)
 	assert.Equal(t, made, watchPlan{wait: longWatch, source: "relay"})
 
@@ -119,7 +119,7 @@
 // then asks the store.
 func TestHostWaitsForASourceWhileTheLastWordCounts(t *testing.T) {
 	f := newFreshness(0)
-	f.told(wordOf(0, "controller", nil))
+	f.told(0, wordOf(0, "controller", nil))
 	f.failed("controller")
 	assert.Assert(t, f.needsSource(time.Millisecond))
 	begin := func(now time.Duration, relays bool) watchPlan {
@@ -132,7 +132,38 @@
 	assert.Equal(t, made.wait, f.vouchedFor()-time.Second)
 	assert.Equal(t, begin(time.Second, false), watchPlan{wait: f.shortWatch()}, "there is nobody to ask")
 	assert.Equal(t, begin(f.vouchedFor(), true), watchPlan{wait: f.shortWatch()})
-	f.told(wordOf(time.Second, "relay", nil))
+	f.told(time.Second, wordOf(time.Second, "relay", nil))
 	<-made.news
 	assert.Equal(t, begin(time.Second, true), watchPlan{wait: longWatch, source: "relay"})
 }
+
+// Symptom: hosts that the store turns away without an answer keep old owners of keys
+// for seconds, though the controller has the store and answers them.
+// Sequence: a report is a little late, so the controller's word is 1.2 s old for some
+// milliseconds; hosts ask their relays; relays that are cut off from the store leave
+// the controller for it, and wait there for an answer that does not come.
+// Cause: the age alone was taken for doubt, and a watch of the store went on although
+// the controller had spoken since.
+func TestLateReportMakesNobodyLeaveTheController(t *testing.T) {
+	const told = 5 * time.Second
+	f := newFreshness(0)
+	f.known("things", 5, true)
+	f.told(told, wordOf(told-600*time.Millisecond, "controller", nil))
+	_, watching := plan(&f, "things", told)
+	late := told + 610*time.Millisecond // 10 ms after the word is 1.2 s old
+	assert.Assert(t, !f.needsSource(late))
+	f.question(late)
+	assert.NilError(t, watching.Err())
+
+	// The next word is overdue, and the relay goes to the store.
+	overdue := told + nextWord + time.Millisecond
+	assert.Assert(t, f.needsSource(overdue))
+	f.question(overdue)
+	assert.Assert(t, watching.Err() != nil)
+	made, watching := plan(&f, "things", overdue)
+	assert.Equal(t, made, watchPlan{wait: awayWatch})
+	f.told(overdue+time.Millisecond, wordOf(overdue, "controller", nil))
+	assert.Assert(t, watching.Err() != nil, "the watch of the store goes on")
+	made, _ = plan(&f, "things", overdue+time.Millisecond)
+	assert.Equal(t, made, watchPlan{wait: longWatch, source: "controller"})
+}
