A relay keeps the newest version of an object, whoever told it

Cause: read as a newcomer: a source that is behind may pass on a version before the one known; the copy that is listed to others took it.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -98,14 +98,16 @@
 	k.fold(listing.Objects)
 }
 
-// take makes the changes part of the current objects.
+// take makes the changes part of the current objects. A source that is behind may
+// tell of a version before the one known.
 func (k *relayed) take(changes []objects.Object) {
 	for _, object := range changes {
-		if object.Deleted {
+		switch {
+		case object.Deleted:
 			delete(k.current, object.Name)
-			continue
+		case object.Revision >= k.current[object.Name].Revision:
+			k.current[object.Name] = object
 		}
-		k.current[object.Name] = object
 	}
 }
 
