--- a/balance/share.go
+++ b/balance/share.go
@@ -1,9 +1,6 @@
 package balance
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Load pattern: one key takes a fifth of a service's requests, 50 times what its
 // owner can run, and they come through hundreds of hosts. Each host sees a few a
@@ -65,7 +62,7 @@
 		known.gap += time.Duration(gapWeight * float64(now-known.last-known.gap))
 	}
 	known.last = now
-	known.saved = math.Min(known.saved+known.part, mostSaved)
+	known.saved = min(known.saved+known.part, mostSaved)
 	if known.saved >= mostSaved {
 		known.saved -= mostSaved
 		return nil
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -19,26 +19,6 @@
 // hotKeyVerdict is what became of the requests for a key that all callers ask for.
 type hotKeyVerdict struct{ asked, served, inTime, reset, rejected int }
 
-// ending is the end of a request at the owner.
-type ending struct {
-	at     time.Duration
-	host   int
-	server *Server
-	took   time.Duration
-}
-
-type endings []ending
-
-func (e endings) Len() int           { return len(e) }
-func (e endings) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e endings) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *endings) Push(x any)        { *e = append(*e, x.(ending)) }
-func (e *endings) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // hotOwner is the owner as it really is: four slots, a queue of 16, and a reset for
 // what it can't queue.
 type hotOwner struct {
@@ -75,18 +55,12 @@
 	}
 	var verdict hotKeyVerdict
 	var owner hotOwner
-	var under endings
+	var under agenda
 	told := time.Duration(-1)
 	for now := time.Duration(0); now < 10*time.Second; now += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)) {
 		for len(under) > 0 && under[0].at <= now {
-			done := heap.Pop(&under).(ending)
-			owner.in--
-			verdict.served++
-			if done.took <= objective {
-				verdict.inTime++
-			}
-			pools[done.host].Done(done.at, done.server, End{Outcome: Answered, Took: done.took, Objective: objective,
-				Load: &Load{Running: min(owner.in, 4), Waiting: max(0, owner.in-4), Slots: 4}})
+			done := heap.Pop(&under).(modelEvent)
+			done.do(done.at)
 		}
 		if part > 0 && now/(500*time.Millisecond) > told {
 			told = now / (500 * time.Millisecond)
@@ -111,7 +85,16 @@
 				pools[host].Done(now, w.Server, End{Outcome: Failed, Objective: w.Objective})
 				continue
 			}
-			heap.Push(&under, ending{at: ends, host: host, server: w.Server, took: ends - now})
+			took := ends - now
+			heap.Push(&under, modelEvent{at: ends, do: func(now time.Duration) {
+				owner.in--
+				verdict.served++
+				if took <= objective {
+					verdict.inTime++
+				}
+				pools[host].Done(now, w.Server, End{Outcome: Answered, Took: took, Objective: objective,
+					Load: &Load{Running: min(owner.in, 4), Waiting: max(0, owner.in-4), Slots: 4}})
+			}})
 		}
 	}
 	return verdict
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -211,9 +210,8 @@
 // claimDelay spreads the claims of hosts over claimSpread, those of small hosts
 // over as long again after it.
 func (g *Gateway) claimDelay(c *controller, term uint64) time.Duration {
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(g.identity.Host + c.service.name + strconv.FormatUint(term, 10)))
-	delay := claimSpread * time.Duration(hash.Sum32()%1000) / 1000
+	hash := hashOf(g.identity.Host + c.service.name + strconv.FormatUint(term, 10))
+	delay := claimSpread * time.Duration(hash%1000) / 1000
 	if g.identity.Small {
 		delay += claimSpread
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -103,7 +103,7 @@
 	watching, cancel, plan := g.fresh.begin(ctx, kind, g.now(), g.sources.known())
 	defer cancel()
 	if plan.news != nil {
-		waitFor(watching, plan.news, plan.wait)
+		clock.Await(watching, plan.news, plan.wait)
 		return listing, true, nil
 	}
 	if f.prober && g.reach.isAway() {
@@ -126,17 +126,6 @@
 	return listing, true, err
 }
 
-// waitFor returns when there is news, after a time, or when the context ends.
-func waitFor(ctx context.Context, news <-chan struct{}, most time.Duration) {
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	select {
-	case <-news:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // list lists a kind that this host knows up to a revision, 0 if it has just
 // started. A later list comes from the host that this one follows; one that was
 // too far behind for its source's changes would otherwise read a page of the store
--- a/keyspace/loads.go
+++ b/keyspace/loads.go
@@ -115,7 +115,7 @@
 		if server.Leaving {
 			continue
 		}
-		l.capacity[server.ID] = float64(server.Slots) * cmp.Or(server.Speed, 1)
+		l.capacity[server.ID] = server.capacity()
 		l.names = append(l.names, server.ID)
 		if !server.Silent {
 			l.receivers = append(l.receivers, server.ID)
--- a/keyspace/machine.go
+++ b/keyspace/machine.go
@@ -1,6 +1,7 @@
 package keyspace
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -26,6 +27,9 @@
 	return fleet.Incarnation{ID: s.ID, Start: s.Start}
 }
 
+// capacity is how many slots of mean speed the server's are worth.
+func (s *Server) capacity() float64 { return float64(s.Slots) * cmp.Or(s.Speed, 1) }
+
 // Machine runs the assignment of one service while this process is its
 // controller. It is not safe for concurrent use.
 type Machine struct {
--- a/keyspace/share.go
+++ b/keyspace/share.go
@@ -26,7 +26,7 @@
 	capacity := make(map[string]float64, len(servers))
 	least := 0.0
 	for _, server := range servers {
-		able := float64(server.Slots) * cmp.Or(server.Speed, 1)
+		able := server.capacity()
 		capacity[server.ID] = able
 		if least == 0 || able < least {
 			least = able
@@ -40,7 +40,7 @@
 			able = capacity[r.Server]
 		}
 		if able > 0 && asked.rate > oversubscribed*able+m.loads.chance(asked.rate) && len(shares) < mostShares {
-			shares[asked.key] = min(1, shareMargin*able/asked.rate)
+			shares[asked.key] = shareMargin * able / asked.rate
 		}
 	}
 	return shares
--- a/router/try.go
+++ b/router/try.go
@@ -253,11 +253,5 @@
 	p.mu.Lock()
 	changed := p.changed
 	p.mu.Unlock()
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	clock.Await(ctx, changed, most)
 }
--- a/tools/mutants/balance.go
+++ b/tools/mutants/balance.go
@@ -2,9 +2,7 @@
 
 // balanceMutants break the rules by which requests wait and are placed.
 func balanceMutants() []mutant {
-	in := func(file, name, old, fresh string) mutant {
-		return mutant{name: "balance: " + name, file: "balance/" + file, old: old, new: fresh, pkg: "balance", run: "."}
-	}
+	in := breaking("balance", ".")
 	return []mutant{
 		in("share.go", "shares: admit what is beyond a host's share", "	if known.saved >= mostSaved {", "	if known.saved >= 0 {"),
 		in("share.go", "shares: believe an old share", "known == nil || now >= known.until || known.part >= 1", "known == nil || known.part >= 1"),
--- a/tools/mutants/gateway.go
+++ b/tools/mutants/gateway.go
@@ -2,10 +2,7 @@
 
 // gatewayMutants break the rules by which a host learns of changes.
 func gatewayMutants() []mutant {
-	in := func(file, name, old, fresh string) mutant {
-		return mutant{name: "gateway: " + name, file: "gateway/" + file, old: old, new: fresh, pkg: "gateway",
-			run: "Relay|LateReport|HostWaits|HostThatStarts|WhomAHostAsks|Silent|Behind|SecondStart"}
-	}
+	in := breaking("gateway", "Relay|LateReport|HostWaits|HostThatStarts|WhomAHostAsks|Silent|Behind|SecondStart")
 	return []mutant{
 		in("freshness.go", "trust a source for good", "f.starting(now) || f.heard && now-f.vouched < f.vouchedFor()", "f.starting(now) || f.heard"),
 		in("freshness.go", "let a relay wait for others", "	if f.relaying(now) {\n		return !f.doubtful(now)\n	}\n", ""),
--- a/tools/mutants/keyspace.go
+++ b/tools/mutants/keyspace.go
@@ -2,9 +2,7 @@
 
 // keyspaceMutants break the rules by which keys pass from server to server.
 func keyspaceMutants() []mutant {
-	in := func(file, name, old, fresh string) mutant {
-		return mutant{name: "keyspace: " + name, file: "keyspace/" + file, old: old, new: fresh, pkg: "keyspace", run: "."}
-	}
+	in := breaking("keyspace", ".")
 	return []mutant{
 		in("plan.go", "large services: bound ranges whatever the servers", "max(leastMostRanges, rangesPerServer*servers)", "leastMostRanges"),
 		in("machine.go", "large services: write a record for each move that ends", "m.pending == nil && (m.proposed == 0 || now-m.proposed >= m.pace)", "m.pending == nil"),
--- a/tools/mutants/main.go
+++ b/tools/mutants/main.go
@@ -32,6 +32,14 @@
 	run string
 }
 
+// breaking returns what makes the mutants of a package: run is a pattern of the tests
+// that must notice.
+func breaking(pkg, run string) func(file, name, old, fresh string) mutant {
+	return func(file, name, old, fresh string) mutant {
+		return mutant{name: pkg + ": " + name, file: pkg + "/" + file, old: old, new: fresh, pkg: pkg, run: run}
+	}
+}
+
 type options struct {
 	Only   string `long:"only" description:"run mutants whose name contains this"`
 	Jobs   int    `long:"jobs" default:"4" description:"mutants at a time"`
