State that follows from other state goes; store calls are counted where they pass

The relays of all domains were put together and sorted anew at each step of the control loop, up to 125 a second, and their domains at each report, though they are chosen once a second. Each caller of the store had to remember to count its call. Change: members keeps what it chose; a counting store around the platform's; one look under one lock; the rest is gone. Behaviour unchanged.

--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -148,7 +148,6 @@
 	}
 	writing, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	g.noteStoreCall(callPut, Assignments)
 	stored, err := g.store.Put(writing, objects.Object{Kind: Assignments, Name: c.service.name, Revision: revision, Spec: spec})
 	var conflict *objects.ConflictError
 	if errors.As(err, &conflict) && sameRecord(conflict.Current, record) {
@@ -212,7 +211,6 @@
 	machine := c.machine
 	go func() {
 		ended := &confirmed{controller: c, machine: machine, began: g.boot.Now(), asked: g.now()}
-		g.noteStoreCall(callGet, Assignments)
 		ended.object, ended.err = g.store.Get(ctx, Assignments, c.service.name)
 		g.post(ctx, ended)
 	}()
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -294,7 +294,8 @@
 		c.service.setShares(c.shares)
 	}
 	g.noteAuthority(c, now)
-	c.machine.Advertise(c.members.all(now))
+	c.members.choose(now)
+	c.machine.Advertise(c.members.all)
 	c.machine.SetPace(time.Duration(len(c.members.hosts)) * recordCost)
 	g.noteCrowded(c, len(servers))
 	for _, call := range c.machine.Step(now, servers) {
--- a/gateway/deltas.go
+++ b/gateway/deltas.go
@@ -151,12 +151,11 @@
 		listing.Objects = append(listing.Objects, objects.Object{Kind: kind, Name: each.Name, Revision: each.Revision, Spec: spec})
 	}
 	for _, name := range answer.InStore {
-		g.noteStoreCall(callGet, kind)
 		object, err := g.store.Get(ctx, kind, name)
 		if err != nil {
 			return objects.Listing{}, &unfitError{Name: name, Cause: err}
 		}
-		listing.Objects = append(listing.Objects, canonical(objects.Listing{Objects: []objects.Object{object}}).Objects...)
+		listing.Objects = append(listing.Objects, canonicalObject(object))
 	}
 	return listing, nil
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -142,7 +142,6 @@
 		g.log.Info("source does not list what the store holds; asking the store", "kind", kind, "source", source, "error", err.Error())
 	}
 	began := g.now()
-	g.noteStoreCall(callList, kind)
 	listing, err := g.store.List(ctx, kind)
 	if err == nil {
 		g.fresh.touch(kind, began)
@@ -156,7 +155,6 @@
 // it would turn away every request until the store is back, though its servers
 // serve; a watch of the store brings what has changed as soon as there is one.
 func (g *Gateway) firstList(ctx context.Context, kind string) (objects.Listing, error) {
-	g.noteStoreCall(callListStale, kind)
 	listing, err := g.store.Stale().List(ctx, kind)
 	source := g.sources.current()
 	if err == nil || source == "" || ctx.Err() != nil {
@@ -176,12 +174,10 @@
 // on seconds, so these calls are made at the lower price.
 func (g *Gateway) watchStore(ctx context.Context, kind string, revision uint64, wait time.Duration) (objects.Listing, error) {
 	if g.identity.FirstStart && g.fresh.startingNow(g.now()) {
-		g.noteStoreCall(callWatchStale, kind)
 		listing, err := g.store.Stale().Watch(ctx, kind, revision, wait)
 		return canonical(listing), err
 	}
 	began := g.now()
-	g.noteStoreCall(callWatch, kind)
 	listing, err := g.store.Watch(ctx, kind, revision, wait)
 	if err == nil {
 		g.fresh.touch(kind, began)
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -89,7 +89,6 @@
 	touched  bool
 	cancel   context.CancelFunc
 	long     bool
-	watching bool   // a watch is under way
 	source   string // whom it asks; empty for the store
 	behind   int    // words in a row by which the watch was behind
 	direct   bool   // the source was behind for long: the teller is asked
@@ -132,6 +131,9 @@
 	return now - f.vouched
 }
 
+// vouchedNow reports whether the last source's word counts.
+func (f *freshness) vouchedNow(now time.Duration) bool { return f.wordAge(now) < f.vouchedFor() }
+
 // age returns how old this host's knowledge of the store may be: as old as what
 // the store last told it itself of the kind that it has not heard of for longest,
 // or as the word of the host that it follows.
@@ -139,18 +141,22 @@
 	if f.leads {
 		return now - f.confirmed
 	}
-	own := time.Duration(0)
+	return min(f.contactAge(now), f.wordAge(now))
+}
+
+// contactAge returns how long ago the store itself brought all kinds up to date.
+func (f *freshness) contactAge(now time.Duration) time.Duration {
+	oldest := now
 	for _, state := range f.kinds {
 		if !state.touched {
-			own = math.MaxInt64
-			break
+			return math.MaxInt64
 		}
-		own = max(own, now-state.contact)
+		oldest = min(oldest, state.contact)
 	}
 	if len(f.kinds) == 0 {
-		own = math.MaxInt64
+		return math.MaxInt64
 	}
-	return min(own, f.wordAge(now))
+	return now - oldest
 }
 
 // ageNow is age for callers without the lock.
@@ -181,7 +187,7 @@
 func (f *freshness) follows(now time.Duration) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.leads || !f.heard || now-f.vouched >= f.vouchedFor() {
+	if f.leads || !f.vouchedNow(now) {
 		return ""
 	}
 	return f.source
@@ -248,7 +254,7 @@
 // doubtful reports that the last source's word is getting old, and not only because
 // the next one is not due yet.
 func (f *freshness) doubtful(now time.Duration) bool {
-	if !f.heard || f.wordAge(now) >= f.vouchedFor() {
+	if !f.vouchedNow(now) {
 		return true
 	}
 	return f.wordAge(now) > relayAfter && (f.toldAge > oldWord || now-f.toldAt > nextWord)
@@ -271,7 +277,7 @@
 	if f.relaying(now) {
 		return !f.doubtful(now)
 	}
-	return f.starting(now) || f.heard && now-f.vouched < f.vouchedFor()
+	return f.starting(now) || f.vouchedNow(now)
 }
 
 // starting reports whether the process has just started and has neither heard
@@ -346,8 +352,7 @@
 	f.news = make(chan struct{})
 	var behind []string
 	for name, state := range f.kinds {
-		if state.watching && state.source == "" && !state.long && f.trusted(name, now) {
-			state.watching = false
+		if state.cancel != nil && state.source == "" && !state.long && f.trusted(name, now) {
 			state.cancel()
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,11 +90,12 @@
 // New returns a gateway that knows nothing yet.
 func New(identity Identity, platform Platform, logger *log.Logger) *Gateway {
 	g := &Gateway{
-		identity: identity, codec: platform.Codec, registry: platform.Registry, store: platform.Store, keys: platform.Keys,
+		identity: identity, codec: platform.Codec, registry: platform.Registry, keys: platform.Keys,
 		clock: clock.System(), boot: clock.Boot(), log: logger, counts: newCounts(),
 		directory: fleet.NewDirectory(), services: map[string]*service{},
 		control: newControl(), fresh: newFreshness(identity.ObeyWithin), sources: newSources(identity), peers: newPeerClient(), wake: make(chan struct{}, 1),
 	}
+	g.store = newCountedStore(platform.Store, g.noteStoreCall)
 	g.counts.set.NewGauge("cicada_in_flight", g.inFlight)
 	g.requestLines = newLineQuota(logger, g.clock, "request")
 	g.failureLines = newLineQuota(logger, g.clock, "request that failed")
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 )
@@ -36,8 +37,12 @@
 // members are the hosts that report to a controller.
 type members struct {
 	hosts  map[string]member
-	relays map[string][]string // addresses by failure domain
-	chosen time.Duration       // when the relays were
+	chosen time.Duration // when the relays were
+	// relays are addresses by failure domain, domains their domains in order.
+	relays  map[string][]string
+	domains []string
+	// all are the relays of all domains, the first of each before the second.
+	all []string
 }
 
 func newMembers() members { return members{hosts: map[string]member{}} }
@@ -71,6 +76,21 @@
 			m.relays[each.domain] = append(m.relays[each.domain], each.address)
 		}
 	}
+	m.domains = slices.Sorted(maps.Keys(m.relays))
+	m.all = m.inTurn()
+}
+
+// inTurn returns the relays of all domains, one of each domain at a time.
+func (m *members) inTurn() []string {
+	var relays []string
+	for i := range relaysPerDomain {
+		for _, domain := range m.domains {
+			if i < len(m.relays[domain]) {
+				relays = append(relays, m.relays[domain][i])
+			}
+		}
+	}
+	return relays[:min(len(relays), mostRelays)]
 }
 
 func boolOrder(a, b bool) int {
@@ -99,33 +119,10 @@
 		turn := hashOf(host) % n
 		relays = slices.Concat(relays[turn:], relays[:turn])
 	}
-	for _, other := range m.domains() {
+	for _, other := range m.domains {
 		if other != domain {
 			relays = append(relays, m.relays[other][0])
 		}
 	}
 	return relays[:min(len(relays), mostRelays)]
 }
-
-// all returns the relays of all domains, the first of each before the second.
-func (m *members) all(now time.Duration) []string {
-	m.choose(now)
-	var relays []string
-	for i := range relaysPerDomain {
-		for _, domain := range m.domains() {
-			if i < len(m.relays[domain]) {
-				relays = append(relays, m.relays[domain][i])
-			}
-		}
-	}
-	return relays[:min(len(relays), mostRelays)]
-}
-
-func (m *members) domains() []string {
-	domains := make([]string, 0, len(m.relays))
-	for domain := range m.relays {
-		domains = append(domains, domain)
-	}
-	slices.Sort(domains)
-	return domains
-}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -155,17 +155,22 @@
 func canonical(listing objects.Listing) objects.Listing {
 	listing.Objects = slices.Clone(listing.Objects)
 	for i := range listing.Objects {
-		object := &listing.Objects[i]
-		if len(object.Spec) < longDocument {
-			continue
-		}
-		if encoded, err := json.Marshal(object.Spec); err == nil {
-			object.Spec = encoded // else it is left for whoever decodes it to report
-		}
+		listing.Objects[i] = canonicalObject(listing.Objects[i])
 	}
 	return listing
 }
 
+// canonicalObject is canonical for one object.
+func canonicalObject(object objects.Object) objects.Object {
+	if len(object.Spec) < longDocument {
+		return object
+	}
+	if encoded, err := json.Marshal(object.Spec); err == nil {
+		object.Spec = encoded // else it is left for whoever decodes it to report
+	}
+	return object
+}
+
 // fold takes the long documents of changes that are not kept any more.
 func (k *relayed) fold(changes []objects.Object) {
 	for _, object := range changes {
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -70,9 +70,8 @@
 // fleet, else the controller itself.
 func (s *sources) upstream(controller string) string {
 	s.mu.Lock()
-	follow := s.follow
-	s.mu.Unlock()
-	if relay := s.current(); follow && relay != "" {
+	defer s.mu.Unlock()
+	if relay := s.pick(); s.follow && relay != "" {
 		return relay
 	}
 	return controller
@@ -92,6 +91,11 @@
 func (s *sources) current() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.pick()
+}
+
+// pick is current for callers with the lock.
+func (s *sources) pick() string {
 	candidates := s.candidates()
 	if len(candidates) == 0 {
 		return ""
@@ -116,8 +120,7 @@
 	defer s.mu.Unlock()
 	s.next++
 	s.missed++
-	candidates := len(s.candidates())
-	if s.missed < candidates {
+	if s.missed < len(s.candidates()) {
 		return false
 	}
 	s.missed = 0
@@ -126,12 +129,11 @@
 
 // pass goes on to the next host if a host that failed is the current one.
 func (s *sources) pass(failed string) {
-	if s.current() != failed {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.next++
+	if s.pick() == failed {
+		s.next++
+	}
 }
 
 // found notes that the current host had the store's word.
--- a/gateway/sources_test.go
+++ b/gateway/sources_test.go
@@ -32,7 +32,7 @@
 		first[relays[0]]++
 	}
 	assert.Equal(t, len(first), relaysPerDomain)
-	assert.Equal(t, len(m.all(0)), 2*relaysPerDomain)
+	assert.Equal(t, len(m.all), 2*relaysPerDomain)
 
 	// Those that stop reporting are replaced, at last by small ones.
 	later := memberKept + namedEvery
--- a/gateway/storecalls.go
+++ b/gateway/storecalls.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"cicadarouter/contract/objects"
 	"cicadarouter/host/clock"
 )
 
@@ -39,15 +40,60 @@
 	return made
 }
 
-// The calls that are told apart.
-const (
-	callListStale  = "list-stale"
-	callList       = "list"
-	callWatchStale = "watch-stale"
-	callWatch      = "watch"
-	callGet        = "get"
-	callPut        = "put"
-)
+// countedReader is a reader whose calls are counted. suffix tells them from those of
+// the store itself.
+type countedReader struct {
+	objects.Reader
+	note   func(call, kind string)
+	suffix string
+}
+
+// List implements objects.Reader.
+func (r countedReader) List(ctx context.Context, kind string) (objects.Listing, error) {
+	r.note("list"+r.suffix, kind)
+	return r.Reader.List(ctx, kind)
+}
+
+// Watch implements objects.Reader.
+func (r countedReader) Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (objects.Listing, error) {
+	r.note("watch"+r.suffix, kind)
+	return r.Reader.Watch(ctx, kind, revision, wait)
+}
+
+// countedStore is a store whose calls are counted.
+type countedStore struct {
+	countedReader
+	store objects.Store
+}
+
+var _ objects.Store = (*countedStore)(nil)
+
+func newCountedStore(store objects.Store, note func(call, kind string)) *countedStore {
+	return &countedStore{countedReader: countedReader{Reader: store, note: note}, store: store}
+}
+
+// Stale implements objects.Store.
+func (s *countedStore) Stale() objects.Reader {
+	return countedReader{Reader: s.store.Stale(), note: s.note, suffix: "-stale"}
+}
+
+// Get implements objects.Store.
+func (s *countedStore) Get(ctx context.Context, kind, name string) (objects.Object, error) {
+	s.note("get", kind)
+	return s.store.Get(ctx, kind, name)
+}
+
+// Put implements objects.Store.
+func (s *countedStore) Put(ctx context.Context, object objects.Object) (objects.Object, error) {
+	s.note("put", object.Kind)
+	return s.store.Put(ctx, object)
+}
+
+// Delete implements objects.Store.
+func (s *countedStore) Delete(ctx context.Context, kind, name string, revision uint64) error {
+	s.note("delete", kind)
+	return s.store.Delete(ctx, kind, name, revision)
+}
 
 // noteStoreCall counts a call to the store.
 func (g *Gateway) noteStoreCall(call, kind string) {
--- a/gateway/watchplan.go
+++ b/gateway/watchplan.go
@@ -23,8 +23,7 @@
 	defer f.mu.Unlock()
 	state := f.kind(name)
 	plan := f.plan(state, name, now, hasRelays)
-	state.source, state.watching = plan.source, plan.news == nil
-	state.cancel = cancel
+	state.source, state.cancel = plan.source, cancel
 	state.long = f.trusted(name, now)
 	return ctx, cancel, plan
 }
--- a/logread/line.go
+++ b/logread/line.go
@@ -22,7 +22,6 @@
 // Line is one line of a host's log, as far as it is read here.
 type Line struct {
 	Time    time.Time `json:"time"`
-	Level   string    `json:"level"`
 	Message string    `json:"msg"`
 	Host    string    `json:"host"`
 	Service string    `json:"service"`
@@ -31,13 +30,9 @@
 	Request         string   `json:"request"`
 	Outcome         string   `json:"outcome"`
 	Status          int      `json:"status"`
-	Milliseconds    int64    `json:"ms"`
-	Route           string   `json:"route"`
 	Servers         []string `json:"servers"`
-	Server          string   `json:"server"`
 	Key             *int     `json:"key"`
 	AssignmentAgeMs *int64   `json:"assignment-age-ms"`
-	Error           string   `json:"error"`
 
 	// Raw is the line as it was written.
 	Raw string `json:"-"`
@@ -45,10 +40,9 @@
 
 // Messages of lines that are told apart.
 const (
-	messageRequest  = "request"
-	messageRepeated = "attempt repeated"
-	messageControl  = "in control"
-	messageGaveUp   = "control given up"
+	messageRequest = "request"
+	messageControl = "in control"
+	messageGaveUp  = "control given up"
 )
 
 // Progress is told how far a pass has come.
--- a/logread/story.go
+++ b/logread/story.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"strings"
+	"time"
 )
 
 // beliefs are the messages of lines that tell what a host came to believe.
@@ -36,9 +37,10 @@
 	events   []dated
 }
 
+// dated is an event with its time, by which events are put in order.
 type dated struct {
 	Event
-	line Line
+	at time.Time
 }
 
 // NewStoryteller returns one for a request's ID.
@@ -59,7 +61,7 @@
 		for _, each := range last {
 			event.Believed = append(event.Believed, each.Raw)
 		}
-		s.events = append(s.events, dated{Event: event, line: line})
+		s.events = append(s.events, dated{Event: event, at: line.Time})
 		return
 	}
 	if !slices.ContainsFunc(beliefs, func(message string) bool { return strings.HasPrefix(line.Message, message) }) {
@@ -73,7 +75,7 @@
 
 // Story returns what was found.
 func (s *Storyteller) Story() *Story {
-	slices.SortStableFunc(s.events, func(a, b dated) int { return a.line.Time.Compare(b.line.Time) })
+	slices.SortStableFunc(s.events, func(a, b dated) int { return a.at.Compare(b.at) })
 	story := &Story{Request: s.request}
 	for _, each := range s.events {
 		story.Events = append(story.Events, each.Event)
--- a/logread/summary.go
+++ b/logread/summary.go
@@ -171,9 +171,9 @@
 		}
 		fmt.Fprintln(out)
 	}
-	s.list(out, "KEY OF REQUESTS NOT ANSWERED", s.FailedKeys)
-	s.list(out, "SERVER OF REQUESTS NOT ANSWERED", s.FailedServers)
-	s.list(out, "HOST OF REQUESTS NOT ANSWERED", s.FailedHosts)
+	list(out, "KEY OF REQUESTS NOT ANSWERED", s.FailedKeys)
+	list(out, "SERVER OF REQUESTS NOT ANSWERED", s.FailedServers)
+	list(out, "HOST OF REQUESTS NOT ANSWERED", s.FailedHosts)
 	fmt.Fprintf(out, "\nOUTCOME\tMEAN AGE OF THE ASSIGNMENT, MS\n")
 	for _, outcome := range slices.Sorted(maps.Keys(s.Ages)) {
 		fmt.Fprintf(out, "%s\t%d\n", outcome, s.Ages[outcome])
@@ -182,10 +182,10 @@
 	for _, change := range s.Controllers {
 		fmt.Fprintf(out, "%s\t%s\t%s\t%s\n", change.At.Format(time.RFC3339Nano), change.Service, change.Host, change.What)
 	}
-	s.list(out, "LINE", s.Messages)
+	list(out, "LINE", s.Messages)
 }
 
-func (s *Summary) list(out io.Writer, title string, counts []Count) {
+func list(out io.Writer, title string, counts []Count) {
 	fmt.Fprintf(out, "\n%s\tCOUNT\n", title)
 	for _, count := range counts {
 		fmt.Fprintf(out, "%s\t%d\n", count.Name, count.Count)
--- a/tools/mutants/gateway.go
+++ b/tools/mutants/gateway.go
@@ -4,10 +4,10 @@
 func gatewayMutants() []mutant {
 	in := breaking("gateway", "Relay|LateReport|HostWaits|HostThatStarts|WhomAHostAsks|Silent|Behind|SecondStart")
 	return []mutant{
-		in("freshness.go", "trust a source for good", "f.starting(now) || f.heard && now-f.vouched < f.vouchedFor()", "f.starting(now) || f.heard"),
+		in("freshness.go", "trust a source for good", "f.starting(now) || f.vouchedNow(now)", "f.starting(now) || f.heard"),
 		in("freshness.go", "let a relay wait for others", "	if f.relaying(now) {\n		return !f.doubtful(now)\n	}\n", ""),
 		in("freshness.go", "take a late report for a lost controller", "f.wordAge(now) > relayAfter && (f.toldAge > oldWord || now-f.toldAt > nextWord)", "f.wordAge(now) > relayAfter"),
-		in("freshness.go", "stay with the store though a source has spoken", "			state.watching = false\n			state.cancel()\n", "			state.watching = false\n"),
+		in("freshness.go", "stay with the store though a source has spoken", "!state.long && f.trusted(name, now) {\n			state.cancel()\n", "!state.long && f.trusted(name, now) {\n"),
 		in("freshness.go", "believe a relay that is behind", "		state.direct = true\n		state.cancel()\n", ""),
 		in("freshness.go", "take the lag of a relay for a fault", "state.source != w.teller && state.behind < relayLag", "state.source != w.teller && state.behind < 1"),
 		in("watchplan.go", "go to the store as soon as a source fails", "	case f.source == \"\" && hasRelays:\n", "	case false:\n"),
