--- /dev/null
+++ b/balance/cold.go
@@ -0,0 +1,99 @@
+package balance
+
+import "time"
+
+// Load pattern: the servers of a failure domain come back together, cold, and are
+// idle as far as each of a hundred hosts knows. One request of each host in the same
+// second is ten times what a cold server bears: it falls over, starts again, and is
+// cold anew. No host knows what the others send. So each host fills places at a cold
+// server at its part of what the server bears, and begins at a place of its turn drawn
+// by chance. All hosts together then send what is allowed, from the first second on,
+// and none has to be asked.
+
+const (
+	// coldShare is the part of what a cold server bears that hosts fill. Places come
+	// by chance: at a mean of 4 a second more than 16 come once in a million seconds,
+	// at 5.8 once in ten thousand.
+	coldShare = 0.7
+	// hostsUnknown is the number of hosts that is assumed before one is told: with too
+	// many a cold server stays idle for its few seconds, with too few it falls over.
+	hostsUnknown = 300
+	// mostColdPlaces bounds the places that a host saves for requests to come.
+	mostColdPlaces = 1.0
+	// mostColdWait bounds the wait for a place: no caller waits longer.
+	mostColdWait = time.Minute
+)
+
+// coldLimit is what cold servers of a service bear, by all hosts.
+type coldLimit struct {
+	perSecond float64 // 0: not limited
+	hosts     int
+}
+
+// rate is this host's part, in requests a second.
+func (c coldLimit) rate() float64 { return coldShare * c.perSecond / float64(c.hosts) }
+
+// coldPlace is this host's place at a cold server.
+type coldPlace struct {
+	saved float64 // places, as of at
+	at    time.Duration
+	drawn bool // the place in the turn, for this time of being cold
+}
+
+// SetCold sets how many requests a second a cold server bears from all hosts, 0 for
+// any number, and how many hosts there are, 0 if that is not known.
+func (p *Pool) SetCold(perSecond float64, hosts int) {
+	if hosts <= 0 {
+		hosts = hostsUnknown
+	}
+	p.cold = coldLimit{perSecond: perSecond, hosts: hosts}
+}
+
+// noteCold draws this host's place in the turn when a server has become cold.
+func (p *Pool) noteCold(now time.Duration, server *Server) {
+	place := &server.coldPlace
+	switch {
+	case !server.cold(now):
+		*place = coldPlace{}
+	case !place.drawn:
+		*place = coldPlace{saved: p.random.Float64(), at: now, drawn: true}
+	}
+}
+
+// coldWait is how long this host has no place at a server because it is cold; 0 if it
+// has one, or the server is not cold.
+func (p *Pool) coldWait(now time.Duration, server *Server) time.Duration {
+	rate := p.cold.rate()
+	if rate <= 0 || !server.cold(now) {
+		return 0
+	}
+	missing := mostColdPlaces - server.coldPlace.savedAt(now, rate)
+	if missing <= 0 {
+		return 0
+	}
+	return min(time.Duration(missing/rate*float64(time.Second)), server.ColdUntil-now, mostColdWait)
+}
+
+func (c *coldPlace) savedAt(now time.Duration, rate float64) float64 {
+	return min(c.saved+rate*(now-c.at).Seconds(), mostColdPlaces)
+}
+
+// takeColdPlace notes that a request was given a server that may be cold.
+func (p *Pool) takeColdPlace(now time.Duration, server *Server) {
+	rate := p.cold.rate()
+	if rate <= 0 || !server.cold(now) {
+		return
+	}
+	server.coldPlace.saved, server.coldPlace.at = server.coldPlace.savedAt(now, rate)-mostColdPlaces, now
+}
+
+// Speed returns a server's speed over its service's mean, as long as it is cold no
+// more than makes it bear its few requests.
+func (p *Pool) Speed(now time.Duration, server *Server) float64 {
+	speed := 1 / server.Ratio()
+	if p.cold.perSecond <= 0 || !server.cold(now) {
+		return speed
+	}
+	bears := coldShare * p.cold.perSecond * p.mean.Seconds() / float64(max(server.Slots, 1))
+	return min(speed/coldFactor, bears)
+}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -44,12 +44,16 @@
 	// gap is the smoothed time between two requests that were given a server
 	// while others waited; crowdedAt is when that last was.
 	gap, crowdedAt time.Duration
+	// evacuateWithin is how long the keys of an evacuated server may still be
+	// served there, while they pass on.
+	evacuateWithin time.Duration
+	cold           coldLimit
 }
 
 // NewPool returns a pool for a host in a failure domain. owner is nil for a
 // service without keys. Pools of different hosts are given different seeds.
 func NewPool(domain string, owner Owner, seed uint64) *Pool {
-	return &Pool{domain: domain, owner: owner, servers: map[string]*Server{}, mean: firstMean, kinds: map[time.Duration]*kind{}, shares: map[uint16]*share{}, random: rand.New(rand.NewPCG(seed, 0))}
+	return &Pool{domain: domain, owner: owner, servers: map[string]*Server{}, mean: firstMean, evacuateWithin: leaveWithin, kinds: map[time.Duration]*kind{}, shares: map[uint16]*share{}, random: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // Mean returns the smoothed service time.
@@ -75,6 +79,7 @@
 			p.servers[listed.ID] = server
 		}
 		server.relist(now, listed)
+		p.noteCold(now, server)
 		p.order = append(p.order, server)
 	}
 	for id := range p.servers {
@@ -133,6 +138,7 @@
 	}
 	server.inFlight++
 	server.stalls = 0
+	p.takeColdPlace(now, server)
 	p.placed(now)
 	waiter.Server = server
 	close(waiter.Ready)
@@ -167,7 +173,7 @@
 	}
 	id, back := p.owner.OwnerOf(waiter.Key)
 	server := p.servers[id]
-	if server != nil && !server.left(now) || now-waiter.Arrived < 2*ownerWait {
+	if server != nil && !p.left(now, server) || now-waiter.Arrived < 2*ownerWait {
 		return false
 	}
 	expected := max(back-now, 0)
@@ -196,7 +202,7 @@
 	if waiter.Keyed && p.owner != nil {
 		id, _ := p.owner.OwnerOf(waiter.Key)
 		server := p.servers[id]
-		if server == nil || server.left(now) || !server.room(now, p.mean) {
+		if server == nil || p.left(now, server) || !p.room(now, server) {
 			return nil
 		}
 		return server
@@ -204,6 +210,15 @@
 	return p.cheapest(now, waiter, p.preferred(now, waiter))
 }
 
+// room reports whether a server may get one more request of this host.
+func (p *Pool) room(now time.Duration, server *Server) bool {
+	return server.room(now, p.mean) && p.coldWait(now, server) == 0
+}
+
+// SetEvacuateWithin sets how long the keys of an evacuated server may still be served
+// there from when this host learned of it.
+func (p *Pool) SetEvacuateWithin(within time.Duration) { p.evacuateWithin = within }
+
 // preference is how good a choice a server is, whatever its load.
 type preference int
 
@@ -217,7 +232,7 @@
 
 func (p *Pool) preference(now time.Duration, waiter *Waiter, server *Server) preference {
 	switch {
-	case server.Draining:
+	case server.Leaving():
 		return unusable
 	case !server.reachable(now):
 		return passedOver
@@ -249,7 +264,7 @@
 	var best *Server
 	least, work := 0.0, p.work(waiter.Objective)
 	for _, server := range p.order {
-		if p.preference(now, waiter, server) != wanted || !server.room(now, p.mean) {
+		if p.preference(now, waiter, server) != wanted || !p.room(now, server) {
 			continue
 		}
 		cost := server.cost(now, p.mean, work, p.usual, p.domain) + tieBreak*p.random.Float64()
--- a/balance/reject.go
+++ b/balance/reject.go
@@ -10,7 +10,7 @@
 	}
 	capacity := 0
 	for _, server := range p.order {
-		if !server.Draining {
+		if !server.Leaving() {
 			capacity += server.Slots
 		}
 	}
@@ -26,7 +26,7 @@
 func (p *Pool) ownerless(now time.Duration, waiter *Waiter) *RejectedError {
 	id, back := p.owner.OwnerOf(waiter.Key)
 	server := p.servers[id]
-	if server != nil && server.left(now) {
+	if server != nil && p.left(now, server) {
 		server, back = nil, now+leaveWithin
 	}
 	if server != nil && server.silent(now) {
@@ -37,7 +37,7 @@
 			return rejected
 		}
 		ahead := time.Duration(p.ahead(now, waiter, id))
-		return p.crowded(now, waiter, max(server.pace(p.mean)*ahead, server.stalled(now)*(ahead+1)))
+		return p.crowded(now, waiter, max(p.coldWait(now, server), server.pace(p.mean)*ahead, server.stalled(now)*(ahead+1)))
 	}
 	expected := ownerWait
 	if back > 0 {
--- a/balance/server.go
+++ b/balance/server.go
@@ -19,6 +19,9 @@
 // Load is what a server says of itself in an answer.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowness is how many times as long as usual work takes on the server's machine
+	// at this moment; 0 if the server does not tell.
+	Slowness float64
 }
 
 // Pace is what samples tell of a server's speed.
@@ -116,16 +119,18 @@
 	newsAt    time.Duration // the last answer, or the first request sent when none was under way
 	ratio     float64       // its service time over the service's mean
 	failures  float64
-	coldUntil time.Duration
+	coldPlace coldPlace
 	leavingAt time.Duration // when the server was first seen draining
-	suspect   time.Duration // passed over until
-	strikes   int
-	gap       time.Duration // smoothed time between this host's completions while others wait
-	endedAt   time.Duration // the last completion
-	crowded   bool          // requests waited for it at the last completion
-	stalls    int           // requests that waited for it in vain since one was last placed
-	stall     time.Duration // how long the last of them waited
-	stalledAt time.Duration // when that was given up
+	// evacuatedAt is when its domain was first seen evacuated.
+	evacuatedAt time.Duration
+	suspect     time.Duration // passed over until
+	strikes     int
+	gap         time.Duration // smoothed time between this host's completions while others wait
+	endedAt     time.Duration // the last completion
+	crowded     bool          // requests waited for it at the last completion
+	stalls      int           // requests that waited for it in vain since one was last placed
+	stall       time.Duration // how long the last of them waited
+	stalledAt   time.Duration // when that was given up
 }
 
 // newServer returns a server of which nothing is known but who it is.
@@ -140,16 +145,18 @@
 	if listed.Draining && !s.Draining {
 		s.leavingAt = now
 	}
-	s.Service, s.Domain, s.Draining, s.ColdFor = listed.Service, listed.Domain, listed.Draining, listed.ColdFor
+	if listed.Evacuated && !s.Evacuated {
+		s.evacuatedAt = now
+	}
+	s.Service, s.Domain, s.Draining, s.Evacuated, s.ColdUntil = listed.Service, listed.Domain, listed.Draining, listed.Evacuated, listed.ColdUntil
 	if s.Slots == 0 {
 		s.Slots = listed.Slots
 	}
-	s.coldUntil = 0
-	if listed.ColdFor > 0 {
-		s.coldUntil = now + listed.ColdFor
-	}
 }
 
+// cold reports whether the server is taken for cold.
+func (s *Server) cold(now time.Duration) bool { return now < s.ColdUntil }
+
 // sameRun reports whether a listed server is this one, still running. One
 // address is for one process.
 func (s *Server) sameRun(listed fleet.Server) bool {
@@ -202,7 +209,9 @@
 const leaveWithin = 600 * time.Millisecond
 
 // left reports a server that must not get requests for the keys it owns either.
-func (s *Server) left(now time.Duration) bool { return s.Draining && now-s.leavingAt >= leaveWithin }
+func (p *Pool) left(now time.Duration, s *Server) bool {
+	return s.Draining && now-s.leavingAt >= leaveWithin || s.Evacuated && now-s.evacuatedAt >= p.evacuateWithin
+}
 
 // silent reports a server that several attempts in a row could not reach.
 func (s *Server) silent(now time.Duration) bool { return s.strikes > 1 && now < s.suspect }
@@ -220,7 +229,7 @@
 // service's mean server.
 func (s *Server) cost(now, mean, work time.Duration, usual float64, domain string) float64 {
 	ratio := s.ratio
-	if now < s.coldUntil {
+	if s.cold(now) {
 		ratio = max(ratio, coldFactor)
 	}
 	slots := float64(max(s.Slots, 1))
--- a/cmd/cicadactl/hosted.go
+++ b/cmd/cicadactl/hosted.go
@@ -27,10 +27,22 @@
 	Configuration uint64                `json:"configuration"`
 	Services      []hostedService       `json:"services"`
 	Assignments   map[string]hostedKeys `json:"assignments"`
+	// Evacuated tells of each evacuated failure domain what is left there.
+	Evacuated map[string]*hostedEvacuation `json:"evacuated,omitempty"`
 	// Faults lists objects that can't be read.
 	Faults []string `json:"faults,omitempty"`
 }
 
+// hostedEvacuation is what an evacuated failure domain still holds.
+type hostedEvacuation struct {
+	Revision uint64 `json:"revision"`
+	Servers  int    `json:"servers"`
+	// Keys is the number of keys that its servers still own, Releasing of those that
+	// have passed on in the record and wait until its servers release them.
+	Keys      int `json:"keys"`
+	Releasing int `json:"releasing"`
+}
+
 type hostedService struct {
 	Name     string `json:"name"`
 	Keyed    bool   `json:"keyed"`
@@ -62,7 +74,7 @@
 
 func readHosted(ctx context.Context, store objects.Store) (*hostedState, error) {
 	registry := platform.Registry{}
-	state := &hostedState{Assignments: map[string]hostedKeys{}}
+	state := &hostedState{Assignments: map[string]hostedKeys{}, Evacuated: map[string]*hostedEvacuation{}}
 	object, err := store.Get(ctx, registry.Configurations(), registry.Current())
 	if err != nil {
 		return nil, eris.Wrap(err, "reading the configuration")
@@ -84,9 +96,49 @@
 	for _, record := range records.Objects {
 		state.add(record)
 	}
+	evacuations, err := store.List(ctx, registry.Evacuations())
+	if err != nil {
+		return nil, eris.Wrap(err, "reading the evacuations")
+	}
+	state.evacuate(evacuations, servers)
 	return state, nil
 }
 
+// evacuate counts what the evacuated domains still hold.
+func (s *hostedState) evacuate(evacuations, servers objects.Listing) {
+	registry := platform.Registry{}
+	for _, object := range evacuations.Objects {
+		domain, err := registry.Evacuation(object)
+		if err != nil {
+			s.Faults = append(s.Faults, err.Error())
+			continue
+		}
+		s.Evacuated[domain] = &hostedEvacuation{Revision: object.Revision}
+	}
+	within := map[string]*hostedEvacuation{} // by server
+	for _, object := range servers.Objects {
+		server, err := registry.Server(object)
+		if evacuation := s.Evacuated[server.Domain]; err == nil && evacuation != nil {
+			evacuation.Servers++
+			within[server.ID] = evacuation
+		}
+	}
+	for _, keys := range s.Assignments {
+		for i := range keys.Record.Ranges {
+			r := &keys.Record.Ranges[i]
+			n := int(r.To) - int(r.From) + 1
+			if evacuation := within[r.Server]; evacuation != nil {
+				evacuation.Keys += n
+			}
+			for _, former := range r.Former {
+				if evacuation := within[former.Server]; evacuation != nil {
+					evacuation.Releasing += n
+				}
+			}
+		}
+	}
+}
+
 func (s *hostedState) count(configuration *routing.Configuration, listing objects.Listing) {
 	byName := map[string]*hostedService{}
 	for name, service := range configuration.Services {
@@ -150,6 +202,10 @@
 			fmt.Fprintf(out, "\t%s\t%d keys\n", server, keys.KeysOf[server])
 		}
 	}
+	for _, domain := range slices.Sorted(maps.Keys(s.Evacuated)) {
+		left := s.Evacuated[domain]
+		fmt.Fprintf(out, "\nevacuated %s\trevision %d, %d servers, %d keys left, %d keys being released\n", domain, left.Revision, left.Servers, left.Keys, left.Releasing)
+	}
 	for _, fault := range s.Faults {
 		fmt.Fprintf(out, "\nFAULT\t%s\n", fault)
 	}
--- a/cmd/cicadactl/hosted_test.go
+++ b/cmd/cicadactl/hosted_test.go
@@ -36,8 +36,14 @@
 	assert.NilError(t, err)
 	put(gateway.Assignments, "owned", string(spec))
 
+	put("evacuations", "z", "{}")
+	put("evacuations", "y", "{}")
+
 	state, err := readHosted(context.Background(), store)
 	assert.NilError(t, err)
+	assert.Equal(t, state.Evacuated["z"].Servers, 1)
+	assert.Equal(t, state.Evacuated["z"].Keys, keyspace.LastKey+1)
+	assert.Equal(t, state.Evacuated["y"].Keys, 0)
 	assert.Equal(t, state.Configuration, uint64(7))
 	assert.DeepEqual(t, state.Services, []hostedService{{Name: "owned", Keyed: true, Servers: 1, Draining: 1, Slots: 4}})
 	assert.Equal(t, state.Assignments["owned"].KeysOf["a"], keyspace.LastKey+1)
--- a/contract/adapter/adapter.go
+++ b/contract/adapter/adapter.go
@@ -46,6 +46,8 @@
 	Proven bool
 	// Load is the server's load, or nil.
 	Load *balance.Load
+	// LoadError is set if the server told a load that can't be read.
+	LoadError *FieldError
 }
 
 // Codec reads and writes the headers of requests and answers.
@@ -74,6 +76,10 @@
 	// the name of the object that holds the latest.
 	Configurations() string
 	Current() string
+	// Evacuations is the kind of the operators' requests that a failure domain's
+	// servers get nothing, and Evacuation returns the domain that one names.
+	Evacuations() string
+	Evacuation(object objects.Object) (domain string, err error)
 	// Configuration decodes the operator's configuration.
 	Configuration(object objects.Object) (*routing.Configuration, error)
 }
--- /dev/null
+++ b/fleet/evacuation_test.go
@@ -0,0 +1,85 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// in returns a server's entry in a domain.
+func in(id, domain string) Server { return Server{ID: id, Domain: domain} }
+
+func twoDomains() *Directory {
+	d := NewDirectory()
+	d.Replace(0, 2, []Version{{Server: in("a1", "a"), Revision: 1}, {Server: in("b1", "b"), Revision: 2}})
+	return d
+}
+
+// leaving returns the IDs of the servers that are to get nothing.
+func leaving(d *Directory) []string {
+	var names []string
+	for _, server := range d.Snapshot() {
+		if server.Leaving() {
+			names = append(names, server.ID)
+		}
+	}
+	return names
+}
+
+func TestEvacuatedDomainGetsNothingUntilItIsTakenBack(t *testing.T) {
+	d := twoDomains()
+	assert.Assert(t, d.Evacuations.Begin("a", 3))
+	assert.DeepEqual(t, leaving(d), []string{"a1"})
+	d.Put(0, Version{Server: in("a2", "a"), Revision: 4})
+	assert.DeepEqual(t, leaving(d), []string{"a1", "a2"})
+	assert.Assert(t, d.Evacuations.End(time.Second, "a", 5))
+	assert.Equal(t, len(leaving(d)), 0)
+}
+
+// Symptom: a domain that was taken back gets nothing, or one that is evacuated gets
+// requests.
+// Sequence: an operator evacuates a domain, takes it back and evacuates it again
+// within a second; a host hears of it from a watch, and of the first request or its
+// end once more from a list that is behind.
+// Cause: whatever came last was believed.
+func TestLateNewsOfAnEvacuationIsRefused(t *testing.T) {
+	e := NewEvacuations()
+	assert.Assert(t, e.Begin("a", 3))
+	assert.Assert(t, e.End(0, "a", 5))
+	assert.Assert(t, !e.Begin("a", 3))
+	assert.Equal(t, len(e.Replace(0, 4, map[string]uint64{"a": 3})), 0)
+	assert.Assert(t, !e.InForce("a"))
+	assert.Assert(t, e.Begin("a", 6))
+	assert.Assert(t, !e.End(0, "a", 5))
+	assert.Equal(t, len(e.Replace(0, 5, nil)), 0)
+	assert.Assert(t, e.InForce("a"))
+	assert.DeepEqual(t, e.Replace(0, 8, map[string]uint64{"b": 7}), []string{"b", "a"})
+	assert.DeepEqual(t, e.Domains(), []string{"b"})
+}
+
+// Symptom: the servers of a domain that is taken back fall over at once.
+// Sequence: they have become cold while they got nothing; hosts learn of the end of
+// the evacuation before the next heartbeats.
+// Cause: the entries that were known still said that the servers are warm.
+func TestServersThatAreTakenBackAreColdUntilTheySayOtherwise(t *testing.T) {
+	const back = 10 * time.Second
+	d := twoDomains()
+	d.Evacuations.Begin("a", 3)
+	d.Evacuations.End(back, "a", 5)
+	assert.Equal(t, d.Snapshot()[0].ColdUntil, back+coldDoubt)
+	assert.Equal(t, d.Snapshot()[1].ColdUntil, time.Duration(0), "a server of another domain")
+	d.Put(back, Version{Server: in("a1", "a"), Revision: 6})
+	assert.Equal(t, d.Snapshot()[0].ColdUntil, time.Duration(0), "a later entry that says it is warm")
+}
+
+// A server is cold for as long as its entry says, counted from when it came: the same
+// entry is handed on again with every change of another.
+func TestColdServerIsWarmAfterItsTime(t *testing.T) {
+	d := NewDirectory()
+	cold := named("a")
+	cold.ColdFor = 3 * time.Second
+	d.Put(time.Second, Version{Server: cold, Revision: 1})
+	d.Put(2*time.Second, Version{Server: named("b"), Revision: 2})
+	assert.Equal(t, d.Snapshot()[0].ColdUntil, 4*time.Second)
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,11 +22,18 @@
 	Slots  int
 	// Draining servers finish what they have and take nothing new.
 	Draining bool
-	// ColdFor is how much longer the server is slow after its start, when the
-	// entry was written.
+	// ColdFor is how much longer the server is cold, when the entry was written: it
+	// has just started, or works slowly for another reason, and bears few requests.
 	ColdFor time.Duration
+	// ColdUntil is until when it is taken for cold, on this host's clock.
+	ColdUntil time.Duration
+	// Evacuated servers are to get nothing: an operator has their domain evacuated.
+	Evacuated bool
 }
 
+// Leaving reports a server that is to get nothing new.
+func (s *Server) Leaving() bool { return s.Draining || s.Evacuated }
+
 // Incarnation returns the name of the server's run.
 func (s *Server) Incarnation() Incarnation { return Incarnation{ID: s.ID, Start: s.Start} }
 
@@ -75,8 +82,10 @@
 // version, also past its end, and older versions are refused.
 type Directory struct {
 	entries map[string]*entry
-	awayAt  time.Duration // last moment at which the registry was known to be away
-	away    bool
+	// Evacuations are the operators' requests that concern servers.
+	Evacuations *Evacuations
+	awayAt      time.Duration // last moment at which the registry was known to be away
+	away        bool
 }
 
 // entry is what is known of a server's entry.
@@ -90,7 +99,9 @@
 }
 
 // NewDirectory returns an empty directory.
-func NewDirectory() *Directory { return &Directory{entries: map[string]*entry{}} }
+func NewDirectory() *Directory {
+	return &Directory{entries: map[string]*entry{}, Evacuations: NewEvacuations()}
+}
 
 // Away notes that the registry did not answer.
 func (d *Directory) Away(now time.Duration) { d.awayAt, d.away = now, true }
@@ -146,6 +157,9 @@
 		}
 	}
 	known.server, known.ended, known.missing, known.earlier = version.Server, false, false, 0
+	if version.ColdFor > 0 {
+		known.server.ColdUntil = now + version.ColdFor
+	}
 	return Taken
 }
 
@@ -173,6 +187,7 @@
 // Expire drops servers whose entries stayed away, and reports whether any was.
 func (d *Directory) Expire(now time.Duration) bool {
 	changed := false
+	d.Evacuations.expire(now)
 	for id, known := range d.entries {
 		switch {
 		case known.missing && !d.recentlyAway(now):
@@ -189,9 +204,14 @@
 func (d *Directory) Snapshot() []Server {
 	servers := make([]Server, 0, len(d.entries))
 	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
-		if known := d.entries[id]; !known.ended {
-			servers = append(servers, known.server)
+		known := d.entries[id]
+		if known.ended {
+			continue
 		}
+		server := known.server
+		server.Evacuated = d.Evacuations.InForce(server.Domain)
+		server.ColdUntil = max(server.ColdUntil, d.Evacuations.doubtUntil(server.Domain, known.revision))
+		servers = append(servers, server)
 	}
 	return servers
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -50,7 +50,7 @@
 	req.tried = append(req.tried, server.ID)
 	exchange, err := link.Begin(ctx)
 	if err != nil {
-		result := unreached(ctx, err)
+		result := g.unreached(ctx, err)
 		result.server = server.ID
 		req.service.done(server, result.end(req, 0))
 		return result
@@ -83,9 +83,9 @@
 }
 
 // unreached is the result when no connection could be had: nothing was sent.
-func unreached(ctx context.Context, err error) attemptResult {
+func (g *Gateway) unreached(ctx context.Context, err error) attemptResult {
 	if ctx.Err() != nil {
-		return attemptResult{outcome: balance.Abandoned, err: err, reply: unsentReply(ctx, err)}
+		return attemptResult{outcome: balance.Abandoned, err: err, reply: g.unsentReply(ctx, err)}
 	}
 	return attemptResult{notRun: true, failed: true, outcome: balance.Unreachable, err: err,
 		reply: &reply{outcome: "unreachable", status: http.StatusServiceUnavailable, retryAfter: retryAfterUnknown, cause: err}}
@@ -93,7 +93,10 @@
 
 // unsentReply tells a caller whose time ran out before anything was sent that
 // its request has not run.
-func unsentReply(ctx context.Context, err error) *reply {
+func (g *Gateway) unsentReply(ctx context.Context, err error) *reply {
+	if g.stop.over() {
+		return turnedAway(outcomeStopping, retryAfterStopping)
+	}
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return nil
 	}
@@ -109,6 +112,7 @@
 	}
 	for stray := 0; ; stray++ {
 		meta := g.codec.ReadAnswer(exchange.Response.StatusCode, exchange.Response.Header)
+		g.noteLoadError(server, meta.LoadError)
 		if meta.RequestID == req.ID || meta.RequestID == "" && meta.NotRun {
 			return g.answered(ctx, req, exchange.Response, meta)
 		}
@@ -129,7 +133,7 @@
 func (g *Gateway) unanswered(ctx context.Context, err error) attemptResult {
 	var sendErr *backendlink.SendError
 	if errors.As(err, &sendErr) && !sendErr.Written && ctx.Err() == nil {
-		return unreached(ctx, err)
+		return g.unreached(ctx, err)
 	}
 	result := attemptResult{failed: true, outcome: balance.Failed, err: err}
 	switch {
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -277,7 +277,7 @@
 		c.heard = now - silentAfter
 		return
 	}
-	c.revision, c.confirm, c.written, c.reported = e.stored.Revision, e.began, now, now
+	c.revision, c.confirm, c.written, c.reported, c.led = e.stored.Revision, e.began, now, now, now
 	if e.record.Term == 1 {
 		c.machine = keyspace.New(e.record, e.began, now)
 	} else {
--- /dev/null
+++ b/gateway/cold.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"cicadarouter/routing"
+)
+
+// hostsKept is for how long a larger number of hosts is believed than the one last
+// told. A controller that is cut off hears of a few hosts only, and when the cut ends
+// all of them meet servers that have become cold meanwhile; cuts last for seconds.
+const hostsKept = 15 * time.Second
+
+// hostCount is how many hosts there are, 0 before one is told.
+type hostCount struct {
+	mu    sync.Mutex
+	hosts int
+	at    time.Duration // when that many were last told of
+}
+
+// note takes a number of hosts, 0 if whoever says so does not know, and reports
+// whether it changes what is believed.
+func (c *hostCount) note(now time.Duration, hosts int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if hosts <= 0 || hosts < c.hosts && now-c.at < hostsKept {
+		return false
+	}
+	changed := hosts != c.hosts
+	c.hosts, c.at = hosts, now
+	return changed
+}
+
+// count returns the number believed.
+func (c *hostCount) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hosts
+}
+
+// noteHosts takes how many hosts there are.
+func (g *Gateway) noteHosts(hosts int) {
+	if !g.hosts.note(g.now(), hosts) {
+		return
+	}
+	g.log.Info("number of hosts", "hosts", hosts)
+	if current := g.inForce.Current(); current != nil {
+		g.limitCold(current)
+	}
+}
+
+// limitCold tells the services what their cold servers bear, and by how many hosts
+// that is shared.
+func (g *Gateway) limitCold(configuration *routing.Configuration) {
+	for name, described := range configuration.Services {
+		if s := g.service(name); s != nil {
+			s.setCold(described.ColdPerSecond, g.hosts.count())
+		}
+	}
+}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -92,6 +92,7 @@
 	asked        time.Duration // when earlier controllers were last asked whether they have stopped
 	unauthorized bool          // logged that authority ran out
 	crowded      bool          // logged that the record has as many ranges as it may have
+	led          time.Duration // since when this process is the controller
 	leaving      bool          // this process stops, since leavingAt
 	leavingAt    time.Duration
 }
@@ -149,7 +150,7 @@
 func (g *Gateway) stepControl(ctx context.Context) {
 	g.expireServers()
 	g.fresh.tend(g.now(), g.controls())
-	if g.stopping.Load() {
+	if g.stop.stopping() {
 		g.resignAll(ctx)
 		return
 	}
@@ -272,7 +273,7 @@
 	var holders []keyspace.Server
 	for _, state := range c.service.serverStates() {
 		c.known[state.ID] = state.Server
-		holders = append(holders, keyspace.Server{ID: state.ID, Start: state.Start, Slots: state.Slots, Speed: state.Speed, Leaving: state.Draining})
+		holders = append(holders, keyspace.Server{ID: state.ID, Start: state.Start, Slots: state.Slots, Speed: state.Speed, Leaving: state.Leaving()})
 	}
 	return holders
 }
@@ -295,6 +296,9 @@
 	}
 	g.noteAuthority(c, now)
 	c.members.choose(now)
+	if now-c.led >= memberKept { // all that live have reported
+		g.noteHosts(len(c.members.hosts) + 1)
+	}
 	c.machine.Advertise(c.members.all)
 	c.machine.SetPace(time.Duration(len(c.members.hosts)) * recordCost)
 	g.noteCrowded(c, len(servers))
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -32,6 +32,9 @@
 	memoryShare = 0.6
 	// stopMargin is kept to the moment at which the process is killed.
 	stopMargin = 600 * time.Millisecond
+	// lastAnswers is how long the answers of requests that are ended at the stop may
+	// take to leave.
+	lastAnswers = 200 * time.Millisecond
 	// lookEvery is how often the settings file is looked at; it may change
 	// without a signal.
 	lookEvery = 2 * time.Second
@@ -66,7 +69,7 @@
 
 func newIdentity(s Settings) gateway.Identity {
 	return gateway.Identity{Host: s.Host, Domain: s.Domain, Peers: s.Peers, Incarnation: rand.Uint64() >> 1, FirstStart: s.FirstStart, RetryRatio: s.RetryRatio,
-		Seeds: s.Seeds, ObeyWithin: min(s.ConfigurationWithin, s.DrainWithin),
+		Seeds: s.Seeds, ObeyWithin: min(s.ConfigurationWithin, s.DrainWithin), EvacuateWithin: s.EvacuateWithin,
 		Small: s.Processor < smallProcessor || s.LinkMbps < smallLinkMbps}
 }
 
@@ -139,15 +142,24 @@
 // leave ends the service to callers.
 func (d *Daemon) leave(callers *http.Server) error {
 	d.log.Info("stopping", "leave-for-ms", d.settings.LeaveFor.Milliseconds(), "within-ms", d.settings.StopWithin.Milliseconds())
-	until, cancel := context.WithTimeout(context.Background(), d.settings.StopWithin-stopMargin)
+	within := d.settings.StopWithin - stopMargin
+	until, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	d.gateway.Stop()
+	d.gateway.Stop(within)
 	select {
-	case <-time.After(min(d.settings.LeaveFor, d.settings.StopWithin-stopMargin)):
+	case <-time.After(min(d.settings.LeaveFor, within)):
 	case <-until.Done():
 	}
-	if err := callers.Shutdown(until); err != nil {
-		d.log.Warn("requests were still under way at the end", "error", err.Error())
+	err := callers.Shutdown(until)
+	if err == nil {
+		return nil
+	}
+	d.log.Warn("requests are still under way at the end", "error", err.Error())
+	d.gateway.End()
+	answering, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	if err := callers.Shutdown(answering); err != nil {
+		d.log.Warn("requests were not answered at the end", "error", err.Error())
 	}
 	return nil
 }
--- a/gateway/daemon/settings.go
+++ b/gateway/daemon/settings.go
@@ -33,6 +33,10 @@
 	// ConfigurationWithin and DrainWithin are the times in which a configuration
 	// must be in force, and a leaving server must get nothing more.
 	ConfigurationWithin, DrainWithin time.Duration
+	// EvacuateWithin is the time after which nothing may reach the servers of an
+	// evacuated failure domain; 0 if no domain ever is, which saves the calls that
+	// ask for it.
+	EvacuateWithin time.Duration
 	// FirstStart is set if the whole system starts for the first time.
 	FirstStart bool
 	// LeaveFor is how long the host goes on taking callers after SIGTERM: the
@@ -64,6 +68,7 @@
 		{Section: "peers", Name: "seeds", Allowed: "IP numbers and ports, separated by commas", Set: settings.Addresses(&s.Seeds)},
 		{Section: "changes", Name: "configuration-within", Default: "2s", Allowed: "1s to 1m", Set: settings.Duration(&s.ConfigurationWithin, time.Second, time.Minute)},
 		{Section: "changes", Name: "drain-within", Default: "2s", Allowed: "1s to 1m", Set: settings.Duration(&s.DrainWithin, time.Second, time.Minute)},
+		{Section: "changes", Name: "evacuate-within", Default: "0s", Allowed: "0s to 1m", Set: settings.Duration(&s.EvacuateWithin, 0, time.Minute)},
 		{Section: "retries", Name: "ratio", Default: "0.2", Allowed: "0.001 to 1", Set: settings.Float(&s.RetryRatio, 0.001, 1)},
 		{Section: "stop", Name: "leave-for", Default: "3300ms", Allowed: "0s to 1h", Set: settings.Duration(&s.LeaveFor, 0, time.Hour)},
 		{Section: "stop", Name: "within", Default: "6s", Allowed: "1s to 1h", Set: settings.Duration(&s.StopWithin, time.Second, time.Hour)},
--- /dev/null
+++ b/gateway/evacuations_test.go
@@ -0,0 +1,103 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/platform/platformtest"
+)
+
+// serveIn starts a server and registers it in a failure domain.
+func (s *site) serveIn(domain, id, service string, keyed bool) *platformtest.Server {
+	server := &platformtest.Server{ID: id, Keyed: keyed, Slots: 8}
+	s.servers[id] = server
+	s.put("servers", id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":"ready","cold-remaining":"0ms","seq":1,"born":%d}`,
+		service, s.listen(server), domain, int64(firstStart)))
+	return server
+}
+
+// twoDomains is a site with a server of each service in two domains, and one host.
+func twoDomains(t *testing.T) (*site, *hostUnderTest) {
+	s := newSite(t)
+	for _, domain := range []string{"a", "b"} {
+		s.serveIn(domain, "f-"+domain, "free", false)
+		s.serveIn(domain, "k-"+domain, "owned", true)
+	}
+	s.configure(3, "")
+	h := s.host("one")
+	s.eventually("keys have owners", func() bool { return s.keysServed(h) == keysTried })
+	return s, h
+}
+
+// keysTried are the keys that are asked for, spread over all.
+const keysTried = 16
+
+// keysServed asks for each of some keys and returns how many are answered.
+func (s *site) keysServed(h *hostUnderTest) int {
+	served := 0
+	for i := range keysTried {
+		if s.call(h, http.MethodGet, "/keyed/x", strconv.Itoa(i*4096), "").status == http.StatusOK {
+			served++
+		}
+	}
+	return served
+}
+
+// Symptom: after a failure domain has been evacuated its servers still get requests.
+// Sequence: an operator asks that a domain's servers get nothing, while they own half
+// of the keys.
+// Cause: hosts knew of servers that leave by themselves only.
+func TestEvacuatedDomainGetsNothing(t *testing.T) {
+	s, h := twoDomains(t)
+	s.put("evacuations", "a", "{}")
+	runs := func() int { return s.runs("f-a") + s.runs("k-a") }
+	s.eventually("the domain gets nothing", func() bool {
+		before := runs()
+		served := s.keysServed(h)
+		for range 4 {
+			s.call(h, http.MethodGet, "/free/x", "", "")
+		}
+		return served == keysTried && runs() == before
+	})
+	s.remove("evacuations", "a")
+	s.eventually("the domain is used again", func() bool {
+		before := runs()
+		s.call(h, http.MethodGet, "/free/x", "", "")
+		return s.keysServed(h) == keysTried && runs() > before+1
+	})
+	s.put("evacuations", "a", "{}")
+	s.eventually("the domain gets nothing again", func() bool {
+		before := runs()
+		return s.keysServed(h) == keysTried && runs() == before
+	})
+}
+
+// With all domains evacuated, callers are told at once that nothing has run and when
+// to come back.
+func TestAllDomainsEvacuated(t *testing.T) {
+	s, h := twoDomains(t)
+	s.put("evacuations", "a", "{}")
+	s.put("evacuations", "b", "{}")
+	s.eventually("requests are turned away", func() bool {
+		free := s.call(h, http.MethodGet, "/free/x", "", "")
+		keyed := s.call(h, http.MethodGet, "/keyed/x", "1", "")
+		return free.status == http.StatusServiceUnavailable && free.header.Get("Retry-After") != "" &&
+			keyed.status == http.StatusServiceUnavailable && keyed.header.Get("Retry-After") != ""
+	})
+}
+
+// A host that starts does not take callers before it knows what is evacuated.
+func TestHostThatStartsKnowsTheEvacuations(t *testing.T) {
+	s, _ := twoDomains(t)
+	s.put("evacuations", "a", "{}")
+	before := s.runs("f-a")
+	h := s.host("two")
+	for range 8 {
+		assert.Equal(t, s.call(h, http.MethodGet, "/free/x", "", "").status, http.StatusOK)
+	}
+	assert.Equal(t, s.runs("f-a"), before)
+}
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -64,6 +64,10 @@
 func (kinds) Servers() string        { return "servers" }
 func (kinds) Configurations() string { return "configurations" }
 func (kinds) Current() string        { return "main" }
+func (kinds) Evacuations() string    { return "evacuations" }
+func (kinds) Evacuation(object objects.Object) (string, error) {
+	return object.Name, nil
+}
 func (kinds) Server(objects.Object) (fleet.Server, error) {
 	return fleet.Server{}, nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,9 @@
 	// ObeyWithin is the time in which a change in the store has to be obeyed; 0 if
 	// operators name none.
 	ObeyWithin time.Duration
+	// EvacuateWithin is the time after which nothing may reach the servers of a failure
+	// domain that operators have evacuated; 0 if no domain ever is.
+	EvacuateWithin time.Duration
 	// FirstStart is set if the whole system starts for the first time: no
 	// configuration has been in force yet that this host could fall behind.
 	FirstStart bool
@@ -66,20 +69,22 @@
 
 	// Lines that come with the load are bounded, each kind by itself: those of
 	// requests that failed must not be crowded out by those that went well.
-	requestLines, failureLines, callLines, entryLines *lineQuota
+	requestLines, failureLines, callLines, entryLines, loadLines *lineQuota
 
-	inForce  routing.InForce
-	stopping atomic.Bool
-	listed   atomic.Bool // the registry has been read once
+	inForce           routing.InForce
+	listed            atomic.Bool // the registry has been read once
+	evacuationsListed atomic.Bool // and so have the evacuations
 
 	mu        sync.Mutex
 	directory *fleet.Directory
 	services  map[string]*service
 
+	stop    stop
 	control control
 	fresh   freshness
 	sources *sources
 	reach   reach
+	hosts   hostCount
 	relay   relay
 	calls   storeCalls
 	deltas  deltas
@@ -93,14 +98,16 @@
 		identity: identity, codec: platform.Codec, registry: platform.Registry, keys: platform.Keys,
 		clock: clock.System(), boot: clock.Boot(), log: logger, counts: newCounts(),
 		directory: fleet.NewDirectory(), services: map[string]*service{},
-		control: newControl(), fresh: newFreshness(identity.ObeyWithin), sources: newSources(identity), peers: newPeerClient(), wake: make(chan struct{}, 1),
+		stop: newStop(), control: newControl(), fresh: newFreshness(identity.ObeyWithin), sources: newSources(identity), peers: newPeerClient(), wake: make(chan struct{}, 1),
 	}
+	g.evacuationsListed.Store(identity.EvacuateWithin == 0) // then there is nothing to read
 	g.store = newCountedStore(platform.Store, g.noteStoreCall)
 	g.counts.set.NewGauge("cicada_in_flight", g.inFlight)
 	g.requestLines = newLineQuota(logger, g.clock, "request")
 	g.failureLines = newLineQuota(logger, g.clock, "request that failed")
 	g.callLines = newLineQuota(logger, g.clock, "call about keys")
 	g.entryLines = newLineQuota(logger, g.clock, "entry that names no server")
+	g.loadLines = newLineQuota(logger, g.clock, "load that can't be read")
 	return g
 }
 
@@ -108,13 +115,9 @@
 
 // Ready reports whether callers should be sent here.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.inForce.Current() != nil && g.listed.Load()
+	return !g.stop.stopping() && g.inForce.Current() != nil && g.listed.Load() && g.evacuationsListed.Load()
 }
 
-// Stop makes the host leave: it is not ready any more, and answers end their
-// connections.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
-
 // Limits returns what callers are held to, for the listener.
 func (g *Gateway) Limits() routing.Limits {
 	if current := g.inForce.Current(); current != nil {
@@ -160,6 +163,7 @@
 		}
 	}
 	g.mu.Unlock()
+	g.limitCold(offered)
 	// Services come first: a request must not meet a route without its service.
 	g.distribute()
 	if g.inForce.Offer(offered) {
--- a/gateway/keys_test.go
+++ b/gateway/keys_test.go
@@ -216,7 +216,7 @@
 	before := s.store.Calls()
 	s.store.SetFaults(platformtest.Faults{Refuse: true})
 	s.eventually("the host has noticed", func() bool { return s.store.Calls() > before+3 })
-	h.gateway.Stop()
+	h.gateway.Stop(patience)
 	granted := len(s.servers["k1"].Tokens())
 	more := len(s.assignment().Ranges) * 3 / 4 // half of the ranges are the server's: over one round
 	s.eventually("leases are renewed", func() bool { return len(s.servers["k1"].Tokens()) > granted+more })
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -9,6 +9,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
+	"cicadarouter/balance"
+	"cicadarouter/contract/adapter"
 	"cicadarouter/host/clock"
 )
 
@@ -19,6 +21,7 @@
 	strays      *metrics.Counter
 	storeErrors *metrics.Counter
 	unreadable  *metrics.Counter
+	loads       *metrics.Counter // of servers that could not be read
 	crowded     *metrics.Counter
 	crowdedOut  *metrics.Counter
 	latency     *metrics.Histogram
@@ -33,6 +36,7 @@
 		crowdedOut:  set.NewCounter("cicada_host_calls_turned_away_total"),
 		crowded:     set.NewCounter("cicada_crowded_assignments_total"),
 		unreadable:  set.NewCounter("cicada_unreadable_entries_total"),
+		loads:       set.NewCounter("cicada_unreadable_loads_total"),
 		latency:     set.NewHistogram("cicada_request_seconds"),
 	}
 }
@@ -60,6 +64,18 @@
 	g.counts.latency.Update((g.now() - req.arrived).Seconds())
 }
 
+// noteLoadError counts a load that a server told and that can't be read. Without it
+// hosts go on choosing servers by their own requests alone, and nothing else shows it.
+func (g *Gateway) noteLoadError(server *balance.Server, err *adapter.FieldError) {
+	if err == nil {
+		return
+	}
+	g.counts.loads.Inc()
+	if g.loadLines.take() {
+		g.log.Warn("load of a server can't be read", "server", server.ID, "error", err.Error())
+	}
+}
+
 // linesPerSecond is the most lines of one kind that are written each second:
 // some three times what a host answers at its planned load. The rest is counted.
 const linesPerSecond = 250
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -63,6 +63,8 @@
 	// Shares tells of keys that ask for more than their owners can do which part of
 	// it these can take on.
 	Shares map[uint16]float64 `json:"shares,omitempty"`
+	// Hosts is how many hosts there are; 0 if the controller does not know yet.
+	Hosts int `json:"hosts,omitempty"`
 	// Relays are the hosts to ask in the controller's place.
 	Relays []string `json:"relays,omitempty"`
 	// FollowRelays is set if there are so many hosts that all but the relays are to
@@ -165,6 +167,7 @@
 		g.reach.back() // what this host can't read in the store it hears from the controller
 		g.sources.name(e.answer.Relays, e.answer.FollowRelays)
 		c.service.setShares(e.answer.Shares)
+		g.noteHosts(e.answer.Hosts)
 		told := g.now()
 		confirmed := told - time.Duration(e.answer.StoreAgeMs)*time.Millisecond
 		vouch := word{confirmed: confirmed, teller: e.to.Address, source: g.sources.upstream(e.to.Address), revisions: e.answer.Revisions}
@@ -237,6 +240,7 @@
 	c.service.learn(report.Paces)
 	c.members.note(report.Host, member{address: report.Address, domain: report.Domain, small: report.Small, seen: now})
 	answer.Relays = c.members.relaysFor(report.Host, report.Domain, now)
+	answer.Hosts = g.hosts.count()
 	answer.FollowRelays = len(c.members.hosts) > mostFollowers
 	answer.Controls, answer.Shares = true, c.shares
 	answer.Revisions = g.fresh.revisions()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -66,7 +66,7 @@
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := &request{http: r, arrived: g.now()}
-	if g.stopping.Load() {
+	if g.stop.stopping() {
 		// The caller is to come back on another connection; this answer is whole.
 		w.Header().Set("Connection", "close")
 	}
@@ -99,6 +99,9 @@
 	if refused := g.readBody(w, r, req); refused != nil {
 		return refused
 	}
+	if g.stop.turnsAway(g.now(), req.deadline) {
+		return turnedAway(outcomeStopping, retryAfterStopping)
+	}
 	req.serviceName = req.route.Pick()
 	req.service = g.service(req.serviceName)
 	if req.service == nil {
@@ -108,7 +111,11 @@
 		return refusal(http.StatusBadRequest, "no-key", nil)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), req.deadline-g.now())
-	req.end = cancel
+	unplan := context.AfterFunc(g.stop.ended, cancel)
+	req.end = func() {
+		unplan()
+		cancel()
+	}
 	req.service.first(req.key())
 	return g.forward(ctx, req)
 }
@@ -202,6 +209,9 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return turnedAway(string(balance.Expired), retryAfterUnknown)
 	}
+	if g.stop.over() {
+		return turnedAway(outcomeStopping, retryAfterStopping)
+	}
 	return &reply{outcome: outcomeCallerLeft}
 }
 
@@ -211,6 +221,9 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return refusal(http.StatusGatewayTimeout, "timeout", result.err)
 	}
+	if g.stop.over() {
+		return refusal(http.StatusGatewayTimeout, "host-stopped", errStopped)
+	}
 	return &reply{outcome: outcomeCallerLeft}
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -60,9 +60,19 @@
 		owner = s.view
 	}
 	s.pool = balance.NewPool(identity.Domain, owner, identity.Incarnation)
+	if identity.EvacuateWithin > 0 {
+		s.pool.SetEvacuateWithin(identity.EvacuateWithin - identity.ObeyWithin)
+	}
 	return s
 }
 
+// setCold sets what a cold server bears, and by how many hosts that is shared.
+func (s *service) setCold(perSecond float64, hosts int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.SetCold(perSecond, hosts)
+}
+
 // setServers takes the service's servers. Connections to others are closed.
 func (s *service) setServers(servers []fleet.Server) {
 	s.mu.Lock()
@@ -229,7 +239,7 @@
 	defer s.mu.Unlock()
 	var states []serverState
 	for _, server := range s.pool.Servers() {
-		states = append(states, serverState{Server: server.Server, Speed: 1 / server.Ratio()})
+		states = append(states, serverState{Server: server.Server, Speed: s.pool.Speed(s.now(), server)})
 	}
 	return states
 }
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -173,7 +173,7 @@
 		h.peers = s.newPeerAddress()
 	}
 	store := platform.NewStore(setup.store)
-	identity := gateway.Identity{Host: setup.name, Domain: "a", Peers: h.peers.address, Seeds: setup.seeds, Incarnation: uint64(len(s.hosts) + 1)}
+	identity := gateway.Identity{Host: setup.name, Domain: "a", Peers: h.peers.address, Seeds: setup.seeds, EvacuateWithin: 5 * time.Second, Incarnation: uint64(len(s.hosts) + 1)}
 	h.gateway = gateway.New(identity, gateway.Platform{Store: store, Registry: platform.Registry{}, Codec: platform.Codec{}, Keys: platform.NewKeys()}, logs.Discard())
 	h.peers.process.Store(h.gateway)
 	h.callers = httptest.NewServer(h.gateway)
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -10,6 +10,9 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { g.followServers(ctx) })
 	duties.Go(func() { g.followConfiguration(ctx) })
+	if g.identity.EvacuateWithin > 0 {
+		duties.Go(func() { g.followEvacuations(ctx) })
+	}
 	duties.Go(func() { g.followAssignments(ctx) })
 	duties.Go(func() { g.runControl(ctx) })
 	duties.Go(func() { g.followSources(ctx) })
--- /dev/null
+++ b/gateway/stopplan_test.go
@@ -0,0 +1,22 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Routes' timeouts lie between a tenth of the time that a host has to stop and ten
+// times it. Whatever is taken either ends by then, or had half of that time.
+func TestWhatAStoppingHostTakes(t *testing.T) {
+	const within = 5 * time.Second
+	plan := stopPlan{from: time.Minute, end: time.Minute + within}
+	for timeout := within / 10; timeout <= 10*within; timeout += within / 10 {
+		for after := time.Duration(0); after <= 2*within; after += within / 50 {
+			deadline := plan.from + after + timeout
+			fits, early := deadline <= plan.end, after < within/2
+			assert.Equal(t, plan.takes(plan.from+after, deadline), fits || early, "timeout %v, %v after the signal", timeout, after)
+		}
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -47,6 +47,9 @@
 	Keyed bool
 	// Warmup is how long keys that arrive without a hand-over are slow.
 	Warmup time.Duration
+	// ColdPerSecond is how many requests a second a cold server bears from all hosts
+	// together; 0 if it is not limited.
+	ColdPerSecond float64
 }
 
 // Limits bound what callers may send.
@@ -77,6 +80,11 @@
 
 // Check returns an *InvalidError for the first fault found.
 func (c *Configuration) Check() error {
+	for name, service := range c.Services {
+		if service.ColdPerSecond < 0 {
+			return &InvalidError{Field: "service " + name + " requests a second of a cold server", Value: fmt.Sprint(service.ColdPerSecond), Fix: "must not be negative"}
+		}
+	}
 	for host, routes := range c.Hosts {
 		for i := range routes {
 			if err := c.checkRoute(host, &routes[i]); err != nil {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -34,10 +34,12 @@
 	FirstSeries Series = 1 + iota
 	// RestartSeries has servers that start again under their IDs.
 	RestartSeries
+	// EvacuationSeries has failure domains that are evacuated and taken back.
+	EvacuationSeries
 )
 
 // CurrentSeries is the one of fresh seeds.
-const CurrentSeries = RestartSeries
+const CurrentSeries = EvacuationSeries
 
 // faults lists all kinds.
 func faults() []fault {
@@ -67,6 +69,7 @@
 		{"a server leaves", 2, true, FirstSeries, leaves},
 		{"the configuration changes", 3, true, FirstSeries, configures},
 		{"a server starts again under its ID", 3, false, RestartSeries, restarts},
+		{"a failure domain is evacuated", 3, true, EvacuationSeries, evacuates},
 	}
 }
 
@@ -230,3 +233,14 @@
 		r.configured(version)
 	}
 }
+
+// evacuates has a domain evacuated and taken back. The first servers of each service,
+// which never leave, lie in the other domain.
+func evacuates(r *run, _ *rand.Rand, length time.Duration) func(ctx context.Context) {
+	const domain = "b"
+	return func(ctx context.Context) {
+		r.fail(r.site.Evacuate(ctx, domain))
+		pause(ctx, length+evacuateWithin)
+		r.fail(r.site.TakeBack(ctx, domain))
+	}
+}
--- a/soak/host.go
+++ b/soak/host.go
@@ -62,8 +62,8 @@
 		addresses = append(addresses, fmt.Sprintf("%s:%d", ip, firstPort+n))
 	}
 	h.callers, h.ready = addresses[0], addresses[1]
-	settings := fmt.Sprintf("[host]\nname = %s\ndomain = a\n[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[store]\naddress = %s\n[stop]\nleave-for = 500ms\nwithin = %v\n",
-		name, addresses[0], addresses[1], addresses[2], addresses[3], store.Address(), grace)
+	settings := fmt.Sprintf("[host]\nname = %s\ndomain = a\n[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[store]\naddress = %s\n[changes]\nevacuate-within = %v\n[stop]\nleave-for = 500ms\nwithin = %v\n",
+		name, addresses[0], addresses[1], addresses[2], addresses[3], store.Address(), evacuateWithin, grace)
 	err = os.WriteFile(h.settingsFile(), []byte(settings), 0o600)
 	return h, eris.Wrap(err, "settings of a host")
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -62,6 +62,7 @@
 const (
 	configureWithin = 2 * time.Second
 	leaveWithin     = 2 * time.Second
+	evacuateWithin  = 5 * time.Second
 	margin          = time.Second
 	// calm is how long nothing must have been wrong before a bound in time holds.
 	calm = 3 * time.Second
@@ -333,6 +334,8 @@
 	broken = append(broken, r.site.Overlaps()...)
 	broken = append(broken, r.cutByPlannedStops(runs)...)
 	broken = append(broken, r.lateToLeaving()...)
+	broken = append(broken, r.lateToEvacuated()...)
+	broken = append(broken, r.site.Overrun()...)
 	return Result{Seed: r.options.Seed, Faults: r.faults, Requests: report.Sent, Statuses: report.Statuses, Broken: broken}
 }
 
@@ -372,3 +375,26 @@
 	}
 	return broken
 }
+
+// lateToEvacuated returns requests that reached a server of an evacuated domain later
+// than allowed.
+func (r *run) lateToEvacuated() []string {
+	var broken []string
+	for _, evacuation := range r.site.Evacuations() {
+		due := evacuation.From.Add(evacuateWithin + margin)
+		for _, server := range r.site.Servers() {
+			if server.Domain != evacuation.Domain {
+				continue
+			}
+			for _, run := range server.Runs() {
+				over := !evacuation.Until.IsZero() && run.At.After(evacuation.Until)
+				if run.At.After(due) && !over && r.calmBetween(evacuation.From, run.At) {
+					broken = append(broken, fmt.Sprintf("request %s reached %s %v after its domain %s was evacuated",
+						run.RequestID, server.ID, run.At.Sub(evacuation.From), evacuation.Domain))
+					break
+				}
+			}
+		}
+	}
+	return broken
+}
