A claim under way counts: a host that was told to stop does not take control after it

Between the store's taking a claim and the claimant's reading of the answer, the claimant told other hosts that it controls nothing, and told its successor that it has stopped; then it read the answer and went on renewing until it heard of the successor.

Change: who has told a successor that it has stopped does not take an earlier claim any more; while a claim is under way reports are answered so, and nobody takes over at once.

--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -277,6 +277,14 @@
 		c.heard = now - silentAfter
 		return
 	}
+	if e.record.Term < c.yielded {
+		// Its successor has been told that this process has stopped, and gives the keys
+		// to others when the leases that it knows of have run out. Were the claim taken
+		// now, this process would go on renewing what it does not know to be lost.
+		g.log.Info("claim came too late: a successor has been told that this process has stopped", "service", c.service.name,
+			"term", e.record.Term, "successor-term", c.yielded)
+		return
+	}
 	c.revision, c.confirm, c.written, c.reported, c.led = e.stored.Revision, e.began, now, now, now
 	if e.record.Term == 1 {
 		c.machine = keyspace.New(e.record, e.began, now)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -78,6 +78,7 @@
 	writing      bool
 	reading      bool
 	claiming     bool
+	yielded      uint64  // highest term of a successor that was told that this process has stopped
 	members      members // hosts that report, while this process is the controller
 	shares       map[uint16]float64
 	firstAt      time.Duration // when the service was first seen
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -56,6 +56,9 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Controls is set if the process is the service's controller.
 	Controls bool `json:"controls"`
+	// Claiming is set if the process has asked the store for control and has not read
+	// the answer: the store may already name it.
+	Claiming bool `json:"claiming,omitempty"`
 	// StoreAgeMs is how long ago the store last confirmed it, in milliseconds.
 	StoreAgeMs int64 `json:"storeAgeMs"`
 	// Revisions tells at which revision each watched kind last changed.
@@ -156,6 +159,8 @@
 		g.fresh.doubt()
 		g.log.Info("controller did not answer a report", "service", c.service.name, "controller", e.to.Host,
 			"unheard-ms", (now - c.heard).Milliseconds(), "error", e.err.Error())
+	case e.answer.Incarnation == e.to.Incarnation && e.answer.Claiming:
+		g.log.Info("controller has not read yet that it is", "service", c.service.name, "controller", e.to.Host)
 	case e.answer.Incarnation != e.to.Incarnation || !e.answer.Controls:
 		g.log.Info("controller is gone: another process answers, or it gave up", "service", c.service.name, "controller", e.to.Host)
 		c.heard = min(c.heard, now-silentAfter)
@@ -230,6 +235,7 @@
 	answer := loadAnswer{Incarnation: g.identity.Incarnation}
 	c := g.control.services[report.Service]
 	if c == nil || c.machine == nil {
+		answer.Claiming = c != nil && c.claiming
 		return answer
 	}
 	asked := make(map[uint16]time.Duration, len(report.Asked))
@@ -257,6 +263,9 @@
 		}
 		g.stepDown(c, "a successor asked", "")
 	}
+	if c != nil {
+		c.yielded = max(c.yielded, request.Term)
+	}
 	answer.Stopped = true
 	return answer
 }
--- a/tools/mutants/balance.go
+++ b/tools/mutants/balance.go
@@ -4,6 +4,10 @@
 func balanceMutants() []mutant {
 	in := breaking("balance", ".")
 	return []mutant{
+		in("cold.go", "cold servers: let every host begin with a place", "saved: p.random.Float64(), at: now", "saved: 1, at: now"),
+		in("cold.go", "cold servers: forget the other hosts", "return coldShare * c.perSecond / float64(c.hosts)", "return coldShare * c.perSecond"),
+		in("cold.go", "cold servers: keep the place that was filled", "server.coldPlace.savedAt(now, rate)-mostColdPlaces, now", "server.coldPlace.savedAt(now, rate), now"),
+		in("cold.go", "cold servers: place keys as if they were warm", "	return min(speed/coldFactor, bears)", "	_ = bears\n	return speed"),
 		in("share.go", "shares: admit what is beyond a host's share", "	if known.saved >= mostSaved {", "	if known.saved >= 0 {"),
 		in("share.go", "shares: believe an old share", "known == nil || now >= known.until || known.part >= 1", "known == nil || known.part >= 1"),
 		in("share.go", "shares: limit keys that are not named any more", "			delete(p.shares, key)\n", ""),
@@ -19,10 +23,10 @@
 		in("pool.go", "let requests wait that can't be served any more", "	if now+p.leastWork(waiter) >= waiter.Deadline {", "	if now >= waiter.Deadline {"),
 		in("pool.go", "take a full server for a slow one", " || end.Load != nil && end.Load.Waiting > 0", ""),
 		in("reject.go", "take all servers for this host's own", "pace := max(p.gap, p.mean/time.Duration(capacity))", "pace := p.mean / time.Duration(capacity)"),
-		in("pool.go", "send a key to any server", "	if waiter.Keyed && p.owner != nil {\n		id, _ := p.owner.OwnerOf(waiter.Key)\n		server := p.servers[id]\n		if server == nil || server.left", "	if false {\n		id, _ := p.owner.OwnerOf(waiter.Key)\n		server := p.servers[id]\n		if server == nil || server.left"),
-		in("pool.go", "send to leaving owners", "if server == nil || server.left(now) || !server.room(now, p.mean) {", "if server == nil || !server.room(now, p.mean) {"),
+		in("pool.go", "send a key to any server", "	if waiter.Keyed && p.owner != nil {\n		id, _ := p.owner.OwnerOf(waiter.Key)\n		server := p.servers[id]\n		if server == nil || p.left(now, server)", "	if false {\n		id, _ := p.owner.OwnerOf(waiter.Key)\n		server := p.servers[id]\n		if server == nil || p.left(now, server)"),
+		in("pool.go", "send to leaving owners", "if server == nil || p.left(now, server) || !p.room(now, server) {", "if server == nil || !p.room(now, server) {"),
 		in("reject.go", "wait for lost owners", "	if now+expected+p.leastWork(waiter) > waiter.Deadline || back > 0 && expected > ownerWait {", "	if false {"),
-		in("pool.go", "use draining servers", "	case server.Draining:\n		return unusable\n", ""),
+		in("pool.go", "use draining servers", "	case server.Leaving():\n		return unusable\n", ""),
 		in("pool.go", "forget where a request was", "	case slices.Contains(waiter.Tried, server.ID):\n		return tried\n", ""),
 		in("pool.go", "prefer a server with room to one that can be reached", "		best = min(best, p.preference(now, waiter, server))\n", "		if server.room(now, p.mean) {\n			best = min(best, p.preference(now, waiter, server))\n		}\n"),
 		in("server.go", "trust a server that could not be reached at once", "	if s.strikes > 0 && s.inFlight > 0 {", "	if false && s.strikes > 0 && s.inFlight > 0 {"),
