A host's watches move to the source that it follows

A server leaves as the store turns the controller away; a host takes a relay's word, but its watch of the servers waits on at the controller, which hears of nothing; only the relay's next word, 0.5 s later, told the host that it was behind.

Change: a word of another source ends the watches that ask neither it nor its teller.

--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -339,7 +339,8 @@
 //
 // It also ends watches of the store by which this host made do without a source: one
 // that the store leaves unanswered would keep a host ignorant for a second that its
-// source could tell.
+// source could tell. So would one that waits at a source which this host does not follow
+// any more: it hears of nothing there, and the next word that tells of it is 0.5 s away.
 func (f *freshness) told(now time.Duration, w word) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -355,6 +356,9 @@
 		if state.cancel != nil && state.source == "" && !state.long && f.trusted(name, now) {
 			state.cancel()
 		}
+		if state.cancel != nil && state.source != "" && state.source != w.source && state.source != w.teller {
+			state.cancel()
+		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(w.revisions)) {
 		state := f.kinds[name]
--- a/gateway/sources_test.go
+++ b/gateway/sources_test.go
@@ -167,3 +167,24 @@
 	made, _ = plan(&f, "things", overdue+time.Millisecond)
 	assert.Equal(t, made, watchPlan{wait: longWatch, source: "controller"})
 }
+
+// Symptom: a request reaches a server 2.1 s after the store knew that it leaves.
+// Sequence: a server leaves just as the store turns the controller away; the controller's
+// word grows old, and a host takes that of a relay, which does not know of the leaving
+// yet; the relay learns of it 6 ms later.
+// Cause: the host's watch went on waiting at the controller, until the relay's next word,
+// 0.5 s later, told that it was behind.
+func TestWatchMovesToTheNewSource(t *testing.T) {
+	f := newFreshness(0)
+	f.told(0, wordOf(0, "controller", nil))
+	made, watching := plan(&f, "things", 0)
+	assert.Equal(t, made.source, "controller")
+	f.told(time.Second, wordOf(time.Second, "controller", nil))
+	assert.NilError(t, watching.Err())
+	f.told(2*time.Second, word{confirmed: 2 * time.Second, teller: "controller", source: "relay"})
+	assert.NilError(t, watching.Err(), "the controller is as good as who follows it")
+	f.told(3*time.Second, wordOf(3*time.Second, "relay", nil))
+	assert.Assert(t, watching.Err() != nil)
+	made, _ = plan(&f, "things", 3*time.Second)
+	assert.Equal(t, made.source, "relay")
+}
