A host bounds its requests under way by the queues of the servers that answer

Change: balance/window.go, for services without keys: additive increase, multiplicative decrease of the requests under way, by the smoothed number that waits at the servers for each slot, as their answers tell.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -48,6 +48,7 @@
 	// served there, while they pass on.
 	evacuateWithin time.Duration
 	cold           coldLimit
+	window         window // of a service without keys
 }
 
 // NewPool returns a pool for a host in a failure domain. owner is nil for a
@@ -137,6 +138,7 @@
 		server.newsAt = now
 	}
 	server.inFlight++
+	p.window.inFlight++
 	server.stalls = 0
 	p.takeColdPlace(now, server)
 	p.placed(now)
@@ -207,6 +209,9 @@
 		}
 		return server
 	}
+	if p.owner == nil && !p.window.open() {
+		return nil
+	}
 	return p.cheapest(now, waiter, p.preferred(now, waiter))
 }
 
@@ -307,11 +312,13 @@
 	// A server that has requests waiting is full, not slow.
 	queued := server.estimate(now, p.mean) > float64(server.Slots) || end.Load != nil && end.Load.Waiting > 0
 	server.inFlight--
+	p.window.inFlight--
 	if end.Outcome != Abandoned && end.Outcome != Unreachable {
 		server.newsAt = now
 	}
 	if end.Load != nil {
 		server.report(now, *end.Load)
+		p.window.report(*end.Load)
 		p.usual += usualWeight * (server.others/float64(max(server.Slots, 1)) - p.usual)
 	}
 	if end.Outcome == Refused {
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -439,3 +439,20 @@
 	p.Done(now+50*ms, placed["a"], End{Outcome: Answered, Took: 50 * ms})
 	assert.Assert(t, at() > 1)
 }
+
+// A host that has sent less while servers were crowded sends more again when they are
+// not, and in the end as much as it likes.
+func TestWindowOpensAgain(t *testing.T) {
+	var w window
+	w.inFlight = 20
+	for range 40 {
+		w.report(Load{Running: 6, Waiting: 24, Slots: 6})
+	}
+	assert.Assert(t, !w.open())
+	assert.Assert(t, w.limit >= leastWindow, "a host keeps in touch")
+	for range int(openWindow * openWindow) {
+		w.report(Load{Running: 3, Slots: 6})
+	}
+	assert.Equal(t, w.limit, 0.0)
+	assert.Assert(t, w.open())
+}
--- a/balance/replay_test.go
+++ b/balance/replay_test.go
@@ -31,6 +31,10 @@
 	objective time.Duration
 	patience  time.Duration
 	seed      uint64
+	// queue is how many a server queues; 0 for modelQueue.
+	queue int
+	// lost is the share of the servers that leave in the middle third.
+	lost float64
 	// kinds are what the requests are like; none: all are of the one kind above.
 	kinds []modelKind
 	// returns lets a rejected caller come back once, as told, but after no more
@@ -137,6 +141,7 @@
 	random  *rand.Rand
 	pools   []*Pool // nil for a baseline
 	next    int
+	present int // how many servers there are
 	told    verdicts
 	held    time.Duration
 	open    []*modelRequest
@@ -158,6 +163,7 @@
 		listed = append(listed, s)
 		w.servers = append(w.servers, &modelServer{Server: s, speed: []float64{0.6, 1, 1.4}[i%3]})
 	}
+	w.present = len(w.servers)
 	for i := range l.hosts {
 		if by == ours {
 			p := NewPool("d", nil, uint64(i))
@@ -185,6 +191,11 @@
 	for t := time.Duration(0); t < l.length+longestPatience; t += 20 * ms {
 		w.at(t, w.pump)
 	}
+	if l.lost > 0 {
+		left := listed[:len(listed)-int(l.lost*float64(len(listed)))]
+		w.at(l.length/3, func(now time.Duration) { w.list(now, left) })
+		w.at(2*l.length/3, func(now time.Duration) { w.list(now, listed) })
+	}
 	for len(w.events) > 0 {
 		next := heap.Pop(&w.events).(modelEvent)
 		next.do(next.at)
@@ -195,6 +206,15 @@
 	return w.told
 }
 
+// list tells all hosts which servers there are.
+func (w *world) list(now time.Duration, servers []fleet.Server) {
+	w.present = len(servers)
+	for _, p := range w.pools {
+		p.SetServers(now, servers)
+	}
+	w.placed(now)
+}
+
 // longestPatience bounds the patience of all kinds; modelKeys is how many keys
 // requests are hashed by.
 const (
@@ -240,7 +260,7 @@
 		return most
 	}
 	w.next++
-	return w.servers[w.next%len(w.servers)]
+	return w.servers[w.next%w.present]
 }
 
 // hashOf is the weight of a server for a key in rendezvous hashing.
@@ -313,7 +333,7 @@
 	switch {
 	case s.running < s.Slots:
 		w.start(now, r)
-	case len(s.queue) < modelQueue:
+	case len(s.queue) < cmp.Or(w.queue, modelQueue):
 		s.queue = append(s.queue, r)
 	}
 	// A server whose queue is full never answers.
@@ -476,3 +496,29 @@
 	t.Log("in turn:", turn)
 	assert.Assert(t, got.worth() > turn.worth()+0.12)
 }
+
+// twoThirdsLost is a service of 81 servers behind 90 hosts that runs two kinds and loses
+// two thirds of its servers for the middle third.
+func twoThirdsLost(seed uint64) load {
+	return load{hosts: 90, servers: 81, slots: 6, queue: 24, perSecond: 1000, burst: 1, length: 15 * time.Second, seed: seed, returns: true, lost: 0.66,
+		kinds: []modelKind{
+			{share: 0.74, mean: 110 * ms, objective: 400 * ms, patience: 800 * ms, priority: 1, worth: 2},
+			{share: 0.26, mean: 710 * ms, objective: 2 * time.Second, patience: 4 * time.Second, priority: 2, worth: 1},
+		}}
+}
+
+// Symptom: half of what servers work at has been given up by its callers, and short
+// requests time out in the servers' queues.
+// Sequence: one failure domain is evacuated and another goes dark; 90 hosts send to the
+// servers that are left what was meant for three times as many.
+// Cause: each host meets each server once in some seconds, and takes what it last told
+// for outdated: all servers seem to have room.
+func TestReplayTwoThirdsLost(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		got, turn := replay(twoThirdsLost(seed), ours), replay(twoThirdsLost(seed), inTurn)
+		t.Log("ours:", got)
+		t.Log("in turn:", turn)
+		assert.Assert(t, got.worth() > turn.worth()+0.05)
+		assert.Assert(t, got.lost < got.asked/10, "given up at the servers")
+	}
+}
--- a/tools/mutants/balance.go
+++ b/tools/mutants/balance.go
@@ -4,6 +4,9 @@
 func balanceMutants() []mutant {
 	in := breaking("balance", ".")
 	return []mutant{
+		in("window.go", "window: never send less", "	case w.queue > crowdedQueue:", "	case false:"),
+		in("pool.go", "window: send beyond it", "	if p.owner == nil && !p.window.open() {", "	if false {"),
+		in("window.go", "window: never send more again", "w.limit > 0 && w.queue < easyQueue", "false"),
 		in("cold.go", "cold servers: let every host begin with a place", "saved: p.random.Float64(), at: now", "saved: 1, at: now"),
 		in("cold.go", "cold servers: forget the other hosts", "return coldShare * c.perSecond / float64(c.hosts)", "return coldShare * c.perSecond"),
 		in("cold.go", "cold servers: keep the place that was filled", "server.coldPlace.savedAt(now, rate)-mostColdPlaces, now", "server.coldPlace.savedAt(now, rate), now"),
