--- a/contract/adapter/adapter.go
+++ b/contract/adapter/adapter.go
@@ -113,13 +113,20 @@
 	return fmt.Sprintf("server %s answers at the address of %s", e.Found, e.Wanted)
 }
 
+// Backend is a backend server with what a call to it needs.
+type Backend struct {
+	fleet.Server
+	// HealthPath is where it tells whether it is well.
+	HealthPath string
+}
+
 // Keys speaks to backend servers about the keys they hold. Any error other than
 // those above leaves open whether the call takes effect; once the call has
 // returned, it can't arrive any more.
 type Keys interface {
-	Grant(ctx context.Context, server fleet.Server, grant Grant) error
+	Grant(ctx context.Context, server Backend, grant Grant) error
 	// Release returns when work on the keys has ended, with the hand-over.
-	Release(ctx context.Context, server fleet.Server, from, to uint16, token uint64) (handoff string, err error)
+	Release(ctx context.Context, server Backend, from, to uint16, token uint64) (handoff string, err error)
 	// Probe asks whether the server answers, healthy or not.
-	Probe(ctx context.Context, server fleet.Server, path string) error
+	Probe(ctx context.Context, server Backend) error
 }
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -55,9 +55,9 @@
 		machine.Answered(call, keyspace.CallUnanswered, "", now, now)
 		return
 	}
-	path := ""
+	backend := adapter.Backend{Server: server}
 	if current := g.inForce.Current(); current != nil {
-		path = current.Services[c.service.name].HealthPath
+		backend.HealthPath = current.Services[c.service.name].HealthPath
 	}
 	go func() {
 		ended := &callEnded{controller: c, machine: machine, server: server, call: call, began: g.boot.Now()}
@@ -65,16 +65,16 @@
 		case keyspace.GrantCall:
 			calling, cancel := context.WithTimeout(ctx, grantTimeout)
 			defer cancel()
-			ended.err = g.keys.Grant(calling, server, adapter.Grant{From: call.From, To: call.To, Token: call.Token,
+			ended.err = g.keys.Grant(calling, backend, adapter.Grant{From: call.From, To: call.To, Token: call.Token,
 				Term: keyspace.LeaseTerm, Handoff: call.Handoff})
 		case keyspace.ReleaseCall:
 			calling, cancel := context.WithTimeout(ctx, releaseTimeout)
 			defer cancel()
-			ended.handoff, ended.err = g.keys.Release(calling, server, call.From, call.To, call.Token)
+			ended.handoff, ended.err = g.keys.Release(calling, backend, call.From, call.To, call.Token)
 		case keyspace.ProbeCall:
 			calling, cancel := context.WithTimeout(ctx, grantTimeout)
 			defer cancel()
-			ended.err = g.keys.Probe(calling, server, path)
+			ended.err = g.keys.Probe(calling, backend)
 		}
 		ended.ended = g.boot.Now()
 		g.post(ctx, ended)
