A key that is turned away because its owner is cold says so

Cause: such requests were told as overload in the logs, whose page then leads to too few servers. Change: a reason of its own; what is decided stays as it was. Comments of the window give its figures; a mutant that did not build does.

--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -130,6 +130,7 @@
 	}
 	w := enter(0)
 	assert.Assert(t, w.Rejected != nil)
+	assert.Equal(t, w.Rejected.Reason, ColdOwner)
 	assert.Assert(t, w.Rejected.RetryAfter <= 3*time.Second && w.Rejected.RetryAfter > time.Second, "retry after %v", w.Rejected.RetryAfter)
 	assert.Assert(t, enter(3*time.Second).Server != nil, "the server is warm")
 }
--- a/balance/reject.go
+++ b/balance/reject.go
@@ -37,7 +37,12 @@
 			return rejected
 		}
 		ahead := time.Duration(p.ahead(now, waiter, id))
-		return p.crowded(now, waiter, max(p.coldWait(now, server), server.pace(p.mean)*ahead, server.stalled(now)*(ahead+1)))
+		cold := p.coldWait(now, server)
+		rejected := p.crowded(now, waiter, max(cold, server.pace(p.mean)*ahead, server.stalled(now)*(ahead+1)))
+		if rejected != nil && cold > 0 && rejected.Expected == cold {
+			rejected.Reason = ColdOwner
+		}
+		return rejected
 	}
 	expected := ownerWait
 	if back > 0 {
--- a/balance/waiter.go
+++ b/balance/waiter.go
@@ -50,6 +50,8 @@
 	NoServer Reason = "no-server"
 	// NoOwner: the key has no owner, and will not have one in time.
 	NoOwner Reason = "no-owner"
+	// ColdOwner: the key's owner is cold and gets no more for now.
+	ColdOwner Reason = "cold-owner"
 	// Overload: the wait for a server does not fit the deadline.
 	Overload Reason = "overload"
 	// Expired: the deadline came while the request waited.
--- a/balance/window.go
+++ b/balance/window.go
@@ -18,10 +18,13 @@
 	// easyQueue is that from which on it sends more again. Some wait by chance: servers
 	// of unequal speed at four fifths of their load have 0.2 to 0.4 waiting.
 	easyQueue = 0.5
-	// queueWeight is the weight of a new answer in the average: some ten answers.
+	// queueWeight is the weight of a new answer in the average: some five answers.
 	queueWeight = 0.2
-	// windowCut is what is left of the window after an answer that is crowded on
-	// average, windowGrowth what is added in the time of one window.
+	// windowCut is what is left of the window after each answer while the average is
+	// crowded: in the time of one window of seven requests it halves. windowGrowth is
+	// what is added in that time while it is easy. Without the window a replay of two
+	// thirds of the servers lost earned 0.78 of the worth asked for, with it 0.82
+	// (TestReplayTwoThirdsLost).
 	windowCut    = 0.9
 	windowGrowth = 1.0
 	// leastWindow keeps a host in touch with the servers' queues.
--- a/tools/mutants/entries.go
+++ b/tools/mutants/entries.go
@@ -17,7 +17,7 @@
 		in("fleet", "evacuation.go", "trust servers that are taken back", "return known.endedAt + coldDoubt", "return 0"),
 		in("fleet", "fleet.go", "use evacuated servers", "return s.Draining || s.Evacuated", "return s.Draining"),
 		in("platform", "headers.go", "drop a load with further figures", "if len(parts) < loadFigures {", "if len(parts) != loadFigures {"),
-		in("platform", "proven.go", "grant before the server answers on the connection", "		if err := prove(conn, address, path); err != nil {", "		if err := error(nil); err != nil {"),
+		in("platform", "proven.go", "grant before the server answers on the connection", "		if err := prove(conn, address, path); err != nil {", "		if err := error(nil); path == \"\" && err != nil {"),
 		in("platform", "fields.go", "overlook missing fields", "		f.fail(field, []byte(missing), \"must be given\")\n", ""),
 		in("platform", "fields.go", "take any state", "	if slices.Contains(allowed, text) {", "	if true || slices.Contains(allowed, text) {"),
 		in("platform", "fields.go", "take numbers out of bounds", "err != nil || number < least || number > most", "err != nil"),
