Closing read: one reply for a host that stops, a loop of its own for evacuated keys

The reply to a request that has not run because the host stops stood three times, its sister outcome was a literal, and the count of evacuated keys was nested four deep.

--- a/cmd/cicadactl/hosted.go
+++ b/cmd/cicadactl/hosted.go
@@ -124,16 +124,22 @@
 		}
 	}
 	for _, keys := range s.Assignments {
-		for i := range keys.Record.Ranges {
-			r := &keys.Record.Ranges[i]
-			n := int(r.To) - int(r.From) + 1
-			if evacuation := within[r.Server]; evacuation != nil {
-				evacuation.Keys += n
-			}
-			for _, former := range r.Former {
-				if evacuation := within[former.Server]; evacuation != nil {
-					evacuation.Releasing += n
-				}
+		countEvacuated(keys.Record.Ranges, within)
+	}
+}
+
+// countEvacuated counts the keys that evacuated servers still own or have to release.
+// within is the evacuation that each server is subject to.
+func countEvacuated(ranges []keyspace.Range, within map[string]*hostedEvacuation) {
+	for i := range ranges {
+		r := &ranges[i]
+		n := int(r.To) - int(r.From) + 1
+		if evacuation := within[r.Server]; evacuation != nil {
+			evacuation.Keys += n
+		}
+		for _, former := range r.Former {
+			if evacuation := within[former.Server]; evacuation != nil {
+				evacuation.Releasing += n
 			}
 		}
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -95,7 +95,7 @@
 // its request has not run.
 func (g *Gateway) unsentReply(ctx context.Context, err error) *reply {
 	if g.stop.over() {
-		return turnedAway(outcomeStopping, retryAfterStopping)
+		return stoppingReply()
 	}
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return nil
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -100,7 +100,7 @@
 		return refused
 	}
 	if g.stop.turnsAway(g.now(), req.deadline) {
-		return turnedAway(outcomeStopping, retryAfterStopping)
+		return stoppingReply()
 	}
 	req.serviceName = req.route.Pick()
 	req.service = g.service(req.serviceName)
@@ -210,7 +210,7 @@
 		return turnedAway(string(balance.Expired), retryAfterUnknown)
 	}
 	if g.stop.over() {
-		return turnedAway(outcomeStopping, retryAfterStopping)
+		return stoppingReply()
 	}
 	return &reply{outcome: outcomeCallerLeft}
 }
@@ -222,7 +222,7 @@
 		return refusal(http.StatusGatewayTimeout, "timeout", result.err)
 	}
 	if g.stop.over() {
-		return refusal(http.StatusGatewayTimeout, "host-stopped", errStopped)
+		return refusal(http.StatusGatewayTimeout, outcomeStopped, errStopped)
 	}
 	return &reply{outcome: outcomeCallerLeft}
 }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -14,6 +14,8 @@
 	// outcomeStopping is that of requests which come too late before the end of the
 	// process to be sure of an answer.
 	outcomeStopping = "host-stopping"
+	// outcomeStopped is that of requests which a server was still at work on then.
+	outcomeStopped = "host-stopped"
 	// sureShare is the part of the time until the end in which every request is still
 	// taken, also one that may take longer than what is left then: few do, and each
 	// that is turned away costs its caller a new connection. Later ones have less time
@@ -59,6 +61,9 @@
 	return plan != nil && !plan.takes(now, deadline)
 }
 
+// stoppingReply tells a caller that its request has not run, since the host stops.
+func stoppingReply() *reply { return turnedAway(outcomeStopping, retryAfterStopping) }
+
 // Stop makes the host leave: it is not ready any more, answers end their connections,
 // and requests that may not be answered within some time from now are turned away.
 func (g *Gateway) Stop(within time.Duration) {
