Sight: what was under way at a server as it ended

A witness a host holds what was sent and not answered, by incarnation of the server, until the server is proven to have ended (a new connection is refused, another server answers or is registered in its place) or answers a later call. Two lines and a counter; no decision uses it yet. Where a server breaks off, a new connection is opened at once, and kept for a later request.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,11 +21,16 @@
 	// notRun is set if the request is proven not to have run.
 	notRun bool
 	// failed is set if the answer was a failure, or there was none.
-	failed  bool
-	outcome balance.Outcome
-	load    *balance.Load
-	server  string
-	err     error
+	failed bool
+	// unanswered is set if the request was sent and the server gave no answer to it:
+	// the server may have ended.
+	unanswered bool
+	// replaced is set if another server answered at the server's address.
+	replaced bool
+	outcome  balance.Outcome
+	load     *balance.Load
+	server   string
+	err      error
 }
 
 // end is what the result tells of the server.
@@ -52,6 +57,7 @@
 	if err != nil {
 		result := g.unreached(ctx, err)
 		result.server = server.ID
+		g.noteUnreached(server, err)
 		req.service.done(server, result.end(req, 0))
 		return result
 	}
@@ -62,10 +68,12 @@
 	if response == nil {
 		stop()
 		exchange.Abort()
+		g.noteNoAnswer(ctx, req, server, link, &result)
 		req.service.done(server, result.end(req, g.now()-began))
 		return result
 	}
 	took := g.now() - began
+	g.noteAnswer(server, began, &result)
 	finish := func(whole bool) {
 		if stop() && whole {
 			exchange.Keep()
@@ -135,7 +143,8 @@
 	if errors.As(err, &sendErr) && !sendErr.Written && ctx.Err() == nil {
 		return g.unreached(ctx, err)
 	}
-	result := attemptResult{failed: true, outcome: balance.Failed, err: err}
+	result := attemptResult{failed: true, outcome: balance.Failed, err: err,
+		unanswered: !errors.Is(err, errOtherAnswer) && !errors.Is(err, errUnproven)}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		result.outcome = balance.Unreachable
@@ -160,7 +169,7 @@
 	if meta.NotRun {
 		result.notRun, result.failed, result.outcome = true, true, balance.Refused
 		if meta.WrongServer {
-			result.outcome = balance.Unreachable // the server has ended
+			result.outcome, result.replaced = balance.Unreachable, true // the server has ended
 		}
 		result.reply = &reply{outcome: "server-refused", status: http.StatusServiceUnavailable, retryAfter: req.service.mean()}
 		return result, response
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,7 @@
 	fresh   freshness
 	sources *sources
 	reach   reach
+	ends    serverEnds
 	hosts   hostCount
 	relay   relay
 	calls   storeCalls
@@ -179,6 +180,7 @@
 	for _, server := range g.directory.Snapshot() {
 		byService[server.Service] = append(byService[server.Service], server)
 	}
+	g.noteReplaced(byService)
 	services := make(map[*service][]fleet.Server, len(g.services))
 	for name, s := range g.services {
 		services[s] = byService[name]
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -24,6 +24,7 @@
 	loads       *metrics.Counter // of servers that could not be read
 	crowded     *metrics.Counter
 	crowdedOut  *metrics.Counter
+	endedUnder  *metrics.Counter // requests that were under way at a server as it ended
 	latency     *metrics.Histogram
 }
 
@@ -37,6 +38,7 @@
 		crowded:     set.NewCounter("cicada_crowded_assignments_total"),
 		unreadable:  set.NewCounter("cicada_unreadable_entries_total"),
 		loads:       set.NewCounter("cicada_unreadable_loads_total"),
+		endedUnder:  set.NewCounter("cicada_requests_at_servers_that_ended_total"),
 		latency:     set.NewHistogram("cicada_request_seconds"),
 	}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,6 +15,7 @@
 	"cicadarouter/contract/adapter"
 	"cicadarouter/host/clock"
 	"cicadarouter/link/backendlink"
+	"cicadarouter/poison"
 	"cicadarouter/routing"
 )
 
@@ -49,6 +51,7 @@
 	rest          io.Reader     // what follows, or nil
 	tried         []string
 	sends         int
+	mark          *poison.Fingerprint // see fingerprint
 	// end ends what is under way for the request: nil, or called once its answer
 	// has been written, since the rest of a long one is read from the server until
 	// then.
@@ -63,6 +66,22 @@
 	return &r.Key
 }
 
+// fingerprint returns what the request has in common with other copies of it.
+func (r *request) fingerprint() poison.Fingerprint {
+	if r.mark == nil {
+		identity := poison.Identity{Method: r.http.Method, Host: hostOf(r.http.Host), Target: r.http.URL.RequestURI(),
+			Caller: callerOf(r.http.Header), Body: r.body, Length: r.http.ContentLength}
+		mark := identity.Fingerprint()
+		r.mark = &mark
+	}
+	return *r.mark
+}
+
+// callerOf returns by what a caller identifies itself to the servers.
+func callerOf(header http.Header) string {
+	return strings.Join(slices.Concat(header.Values("Authorization"), header.Values("Cookie")), "\n")
+}
+
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := &request{http: r, arrived: g.now()}
--- /dev/null
+++ b/gateway/serverends.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"cicadarouter/balance"
+	"cicadarouter/fleet"
+	"cicadarouter/link/backendlink"
+	"cicadarouter/poison"
+)
+
+// reachWithin bounds the question whether a server that broke off a request still
+// takes connections. One that does, or whose process has ended, answers within
+// milliseconds; a silent one would hold up the caller's answer.
+const reachWithin = 50 * time.Millisecond
+
+// serverEnds is what this host knows of servers that ended and of the requests that
+// were under way there.
+type serverEnds struct {
+	// watching is set while the witness keeps anything: answers come by the thousand,
+	// and are of interest only then.
+	watching atomic.Bool
+
+	mu      sync.Mutex
+	witness poison.Witness
+}
+
+// noteNoAnswer takes a request that was sent to a server and got no answer. Where the
+// server broke off, a new connection tells at once whether its process has ended.
+func (g *Gateway) noteNoAnswer(ctx context.Context, req *request, server *balance.Server, link *backendlink.Pool, result *attemptResult) {
+	if !result.unanswered {
+		return
+	}
+	mark, incarnation := req.fingerprint(), server.Incarnation()
+	g.ends.mu.Lock()
+	ended := g.ends.witness.Unanswered(g.now(), incarnation, server.Address, mark)
+	g.ends.watching.Store(true)
+	g.ends.mu.Unlock()
+	if g.failureLines.take() {
+		g.log.Info("server did not answer", "request", req.ID, "fingerprint", mark.String(), "server", incarnation.String(),
+			"ended", ended, "broke-off", ctx.Err() == nil, "error", errorText(result.err))
+	}
+	if ended {
+		g.blame(incarnation, "ended before", []poison.Fingerprint{mark})
+		return
+	}
+	if ctx.Err() != nil {
+		return // this host ended the exchange, not the server
+	}
+	reaching, cancel := context.WithTimeout(ctx, reachWithin)
+	defer cancel()
+	g.noteUnreached(server, link.Reach(reaching))
+}
+
+// noteUnreached takes the outcome of opening a connection. A connection that is
+// refused proves that no process listens there any more; any other failure may be the
+// network's.
+func (g *Gateway) noteUnreached(server *balance.Server, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.noteEnded(server.Incarnation(), "connection refused")
+	}
+}
+
+// noteAnswer takes an answer to a request that was sent to a server.
+func (g *Gateway) noteAnswer(server *balance.Server, began time.Duration, result *attemptResult) {
+	if !g.ends.watching.Load() {
+		return
+	}
+	if result.replaced {
+		g.noteEnded(server.Incarnation(), "another server answers at its address")
+		return
+	}
+	g.ends.mu.Lock()
+	mistaken := g.ends.witness.Alive(server.Incarnation(), began)
+	g.ends.mu.Unlock()
+	if mistaken {
+		g.log.Warn("server that was taken to have ended answers", "server", server.Incarnation().String())
+	}
+}
+
+// noteReplaced looks for servers whose places others have taken, by their entries.
+func (g *Gateway) noteReplaced(byService map[string][]fleet.Server) {
+	if !g.ends.watching.Load() {
+		return
+	}
+	present, atAddress := map[string]fleet.Incarnation{}, map[string]fleet.Incarnation{}
+	for _, servers := range byService {
+		for i := range servers {
+			present[servers[i].ID] = servers[i].Incarnation()
+			atAddress[servers[i].Address] = servers[i].Incarnation()
+		}
+	}
+	g.ends.mu.Lock()
+	replaced := g.ends.witness.Replaced(present, atAddress)
+	g.ends.mu.Unlock()
+	for _, server := range replaced {
+		g.noteEnded(server, "another server is registered in its place")
+	}
+}
+
+// noteEnded takes proof that a server has ended.
+func (g *Gateway) noteEnded(server fleet.Incarnation, evidence string) {
+	if !g.ends.watching.Load() {
+		return
+	}
+	g.ends.mu.Lock()
+	blamed := g.ends.witness.Ended(g.now(), server)
+	g.ends.mu.Unlock()
+	g.blame(server, evidence, blamed)
+}
+
+// blame takes the requests that were under way at a server as it ended.
+func (g *Gateway) blame(server fleet.Incarnation, evidence string, requests []poison.Fingerprint) {
+	for _, mark := range requests {
+		g.counts.endedUnder.Inc()
+		if g.failureLines.take() {
+			g.log.Warn("server ended under a request", "server", server.String(), "fingerprint", mark.String(), "evidence", evidence)
+		}
+	}
+}
--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -180,6 +180,18 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
+// Reach opens a connection and keeps it for a later request. The error tells why
+// there is none: a server whose process has ended refuses it.
+func (p *Pool) Reach(ctx context.Context) error {
+	link, err := p.open(ctx)
+	if err != nil {
+		return err
+	}
+	link.until = time.Now().Add(defaultIdle)
+	p.put(link)
+	return nil
+}
+
 func (p *Pool) put(link *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/poison/witness.go
@@ -0,0 +1,146 @@
+package poison
+
+import (
+	"slices"
+	"time"
+
+	"cicadarouter/fleet"
+)
+
+const (
+	// proofWithin is how long after a request went unanswered its server's end counts
+	// as the reason: a server that ended silently is back in its place, under a new
+	// name, within seconds.
+	proofWithin = 10 * time.Second
+	// mostServers bounds the servers about which a witness keeps anything, mostAtServer
+	// the unanswered requests it keeps of one: more than a server's slots and queue.
+	mostServers  = 1024
+	mostAtServer = 64
+	// sweepEvery is the least time between two looks for what can be forgotten.
+	sweepEvery = time.Second
+)
+
+// Witness relates the ends of servers to the requests that were under way there, as
+// one host saw them. A request that was sent and not answered proves nothing by
+// itself: the connection may have been cut, or the server be slow. It is held
+// against the request only when the server is proven to have ended. The zero value
+// is ready. It is not safe for concurrent use.
+type Witness struct {
+	servers map[fleet.Incarnation]*sighting
+	swept   time.Duration // when it last forgot what is too old
+}
+
+// sighting is what a host saw of one server.
+type sighting struct {
+	address string
+	last    time.Duration // when something was last noted
+	ended   bool
+	endedAt time.Duration // when that was proven
+	open    []unanswered
+}
+
+// unanswered is a request that was sent to the server and got no answer.
+type unanswered struct {
+	request Fingerprint
+	at      time.Duration
+}
+
+// Unanswered notes that a request was sent to a server and got no answer. It reports
+// whether the server is known to have ended already, which is then held against the
+// request.
+func (w *Witness) Unanswered(now time.Duration, server fleet.Incarnation, address string, request Fingerprint) bool {
+	seen := w.at(now, server, address)
+	if seen == nil {
+		return false
+	}
+	if seen.ended {
+		return true
+	}
+	if len(seen.open) < mostAtServer {
+		seen.open = append(seen.open, unanswered{request: request, at: now})
+	}
+	return false
+}
+
+// at returns the sighting of a server; nil if there is no room for another.
+func (w *Witness) at(now time.Duration, server fleet.Incarnation, address string) *sighting {
+	if w.servers == nil {
+		w.servers = map[fleet.Incarnation]*sighting{}
+	}
+	seen := w.servers[server]
+	if seen == nil {
+		w.expire(now)
+		if len(w.servers) >= mostServers {
+			return nil
+		}
+		seen = &sighting{address: address}
+		w.servers[server] = seen
+	}
+	seen.last = now
+	return seen
+}
+
+// Alive notes that a server answered a call that began at a time: what went
+// unanswered before that was not due to its end. It reports whether the server had
+// been taken to have ended before the call began.
+func (w *Witness) Alive(server fleet.Incarnation, began time.Duration) (mistaken bool) {
+	seen := w.servers[server]
+	if seen == nil {
+		return false
+	}
+	if seen.ended && seen.endedAt < began {
+		seen.ended, mistaken = false, true
+	}
+	seen.open = slices.DeleteFunc(seen.open, func(u unanswered) bool { return u.at < began })
+	return mistaken
+}
+
+// Ended notes proof that a server has ended, and returns the requests that were
+// under way there, each once.
+func (w *Witness) Ended(now time.Duration, server fleet.Incarnation) []Fingerprint {
+	seen := w.servers[server]
+	if seen == nil || seen.ended {
+		return nil
+	}
+	seen.ended, seen.endedAt, seen.last = true, now, now
+	var blamed []Fingerprint
+	for _, each := range seen.open {
+		if now-each.at <= proofWithin && !slices.Contains(blamed, each.request) {
+			blamed = append(blamed, each.request)
+		}
+	}
+	seen.open = nil
+	return blamed
+}
+
+// Replaced returns the servers that must have ended, since another incarnation stands
+// at their address or under their ID.
+func (w *Witness) Replaced(present map[string]fleet.Incarnation, atAddress map[string]fleet.Incarnation) []fleet.Incarnation {
+	var replaced []fleet.Incarnation
+	for server, seen := range w.servers {
+		if seen.ended || len(seen.open) == 0 {
+			continue
+		}
+		at, taken := atAddress[seen.address]
+		if taken && at != server || present[server.ID].Replaces(server) {
+			replaced = append(replaced, server)
+		}
+	}
+	return replaced
+}
+
+// Watched returns how many servers the witness keeps anything about.
+func (w *Witness) Watched() int { return len(w.servers) }
+
+// expire forgets what is too old to matter.
+func (w *Witness) expire(now time.Duration) {
+	if now-w.swept < sweepEvery {
+		return
+	}
+	w.swept = now
+	for server, seen := range w.servers {
+		if now-seen.last > proofWithin {
+			delete(w.servers, server)
+		}
+	}
+}
