A request that ends every server that runs it is turned away, at all hosts

Callers: one request ended one server after the other for as long as it was sent, and with each server all of its keys were without an owner for 3 to 5 s. Cause: no host related the end of a server to the request that was under way there, and what one host saw stayed with it, while copies come to any host. Mend: a ledger (pure) holds, by the request's fingerprint, the servers that ended under it. After two it is not sent once more by a host, after three it is turned away, before it waits and again before it is sent. A whole answer acquits; requests that were lately answered are not blamed. Hosts tell the controllers of keys at once what they saw, and hear from them with the answers to their reports; cases merge in any order, so a new controller hears everything again.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,6 +33,11 @@
 	err      error
 }
 
+// ran reports whether a server's answer shows that it ran the request to its end.
+func (r *attemptResult) ran(status int) bool {
+	return !r.notRun && status != http.StatusGatewayTimeout
+}
+
 // end is what the result tells of the server.
 func (r *attemptResult) end(req *request, took time.Duration) balance.End {
 	return balance.End{Outcome: r.outcome, Took: took, Objective: req.route.TargetLatency, Load: r.load}
@@ -73,13 +78,16 @@
 		return result
 	}
 	took := g.now() - began
-	g.noteAnswer(server, began, &result)
+	g.noteAlive(server, began, &result)
 	finish := func(whole bool) {
 		if stop() && whole {
 			exchange.Keep()
 		} else {
 			exchange.Abort()
 		}
+		if whole && result.ran(response.StatusCode) {
+			g.noteRan(req)
+		}
 		req.service.done(server, result.end(req, took))
 	}
 	if result.reply.rest == nil {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -94,7 +94,8 @@
 	unauthorized bool          // logged that authority ran out
 	crowded      bool          // logged that the record has as many ranges as it may have
 	led          time.Duration // since when this process is the controller
-	leaving      bool          // this process stops, since leavingAt
+	news         caseNews
+	leaving      bool // this process stops, since leavingAt
 	leavingAt    time.Duration
 }
 
@@ -189,6 +190,7 @@
 		// A new controller has its own time to be heard. Judging it by its
 		// predecessor's silence would let every host take over in turn.
 		c.heardOf, c.heard, c.wanted, c.reported = record.Controller.Incarnation, now, 0, 0
+		c.news = caseNews{reporting: c.news.reporting}
 	}
 	switch {
 	case record == nil:
@@ -203,7 +205,7 @@
 	default:
 		c.wanted = 0
 	}
-	if record != nil && !g.own(record) && now-c.reported >= reportEvery {
+	if record != nil && !g.own(record) && (now-c.reported >= reportEvery || g.hasNews(c, now)) {
 		c.reported = now
 		g.sendReport(ctx, c, record.Controller)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"cicadarouter/contract/objects"
 	"cicadarouter/fleet"
 	"cicadarouter/host/clock"
+	"cicadarouter/poison"
 	"cicadarouter/routing"
 )
 
@@ -104,6 +105,9 @@
 	g.evacuationsListed.Store(identity.EvacuateWithin == 0) // then there is nothing to read
 	g.store = newCountedStore(platform.Store, g.noteStoreCall)
 	g.counts.set.NewGauge("cicada_in_flight", g.inFlight)
+	for _, verdict := range []poison.Verdict{poison.Suspected, poison.Quarantined} {
+		g.counts.set.NewGauge(`cicada_judged_requests{verdict="`+verdict.String()+`"}`, g.judgedAs(verdict))
+	}
 	g.requestLines = newLineQuota(logger, g.clock, "request")
 	g.failureLines = newLineQuota(logger, g.clock, "request that failed")
 	g.callLines = newLineQuota(logger, g.clock, "call about keys")
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -25,6 +25,7 @@
 	crowded     *metrics.Counter
 	crowdedOut  *metrics.Counter
 	endedUnder  *metrics.Counter // requests that were under way at a server as it ended
+	quarantined *metrics.Counter
 	latency     *metrics.Histogram
 }
 
@@ -38,6 +39,7 @@
 		crowded:     set.NewCounter("cicada_crowded_assignments_total"),
 		unreadable:  set.NewCounter("cicada_unreadable_entries_total"),
 		loads:       set.NewCounter("cicada_unreadable_loads_total"),
+		quarantined: set.NewCounter("cicada_quarantined_requests_total"),
 		endedUnder:  set.NewCounter("cicada_requests_at_servers_that_ended_total"),
 		latency:     set.NewHistogram("cicada_request_seconds"),
 	}
@@ -141,6 +143,10 @@
 	if answer.retryAfter > 0 {
 		fields = append(fields, "retry-after-ms", answer.retryAfter.Milliseconds(), "expected-wait-ms", answer.expected.Milliseconds())
 	}
+	if answer.judged.Ends > 0 {
+		fields = append(fields, "fingerprint", req.fingerprint().String(), "servers-ended", answer.judged.Ends,
+			"last-end-age-ms", (g.now() - answer.judged.LastEnd).Milliseconds())
+	}
 	if answer.cause != nil {
 		fields = append(fields, "error", answer.cause.Error())
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -15,6 +15,7 @@
 	"cicadarouter/balance"
 	"cicadarouter/fleet"
 	"cicadarouter/keyspace"
+	"cicadarouter/poison"
 )
 
 // Paths between hosts.
@@ -49,6 +50,10 @@
 	// WorkMicros is how long one request holds a slot, in microseconds.
 	WorkMicros int64                              `json:"workMicros"`
 	Paces      map[fleet.Incarnation]balance.Pace `json:"paces,omitempty"`
+	// Cases are the requests under which servers ended, as far as the controller has not
+	// heard of them; KnownCases is up to which change the host has heard of the controller's.
+	Cases      []poison.Case `json:"cases,omitempty"`
+	KnownCases uint64        `json:"knownCases,omitempty"`
 }
 
 // loadAnswer tells a host that the controller lives.
@@ -73,6 +78,9 @@
 	// FollowRelays is set if there are so many hosts that all but the relays are to
 	// follow those.
 	FollowRelays bool `json:"followRelays,omitempty"`
+	// Cases are the requests that every host is to know of, up to the change CasesUpTo.
+	Cases     []poison.Case `json:"cases,omitempty"`
+	CasesUpTo uint64        `json:"casesUpTo,omitempty"`
 }
 
 // yieldRequest asks a controller to stop for a successor's term.
@@ -132,6 +140,7 @@
 type reportEnded struct {
 	controller *controller
 	to         keyspace.Controller
+	casesUpTo  uint64 // up to which change of this host's ledger the report tells of it
 	answer     loadAnswer
 	err        error
 }
@@ -144,8 +153,9 @@
 	for key, asked := range load.asked {
 		report.Asked[key] = asked.Microseconds()
 	}
+	casesUpTo := g.tellCases(c, &report)
 	go func() {
-		ended := &reportEnded{controller: c, to: to}
+		ended := &reportEnded{controller: c, to: to, casesUpTo: casesUpTo}
 		ended.err = g.askPeer(ctx, peerTimeout, to.Address, pathLoad, report, &ended.answer)
 		g.post(ctx, ended)
 	}()
@@ -154,6 +164,7 @@
 // apply implements event.
 func (e *reportEnded) apply(g *Gateway, now time.Duration) {
 	c := e.controller
+	c.news.reporting = false
 	switch {
 	case e.err != nil:
 		g.fresh.doubt()
@@ -172,6 +183,7 @@
 		g.reach.back() // what this host can't read in the store it hears from the controller
 		g.sources.name(e.answer.Relays, e.answer.FollowRelays)
 		c.service.setShares(e.answer.Shares)
+		g.hearCases(c, e)
 		g.noteHosts(e.answer.Hosts)
 		told := g.now()
 		confirmed := told - time.Duration(e.answer.StoreAgeMs)*time.Millisecond
@@ -245,6 +257,8 @@
 	c.machine.Loads().Add(now, asked, time.Duration(report.WorkMicros)*time.Microsecond)
 	c.service.learn(report.Paces)
 	c.members.note(report.Host, member{address: report.Address, domain: report.Domain, small: report.Small, seen: now})
+	g.takeCases(report.Cases, report.Host)
+	answer.Cases, answer.CasesUpTo = g.casesFor(report.KnownCases)
 	answer.Relays = c.members.relaysFor(report.Host, report.Domain, now)
 	answer.Hosts = g.hosts.count()
 	answer.FollowRelays = len(c.members.hosts) > mostFollowers
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -198,3 +199,87 @@
 	assert.Equal(t, deadly.Ended(), 1)
 	assert.Equal(t, got.status, http.StatusBadGateway)
 }
+
+// quarantinedAt returns how many requests a host has turned away for that reason.
+func quarantinedAt(h *hostUnderTest) string {
+	var page strings.Builder
+	h.gateway.WriteMetrics(&page)
+	_, after, _ := strings.Cut(page.String(), "cicada_quarantined_requests_total ")
+	count, _, _ := strings.Cut(after, "\n")
+	return count
+}
+
+// A host that starts when a request has ended three servers does not end a fourth one
+// to learn of it, and tells its caller at once that the request has not run, and when
+// to come back.
+func TestHostThatStartsLaterKnowsDeadlyRequests(t *testing.T) {
+	s := newSite(t)
+	deadly := &platformtest.Deadly{Path: "/free/deadly"}
+	s.serveMortal("free", false, 6, deadly)
+	s.serve("k1", "owned", true)
+	s.configure(3, "")
+	first, second := s.host("one"), s.host("two")
+	s.eventually("three servers have ended", func() bool {
+		s.call(first, http.MethodGet, "/free/deadly", "", "")
+		s.call(second, http.MethodGet, "/free/deadly", "", "")
+		return deadly.Ended() >= 3
+	})
+	late := s.host("late")
+	s.eventually("the host has heard of it", func() bool {
+		s.call(late, http.MethodGet, "/free/harmless", "", "")
+		var page strings.Builder
+		late.gateway.WriteMetrics(&page)
+		return strings.Contains(page.String(), `cicada_judged_requests{verdict="quarantined"} 1`)
+	})
+	ended := deadly.Ended()
+	got := s.call(late, http.MethodGet, "/free/deadly", "", "")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after > 500 && after <= 3600, "%v s", after)
+	assert.Equal(t, deadly.Ended(), ended)
+	assert.Equal(t, quarantinedAt(late), "1")
+	other := s.call(late, http.MethodGet, "/free/deadly?other", "", "")
+	assert.Assert(t, other.status != http.StatusServiceUnavailable, "another query is another request")
+}
+
+// A popular request is under way at every server that ends, and none ends because of
+// it. It is answered all the time; it must never be turned away for their ends.
+func TestPopularRequestIsNotBlamed(t *testing.T) {
+	s := newSite(t)
+	// The servers end for reasons of their own, under a request that comes once each.
+	deadly := &platformtest.Deadly{Path: "/free/once/", After: 20 * time.Millisecond}
+	s.serveMortal("free", false, 6, deadly)
+	s.serve("k1", "owned", true)
+	s.configure(3, "")
+	for i := range 2 {
+		s.host(fmt.Sprintf("host-%d", i))
+	}
+	const popularCallers, ends = 6, 12
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	var callers sync.WaitGroup
+	var served, failed atomic.Int64
+	for range popularCallers {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				got := s.call(s.hosts[rand.IntN(len(s.hosts))], http.MethodGet, "/free/popular", "", "")
+				if got.status == http.StatusOK {
+					served.Add(1)
+				} else {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	for n := 0; deadly.Ended() < ends; n++ {
+		s.call(s.hosts[n%2], http.MethodGet, fmt.Sprintf("/free/once/%d", n), "", "")
+		time.Sleep(downFor / 2) // servers come back meanwhile: the ends spread over seconds
+	}
+	end()
+	callers.Wait()
+	t.Logf("%d served, %d failed while %d servers ended", served.Load(), failed.Load(), deadly.Ended())
+	for _, h := range s.hosts {
+		assert.Equal(t, quarantinedAt(h), "0")
+	}
+}
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cicadarouter/balance"
+	"cicadarouter/poison"
 )
 
 // reply is the final answer to a caller.
@@ -20,6 +21,7 @@
 	finish     func(whole bool)
 	retryAfter time.Duration
 	expected   time.Duration
+	judged     poison.Judgement // of a request that is quarantined
 	cause      error
 }
 
@@ -27,6 +29,8 @@
 const (
 	outcomeAnswered   = "answered"
 	outcomeCallerLeft = "caller-left"
+	// outcomeQuarantined: every server that ran the request ended.
+	outcomeQuarantined = "quarantined"
 )
 
 // turnedAway answers a request that has not run and will not.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -135,6 +135,9 @@
 		unplan()
 		cancel()
 	}
+	if refused := g.quarantined(req); refused != nil {
+		return refused
+	}
 	req.service.first(req.key())
 	return g.forward(ctx, req)
 }
@@ -205,6 +208,11 @@
 		if err != nil {
 			return g.unplaced(req, err)
 		}
+		// Servers may have ended under copies of it while it waited.
+		if refused := g.quarantined(req); refused != nil {
+			req.service.done(server, balance.End{Outcome: balance.Abandoned})
+			return refused
+		}
 		result := g.attempt(ctx, req, server, link)
 		if result.reply != nil && !g.again(ctx, req, result) {
 			return result.reply
@@ -263,6 +271,9 @@
 	if g.now()+req.service.mean()/2 > req.deadline {
 		return false
 	}
+	if result.unanswered && g.judge(req).Verdict >= poison.Suspected {
+		return false
+	}
 	if sent && !req.service.mayRetry() {
 		return false
 	}
--- a/gateway/serverends.go
+++ b/gateway/serverends.go
@@ -22,12 +22,14 @@
 // serverEnds is what this host knows of servers that ended and of the requests that
 // were under way there.
 type serverEnds struct {
-	// watching is set while the witness keeps anything: answers come by the thousand,
-	// and are of interest only then.
-	watching atomic.Bool
+	// watching is set once the witness keeps anything, suspecting while any request is
+	// suspected: requests and answers come by the thousand, and are of interest only then.
+	watching, suspecting atomic.Bool
 
-	mu      sync.Mutex
-	witness poison.Witness
+	mu       sync.Mutex
+	witness  poison.Witness
+	answered poison.Answered
+	ledger   poison.Ledger
 }
 
 // noteNoAnswer takes a request that was sent to a server and got no answer. Where the
@@ -46,7 +48,7 @@
 			"ended", ended, "broke-off", ctx.Err() == nil, "error", errorText(result.err))
 	}
 	if ended {
-		g.blame(incarnation, "ended before", []poison.Fingerprint{mark})
+		g.blame(incarnation, "ended before", []poison.Blame{{Request: mark, At: g.now()}})
 		return
 	}
 	if ctx.Err() != nil {
@@ -66,8 +68,8 @@
 	}
 }
 
-// noteAnswer takes an answer to a request that was sent to a server.
-func (g *Gateway) noteAnswer(server *balance.Server, began time.Duration, result *attemptResult) {
+// noteAlive takes that a server answered on a connection.
+func (g *Gateway) noteAlive(server *balance.Server, began time.Duration, result *attemptResult) {
 	if !g.ends.watching.Load() {
 		return
 	}
@@ -115,11 +117,30 @@
 }
 
 // blame takes the requests that were under way at a server as it ended.
-func (g *Gateway) blame(server fleet.Incarnation, evidence string, requests []poison.Fingerprint) {
-	for _, mark := range requests {
+func (g *Gateway) blame(server fleet.Incarnation, evidence string, blamed []poison.Blame) {
+	for _, each := range blamed {
 		g.counts.endedUnder.Inc()
+		news, lately := g.hold(server, each)
+		judged := g.judgeMark(each.Request)
 		if g.failureLines.take() {
-			g.log.Warn("server ended under a request", "server", server.String(), "fingerprint", mark.String(), "evidence", evidence)
+			g.log.Warn("server ended under a request", "server", server.String(), "fingerprint", each.Request.String(), "evidence", evidence,
+				"age-ms", (g.now() - each.At).Milliseconds(), "answered-lately", lately, "news", news, "servers-ended", judged.Ends, "verdict", judged.Verdict.String())
 		}
+		if news {
+			g.nudge() // the others are to hear of it at once
+		}
+	}
+}
+
+// hold holds the end of a server against a request, unless a server has lately given
+// a whole answer to it, and reports whether that is news.
+func (g *Gateway) hold(server fleet.Incarnation, blame poison.Blame) (news, lately bool) {
+	g.ends.mu.Lock()
+	defer g.ends.mu.Unlock()
+	if g.ends.answered.Lately(g.now(), blame.Request) {
+		return false, true
 	}
+	news = g.ends.ledger.Blame(g.now(), server, blame)
+	g.ends.suspecting.Store(g.ends.ledger.Suspects())
+	return news, false
 }
--- /dev/null
+++ b/poison/ledger.go
@@ -0,0 +1,353 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"cicadarouter/fleet"
+)
+
+const (
+	// suspectAfter is after how many ends a request is not sent once more by a host:
+	// its caller hears of the failure at once, and other hosts of the request before
+	// its next copy comes.
+	suspectAfter = 2
+	// provenAfter is after how many ends a request is turned away. One or two ends
+	// happen to a request by chance on days on which servers fail one after the other.
+	provenAfter = 3
+	// endKept is for how long an end counts.
+	endKept = 24 * time.Hour
+	// endsKept bounds the ends that are kept of one request.
+	endsKept = 8
+	// mostCases bounds the requests about which a ledger keeps anything.
+	mostCases = 1024
+)
+
+// terms are for how long a request is turned away after its last end, by how many
+// ends it has more than it needs. When a term is over one copy of it is a trial that
+// costs one server if it still ends those that run it.
+var terms = [...]time.Duration{10 * time.Minute, time.Hour, 6 * time.Hour, endKept}
+
+// term returns for how long a request is turned away after its last end.
+func term(ends int) time.Duration { return terms[min(ends-provenAfter, len(terms)-1)] }
+
+// Verdict is what is done with a request.
+type Verdict int
+
+// The verdicts.
+const (
+	// Unsuspected requests are served like any.
+	Unsuspected Verdict = iota
+	// Suspected requests are served, but a host does not send them once more.
+	Suspected
+	// Quarantined requests are turned away.
+	Quarantined
+)
+
+// String returns the verdict's name.
+func (v Verdict) String() string { return [...]string{"unsuspected", "suspected", "quarantined"}[v] }
+
+// Judgement is a verdict with what it rests on.
+type Judgement struct {
+	Verdict Verdict
+	// Ends is how many servers ended under the request.
+	Ends int
+	// LastEnd is when the last of them did.
+	LastEnd time.Duration
+	// Until is when a quarantined request is tried again.
+	Until time.Duration
+}
+
+// Ledger holds the servers that ended under requests, as far as this host knows. Two
+// ledgers that tell each other what they hold agree, in whatever order and however
+// often they do: a case only gains ends, and an acquittal ends all those before it.
+// The zero value is ready. It is not safe for concurrent use.
+type Ledger struct {
+	cases map[Fingerprint]*record
+	// change counts the changes.
+	change uint64
+}
+
+// record is what is held of one request.
+type record struct {
+	ends map[fleet.Incarnation]time.Duration // when servers ended under it
+	// acquitted is the latest moment as of which the request is known to be harmless;
+	// of interest only if isAcquitted.
+	acquitted   time.Duration
+	isAcquitted bool
+	// suspected is set once it has had the ends of a suspect: hosts may have heard of
+	// it and must hear of its acquittal.
+	suspected bool
+	change    uint64 // the ledger's last change of it
+}
+
+// oldest and latest return the first and the last of the ends; there must be one.
+func (r *record) oldest() (server fleet.Incarnation, at time.Duration) {
+	first := true
+	for each, end := range r.ends {
+		if first || end < at {
+			server, at, first = each, end, false
+		}
+	}
+	return server, at
+}
+
+func (r *record) latest() time.Duration { return slices.Max(slices.Collect(maps.Values(r.ends))) }
+
+// touched returns when something last happened that is held of the request.
+func (r *record) touched() time.Duration {
+	switch {
+	case len(r.ends) == 0:
+		return r.acquitted
+	case r.isAcquitted:
+		return max(r.latest(), r.acquitted)
+	}
+	return r.latest()
+}
+
+// blame adds an end, and reports whether that is news. Of more ends than are kept the
+// latest count.
+func (r *record) blame(server fleet.Incarnation, at time.Duration) bool {
+	if _, known := r.ends[server]; known || r.isAcquitted && at <= r.acquitted {
+		return false
+	}
+	if len(r.ends) >= endsKept {
+		oldest, oldestAt := r.oldest()
+		if at <= oldestAt {
+			return false
+		}
+		delete(r.ends, oldest)
+	}
+	r.ends[server] = at
+	r.suspected = r.suspected || len(r.ends) >= suspectAfter
+	return true
+}
+
+// acquit ends the case as of a moment, and reports whether that is news.
+func (r *record) acquit(at time.Duration) bool {
+	if r.isAcquitted && at <= r.acquitted {
+		return false
+	}
+	r.acquitted, r.isAcquitted = at, true
+	maps.DeleteFunc(r.ends, func(_ fleet.Incarnation, end time.Duration) bool { return end <= at })
+	return true
+}
+
+// Blame notes that a server ended under a request, and reports whether that is news.
+func (l *Ledger) Blame(now time.Duration, server fleet.Incarnation, blame Blame) bool {
+	held := l.hold(now, blame.Request)
+	return held.blame(server, blame.At) && l.changed(held)
+}
+
+// Acquit notes that a request is harmless as of a moment: a server gave a whole answer
+// to it, or an operator says so. It reports whether that is news.
+func (l *Ledger) Acquit(at time.Duration, request Fingerprint) bool {
+	held := l.cases[request]
+	return held != nil && len(held.ends) > 0 && held.acquit(at) && l.changed(held)
+}
+
+func (l *Ledger) changed(held *record) bool {
+	l.change++
+	held.change = l.change
+	return true
+}
+
+// hold returns what is held of a request, making room for it if it is new.
+func (l *Ledger) hold(now time.Duration, request Fingerprint) *record {
+	if l.cases == nil {
+		l.cases = map[Fingerprint]*record{}
+	}
+	held := l.cases[request]
+	if held == nil {
+		l.makeRoom(now)
+		held = &record{ends: map[fleet.Incarnation]time.Duration{}}
+		l.cases[request] = held
+	}
+	return held
+}
+
+// makeRoom forgets what no longer counts and, if there is no room then, the case that
+// matters least: of those with the fewest ends the one that has rested longest.
+// Callers choose what they send; requests that were merely under way somewhere must
+// not push out those that are proven.
+func (l *Ledger) makeRoom(now time.Duration) {
+	if len(l.cases) < mostCases {
+		return
+	}
+	maps.DeleteFunc(l.cases, func(_ Fingerprint, held *record) bool { return now-held.touched() > endKept })
+	if len(l.cases) < mostCases {
+		return
+	}
+	var least Fingerprint
+	var leastHeld *record
+	for request, held := range l.cases {
+		if leastHeld == nil || held.mattersLess(leastHeld) {
+			least, leastHeld = request, held
+		}
+	}
+	delete(l.cases, least)
+}
+
+func (r *record) mattersLess(other *record) bool {
+	return cmp.Or(cmp.Compare(len(r.ends), len(other.ends)), cmp.Compare(r.touched(), other.touched())) < 0
+}
+
+// Judge returns what is to be done with a request.
+func (l *Ledger) Judge(now time.Duration, request Fingerprint) Judgement {
+	held := l.cases[request]
+	if held == nil || len(held.ends) == 0 {
+		return Judgement{}
+	}
+	ends := len(held.ends)
+	last := held.latest()
+	judgement := Judgement{Ends: ends, LastEnd: last}
+	switch {
+	case ends >= provenAfter && now < last+term(ends):
+		judgement.Verdict, judgement.Until = Quarantined, last+term(ends)
+	case ends >= suspectAfter && now-last <= endKept:
+		judgement.Verdict = Suspected
+	}
+	return judgement
+}
+
+// Count returns how many requests have a verdict, other than Unsuspected.
+func (l *Ledger) Count(now time.Duration, verdict Verdict) int {
+	count := 0
+	for request := range l.cases {
+		if l.Judge(now, request).Verdict == verdict {
+			count++
+		}
+	}
+	return count
+}
+
+// Suspects reports whether any request may not be served like any other.
+func (l *Ledger) Suspects() bool {
+	for _, held := range l.cases {
+		if len(held.ends) >= suspectAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// Changes returns how often the ledger has changed.
+func (l *Ledger) Changes() uint64 { return l.change }
+
+// Cases returns how many requests the ledger keeps anything about.
+func (l *Ledger) Cases() int { return len(l.cases) }
+
+// Case is what one ledger tells another of a request. Ages are in milliseconds, since
+// hosts' clocks differ.
+type Case struct {
+	Request Fingerprint `json:"request"`
+	Ends    []End       `json:"ends,omitempty"`
+	// AcquittedAgeMs is how long ago it was known to be harmless; nil if never.
+	AcquittedAgeMs *int64 `json:"acquittedAgeMs,omitempty"`
+}
+
+// End is the end of a server under a request.
+type End struct {
+	Server fleet.Incarnation `json:"server"`
+	AgeMs  int64             `json:"ageMs"`
+}
+
+// tell returns a case as of now, with its ends in order.
+func (r *record) tell(now time.Duration, request Fingerprint) Case {
+	told := Case{Request: request}
+	for server, at := range r.ends {
+		told.Ends = append(told.Ends, End{Server: server, AgeMs: (now - at).Milliseconds()})
+	}
+	slices.SortFunc(told.Ends, func(a, b End) int {
+		return cmp.Or(cmp.Compare(b.AgeMs, a.AgeMs), cmp.Compare(a.Server.String(), b.Server.String()))
+	})
+	if r.isAcquitted {
+		age := (now - r.acquitted).Milliseconds()
+		told.AcquittedAgeMs = &age
+	}
+	return told
+}
+
+// Take takes what another ledger told, and returns the requests of which that is news.
+func (l *Ledger) Take(now time.Duration, told []Case) []Fingerprint {
+	var news []Fingerprint
+	for i := range told {
+		if l.take(now, &told[i]) {
+			news = append(news, told[i].Request)
+		}
+	}
+	return news
+}
+
+// take takes one case, and reports whether it is news.
+func (l *Ledger) take(now time.Duration, told *Case) bool {
+	if l.cases[told.Request] == nil && len(told.Ends) == 0 {
+		return false // the acquittal of what is not held
+	}
+	held := l.hold(now, told.Request)
+	news := false
+	if told.AcquittedAgeMs != nil {
+		news = held.acquit(now - time.Duration(*told.AcquittedAgeMs)*time.Millisecond)
+	}
+	for _, end := range told.Ends {
+		news = held.blame(end.Server, now-time.Duration(end.AgeMs)*time.Millisecond) || news
+	}
+	return news && l.changed(held)
+}
+
+// Audience is to whom cases are told.
+type Audience int
+
+// The audiences.
+const (
+	// Collector puts together what all hosts have seen: a single end counts there.
+	Collector Audience = iota
+	// Everyone needs only what is suspected, and the acquittal of what was: a server
+	// that ends has a dozen requests under way, and a domain thousands.
+	Everyone
+)
+
+// owes reports whether an audience is to hear of a case.
+func (r *record) owes(to Audience) bool {
+	return to == Collector || r.suspected
+}
+
+// Tell returns the cases that changed after a change of this ledger, at most so many,
+// and the change up to which that is all.
+func (l *Ledger) Tell(now time.Duration, after uint64, most int, to Audience) ([]Case, uint64) {
+	if after >= l.change {
+		return nil, l.change
+	}
+	var due []Fingerprint
+	for request, held := range l.cases {
+		if held.change > after && held.owes(to) {
+			due = append(due, request)
+		}
+	}
+	slices.SortFunc(due, func(a, b Fingerprint) int { return cmp.Compare(l.cases[a].change, l.cases[b].change) })
+	upTo := l.change
+	if len(due) > most {
+		due = due[:most]
+		upTo = l.cases[due[most-1]].change
+	}
+	var told []Case
+	for _, request := range due {
+		told = append(told, l.cases[request].tell(now, request))
+	}
+	return told, upTo
+}
+
+// Proven returns the cases with as many ends as a quarantine needs, in order of their
+// fingerprints.
+func (l *Ledger) Proven(now time.Duration) []Case {
+	var proven []Case
+	for request, held := range l.cases {
+		if len(held.ends) >= provenAfter && now-held.latest() <= endKept {
+			proven = append(proven, held.tell(now, request))
+		}
+	}
+	slices.SortFunc(proven, func(a, b Case) int { return slices.Compare(a.Request[:], b.Request[:]) })
+	return proven
+}
--- /dev/null
+++ b/poison/main_test.go
@@ -0,0 +1,9 @@
+package poison
+
+import (
+	"testing"
+
+	"cicadarouter/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Run(m) }
--- a/poison/witness.go
+++ b/poison/witness.go
@@ -36,13 +36,14 @@
 	last    time.Duration // when something was last noted
 	ended   bool
 	endedAt time.Duration // when that was proven
-	open    []unanswered
+	open    []Blame       // requests that were sent and got no answer
 }
 
-// unanswered is a request that was sent to the server and got no answer.
-type unanswered struct {
-	request Fingerprint
-	at      time.Duration
+// Blame is a request that was under way at a server as it ended.
+type Blame struct {
+	Request Fingerprint
+	// At is when it was seen to go unanswered.
+	At time.Duration
 }
 
 // Unanswered notes that a request was sent to a server and got no answer. It reports
@@ -57,7 +58,7 @@
 		return true
 	}
 	if len(seen.open) < mostAtServer {
-		seen.open = append(seen.open, unanswered{request: request, at: now})
+		seen.open = append(seen.open, Blame{Request: request, At: now})
 	}
 	return false
 }
@@ -91,22 +92,23 @@
 	if seen.ended && seen.endedAt < began {
 		seen.ended, mistaken = false, true
 	}
-	seen.open = slices.DeleteFunc(seen.open, func(u unanswered) bool { return u.at < began })
+	seen.open = slices.DeleteFunc(seen.open, func(b Blame) bool { return b.At < began })
 	return mistaken
 }
 
 // Ended notes proof that a server has ended, and returns the requests that were
 // under way there, each once.
-func (w *Witness) Ended(now time.Duration, server fleet.Incarnation) []Fingerprint {
+func (w *Witness) Ended(now time.Duration, server fleet.Incarnation) []Blame {
 	seen := w.servers[server]
 	if seen == nil || seen.ended {
 		return nil
 	}
 	seen.ended, seen.endedAt, seen.last = true, now, now
-	var blamed []Fingerprint
+	var blamed []Blame
 	for _, each := range seen.open {
-		if now-each.at <= proofWithin && !slices.Contains(blamed, each.request) {
-			blamed = append(blamed, each.request)
+		known := slices.ContainsFunc(blamed, func(b Blame) bool { return b.Request == each.Request })
+		if now-each.At <= proofWithin && !known {
+			blamed = append(blamed, each)
 		}
 	}
 	seen.open = nil
--- a/poison/witness_test.go
+++ b/poison/witness_test.go
@@ -56,7 +56,7 @@
 	assert.Assert(t, !w.Unanswered(0, run("s"), address, mark("/a")))
 	assert.Assert(t, !w.Unanswered(0, run("s"), address, mark("/a")))
 	assert.Assert(t, !w.Unanswered(0, run("other"), address, mark("/b")))
-	assert.DeepEqual(t, w.Ended(time.Millisecond, run("s")), []Fingerprint{mark("/a")})
+	assert.DeepEqual(t, w.Ended(time.Millisecond, run("s")), []Blame{{Request: mark("/a")}})
 	assert.Equal(t, len(w.Ended(time.Millisecond, run("s"))), 0, "blamed twice")
 	assert.Assert(t, w.Unanswered(2*time.Millisecond, run("s"), address, mark("/c")), "its break was seen after that of another")
 }
@@ -68,7 +68,7 @@
 	w.Unanswered(10, run("s"), address, mark("/before"))
 	assert.Assert(t, !w.Alive(run("s"), 20))
 	w.Unanswered(30, run("s"), address, mark("/after"))
-	assert.DeepEqual(t, w.Ended(40, run("s")), []Fingerprint{mark("/after")})
+	assert.DeepEqual(t, w.Ended(40, run("s")), []Blame{{Request: mark("/after"), At: 30}})
 	assert.Assert(t, !w.Alive(run("s"), 35), "the call began before the end")
 	assert.Assert(t, w.Alive(run("s"), 50), "the proof was mistaken")
 }
@@ -78,7 +78,7 @@
 	var w Witness
 	w.Unanswered(0, run("s"), address, mark("/old"))
 	w.Unanswered(proofWithin, run("s"), address, mark("/new"))
-	assert.DeepEqual(t, w.Ended(proofWithin+1, run("s")), []Fingerprint{mark("/new")})
+	assert.DeepEqual(t, w.Ended(proofWithin+1, run("s")), []Blame{{Request: mark("/new"), At: proofWithin}})
 }
 
 // A server that ended silently shows when another incarnation stands in its place.
