A request that may have run is not said not to have run

Callers: 503 (not run, and never will be) for an idempotent request that a server had run: it was sent once more and then found no server. The last attempt alone decided. Such an answer is 502 now, with the outcome and the Retry-After that it had.

--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -48,6 +48,16 @@
 	return &reply{outcome: why, status: status, cause: cause}
 }
 
+// ownedUp returns an answer that does not deny an earlier attempt: one that is sent
+// once more and then finds no server may have run before, and 503 says that it has not
+// and never will.
+func (a *reply) ownedUp(req *request) *reply {
+	if req.mayHaveRun && a.status == http.StatusServiceUnavailable {
+		a.status = http.StatusBadGateway
+	}
+	return a
+}
+
 // write sends the final answer.
 func (g *Gateway) write(w http.ResponseWriter, r *http.Request, req *request, answer *reply) {
 	defer g.logRequest(req, answer)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -51,6 +51,7 @@
 	rest          io.Reader     // what follows, or nil
 	tried         []string
 	sends         int
+	mayHaveRun    bool                // some attempt is not proven not to have run
 	mark          *poison.Fingerprint // see fingerprint
 	// end ends what is under way for the request: nil, or called once its answer
 	// has been written, since the rest of a long one is read from the server until
@@ -139,7 +140,7 @@
 		return refused
 	}
 	req.service.first(req.key())
-	return g.forward(ctx, req)
+	return g.forward(ctx, req).ownedUp(req)
 }
 
 // patience is how long a request may take: what the caller waits, or the
@@ -214,6 +215,7 @@
 			return refused
 		}
 		result := g.attempt(ctx, req, server, link)
+		req.mayHaveRun = req.mayHaveRun || result.sent && !result.notRun
 		if result.reply != nil && !g.again(ctx, req, result) {
 			return result.reply
 		}
