Ends that were no ends: a key not held is no other server, and an answer withdraws an end

The answer's ID is now compared with the server's; how the choice of servers takes it is unchanged. An answer of the server to a later call, at any host, withdraws its end for all requests; the withdrawal is told like the end and wins.

--- a/contract/adapter/adapter.go
+++ b/contract/adapter/adapter.go
@@ -40,8 +40,10 @@
 	RequestID string
 	// NotRun is set if the server states that it did not run the request.
 	NotRun bool
-	// WrongServer is set if another server than the one addressed answered.
-	WrongServer bool
+	// Misdirected is set if the server is not the one addressed, or does not hold the
+	// request's key. Server is the ID of the server that answered; empty if not told.
+	Misdirected bool
+	Server      string
 	// Proven is set if the answer bears the server's signature.
 	Proven bool
 	// Load is the server's load, or nil.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -130,7 +130,7 @@
 		meta := g.codec.ReadAnswer(exchange.Response.StatusCode, exchange.Response.Header)
 		g.noteLoadError(server, meta.LoadError)
 		if meta.RequestID == req.ID || meta.RequestID == "" && meta.NotRun {
-			return g.answered(ctx, req, exchange.Response, meta)
+			return g.answered(ctx, req, server, exchange.Response, meta)
 		}
 		// A late second answer to an earlier request lies in the way. Passing
 		// it on would give one caller another's answer.
@@ -166,7 +166,7 @@
 }
 
 // answered takes a server's answer to this request.
-func (g *Gateway) answered(ctx context.Context, req *request, response *http.Response, meta adapter.Answer) (attemptResult, *http.Response) {
+func (g *Gateway) answered(ctx context.Context, req *request, server *balance.Server, response *http.Response, meta adapter.Answer) (attemptResult, *http.Response) {
 	result := attemptResult{load: meta.Load}
 	data, whole, err := backendlink.ReadWhole(response.Body, heldAnswer)
 	if err != nil {
@@ -176,8 +176,9 @@
 	}
 	if meta.NotRun {
 		result.notRun, result.failed, result.outcome = true, true, balance.Refused
-		if meta.WrongServer {
-			result.outcome, result.replaced = balance.Unreachable, true // the server has ended
+		if meta.Misdirected && meta.Server != "" {
+			// The server has ended, or does not hold the key.
+			result.outcome, result.replaced = balance.Unreachable, meta.Server != server.ID
 		}
 		result.reply = &reply{outcome: "server-refused", status: http.StatusServiceUnavailable, retryAfter: req.service.mean()}
 		return result, response
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -153,6 +153,7 @@
 		heard = append(heard, heardCase{mark: mark, judged: ledger.Judge(now, mark)})
 	}
 	if len(heard) > 0 {
+		g.ends.watching.Store(true)
 		g.ends.suspecting.Store(ledger.Suspects())
 	}
 	return heard, before, ledger.Changes()
--- a/gateway/serverends.go
+++ b/gateway/serverends.go
@@ -22,8 +22,8 @@
 // serverEnds is what this host knows of servers that ended and of the requests that
 // were under way there.
 type serverEnds struct {
-	// watching is set once the witness keeps anything, suspecting while any request is
-	// suspected: requests and answers come by the thousand, and are of interest only then.
+	// watching is set once anything is kept, suspecting while any request is suspected:
+	// answers and requests come by the thousand, and are of interest only then.
 	watching, suspecting atomic.Bool
 
 	mu       sync.Mutex
@@ -77,12 +77,23 @@
 		g.noteEnded(server.Incarnation(), "another server answers at its address")
 		return
 	}
+	cleared := g.withdraw(server.Incarnation(), began)
+	if len(cleared) > 0 && g.failureLines.take() {
+		g.log.Warn("server that was taken to have ended answers", "server", server.Incarnation().String(), "requests-cleared", len(cleared))
+	}
+}
+
+// withdraw takes that a server answered a call that began at a time, and returns the
+// requests that are not held responsible for its end any more.
+func (g *Gateway) withdraw(server fleet.Incarnation, began time.Duration) []poison.Fingerprint {
 	g.ends.mu.Lock()
-	mistaken := g.ends.witness.Alive(server.Incarnation(), began)
-	g.ends.mu.Unlock()
-	if mistaken {
-		g.log.Warn("server that was taken to have ended answers", "server", server.Incarnation().String())
+	defer g.ends.mu.Unlock()
+	g.ends.witness.Alive(server, began)
+	cleared := g.ends.ledger.Alive(server, began)
+	if len(cleared) > 0 {
+		g.ends.suspecting.Store(g.ends.ledger.Suspects())
 	}
+	return cleared
 }
 
 // noteReplaced looks for servers whose places others have taken, by their entries.
--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -66,13 +66,15 @@
 // The zero value is ready. It is not safe for concurrent use.
 type Ledger struct {
 	cases map[Fingerprint]*record
+	// servers are those with an end in some case, and perhaps some that had one.
+	servers map[fleet.Incarnation]struct{}
 	// change counts the changes.
 	change uint64
 }
 
 // record is what is held of one request.
 type record struct {
-	ends map[fleet.Incarnation]time.Duration // when servers ended under it
+	ends map[fleet.Incarnation]end
 	// acquitted is the latest moment as of which the request is known to be harmless;
 	// of interest only if isAcquitted.
 	acquitted   time.Duration
@@ -83,23 +85,52 @@
 	change    uint64 // the ledger's last change of it
 }
 
-// oldest and latest return the first and the last of the ends; there must be one.
-func (r *record) oldest() (server fleet.Incarnation, at time.Duration) {
+// end is the end of a server under a request.
+type end struct {
+	at time.Duration
+	// withdrawn is set once the server has answered after it: it had not ended. It is
+	// kept, so that those who have not heard of that can't bring the end back.
+	withdrawn bool
+}
+
+// standing returns how many ends count.
+func (r *record) standing() int {
+	count := 0
+	for _, each := range r.ends {
+		if !each.withdrawn {
+			count++
+		}
+	}
+	return count
+}
+
+// latest returns the last of the ends that count; 0 if there is none.
+func (r *record) latest() time.Duration {
+	var last time.Duration
 	first := true
-	for each, end := range r.ends {
-		if first || end < at {
-			server, at, first = each, end, false
+	for _, each := range r.ends {
+		if !each.withdrawn && (first || each.at > last) {
+			last, first = each.at, false
 		}
 	}
-	return server, at
+	return last
 }
 
-func (r *record) latest() time.Duration { return slices.Max(slices.Collect(maps.Values(r.ends))) }
+// oldest returns the end that matters least; there must be one.
+func (r *record) oldest() (server fleet.Incarnation, oldest end) {
+	first := true
+	for each, known := range r.ends {
+		if first || known.withdrawn && !oldest.withdrawn || known.withdrawn == oldest.withdrawn && known.at < oldest.at {
+			server, oldest, first = each, known, false
+		}
+	}
+	return server, oldest
+}
 
 // touched returns when something last happened that is held of the request.
 func (r *record) touched() time.Duration {
 	switch {
-	case len(r.ends) == 0:
+	case r.standing() == 0:
 		return r.acquitted
 	case r.isAcquitted:
 		return max(r.latest(), r.acquitted)
@@ -109,19 +140,28 @@
 
 // blame adds an end, and reports whether that is news. Of more ends than are kept the
 // latest count.
-func (r *record) blame(server fleet.Incarnation, at time.Duration) bool {
-	if _, known := r.ends[server]; known || r.isAcquitted && at <= r.acquitted {
+func (r *record) blame(server fleet.Incarnation, told end) bool {
+	known, have := r.ends[server]
+	switch {
+	case r.isAcquitted && told.at <= r.acquitted:
 		return false
+	case have:
+		if known.withdrawn || !told.withdrawn {
+			return false
+		}
+		known.withdrawn = true
+		r.ends[server] = known
+		return true
 	}
 	if len(r.ends) >= endsKept {
-		oldest, oldestAt := r.oldest()
-		if at <= oldestAt {
+		least, oldest := r.oldest()
+		if !oldest.withdrawn && told.at <= oldest.at {
 			return false
 		}
-		delete(r.ends, oldest)
+		delete(r.ends, least)
 	}
-	r.ends[server] = at
-	r.suspected = r.suspected || len(r.ends) >= suspectAfter
+	r.ends[server] = told
+	r.suspected = r.suspected || r.standing() >= suspectAfter
 	return true
 }
 
@@ -131,21 +171,58 @@
 		return false
 	}
 	r.acquitted, r.isAcquitted = at, true
-	maps.DeleteFunc(r.ends, func(_ fleet.Incarnation, end time.Duration) bool { return end <= at })
+	maps.DeleteFunc(r.ends, func(_ fleet.Incarnation, each end) bool { return each.at <= at })
 	return true
 }
 
 // Blame notes that a server ended under a request, and reports whether that is news.
 func (l *Ledger) Blame(now time.Duration, server fleet.Incarnation, blame Blame) bool {
 	held := l.hold(now, blame.Request)
-	return held.blame(server, blame.At) && l.changed(held)
+	return l.blame(held, server, end{at: blame.At}) && l.changed(held)
 }
 
 // Acquit notes that a request is harmless as of a moment: a server gave a whole answer
 // to it, or an operator says so. It reports whether that is news.
 func (l *Ledger) Acquit(at time.Duration, request Fingerprint) bool {
 	held := l.cases[request]
-	return held != nil && len(held.ends) > 0 && held.acquit(at) && l.changed(held)
+	return held != nil && held.standing() > 0 && held.acquit(at) && l.changed(held)
+}
+
+// blame adds an end to a case, and reports whether that is news.
+func (l *Ledger) blame(held *record, server fleet.Incarnation, told end) bool {
+	if !held.blame(server, told) {
+		return false
+	}
+	if l.servers == nil || len(l.servers) >= mostCases*endsKept {
+		l.servers = map[fleet.Incarnation]struct{}{}
+		for _, each := range l.cases {
+			for known := range each.ends {
+				l.servers[known] = struct{}{}
+			}
+		}
+	}
+	l.servers[server] = struct{}{}
+	return true
+}
+
+// Alive notes that a server answered a call that began at a time, and returns the
+// requests that it was taken to have ended under before: it had not. Something between
+// a host and the server refuses connections, as the cut of a network may.
+func (l *Ledger) Alive(server fleet.Incarnation, began time.Duration) []Fingerprint {
+	if _, held := l.servers[server]; !held {
+		return nil // nearly every answer
+	}
+	var cleared []Fingerprint
+	for request, held := range l.cases {
+		known, have := held.ends[server]
+		if have && !known.withdrawn && known.at < began {
+			known.withdrawn = true
+			held.ends[server] = known
+			l.changed(held)
+			cleared = append(cleared, request)
+		}
+	}
+	return cleared
 }
 
 func (l *Ledger) changed(held *record) bool {
@@ -162,7 +239,7 @@
 	held := l.cases[request]
 	if held == nil {
 		l.makeRoom(now)
-		held = &record{ends: map[fleet.Incarnation]time.Duration{}}
+		held = &record{ends: map[fleet.Incarnation]end{}}
 		l.cases[request] = held
 	}
 	return held
@@ -191,17 +268,16 @@
 }
 
 func (r *record) mattersLess(other *record) bool {
-	return cmp.Or(cmp.Compare(len(r.ends), len(other.ends)), cmp.Compare(r.touched(), other.touched())) < 0
+	return cmp.Or(cmp.Compare(r.standing(), other.standing()), cmp.Compare(r.touched(), other.touched())) < 0
 }
 
 // Judge returns what is to be done with a request.
 func (l *Ledger) Judge(now time.Duration, request Fingerprint) Judgement {
 	held := l.cases[request]
-	if held == nil || len(held.ends) == 0 {
+	if held == nil || held.standing() == 0 {
 		return Judgement{}
 	}
-	ends := len(held.ends)
-	last := held.latest()
+	ends, last := held.standing(), held.latest()
 	judgement := Judgement{Ends: ends, LastEnd: last}
 	switch {
 	case ends >= provenAfter && now < last+term(ends):
@@ -226,7 +302,7 @@
 // Suspects reports whether any request may not be served like any other.
 func (l *Ledger) Suspects() bool {
 	for _, held := range l.cases {
-		if len(held.ends) >= suspectAfter {
+		if held.standing() >= suspectAfter {
 			return true
 		}
 	}
@@ -252,13 +328,15 @@
 type End struct {
 	Server fleet.Incarnation `json:"server"`
 	AgeMs  int64             `json:"ageMs"`
+	// Withdrawn is set if the server has answered since.
+	Withdrawn bool `json:"withdrawn,omitempty"`
 }
 
 // tell returns a case as of now, with its ends in order.
 func (r *record) tell(now time.Duration, request Fingerprint) Case {
 	told := Case{Request: request}
-	for server, at := range r.ends {
-		told.Ends = append(told.Ends, End{Server: server, AgeMs: (now - at).Milliseconds()})
+	for server, known := range r.ends {
+		told.Ends = append(told.Ends, End{Server: server, AgeMs: (now - known.at).Milliseconds(), Withdrawn: known.withdrawn})
 	}
 	slices.SortFunc(told.Ends, func(a, b End) int {
 		return cmp.Or(cmp.Compare(b.AgeMs, a.AgeMs), cmp.Compare(a.Server.String(), b.Server.String()))
@@ -291,8 +369,9 @@
 	if told.AcquittedAgeMs != nil {
 		news = held.acquit(now - time.Duration(*told.AcquittedAgeMs)*time.Millisecond)
 	}
-	for _, end := range told.Ends {
-		news = held.blame(end.Server, now-time.Duration(end.AgeMs)*time.Millisecond) || news
+	for _, each := range told.Ends {
+		at := now - time.Duration(each.AgeMs)*time.Millisecond
+		news = l.blame(held, each.Server, end{at: at, withdrawn: each.Withdrawn}) || news
 	}
 	return news && l.changed(held)
 }
@@ -344,7 +423,7 @@
 func (l *Ledger) Proven(now time.Duration) []Case {
 	var proven []Case
 	for request, held := range l.cases {
-		if len(held.ends) >= provenAfter && now-held.latest() <= endKept {
+		if held.standing() >= provenAfter && now-held.latest() <= endKept {
 			proven = append(proven, held.tell(now, request))
 		}
 	}
--- a/poison/witness.go
+++ b/poison/witness.go
@@ -82,18 +82,16 @@
 }
 
 // Alive notes that a server answered a call that began at a time: what went
-// unanswered before that was not due to its end. It reports whether the server had
-// been taken to have ended before the call began.
-func (w *Witness) Alive(server fleet.Incarnation, began time.Duration) (mistaken bool) {
+// unanswered before that was not due to its end.
+func (w *Witness) Alive(server fleet.Incarnation, began time.Duration) {
 	seen := w.servers[server]
 	if seen == nil {
-		return false
+		return
 	}
-	if seen.ended && seen.endedAt < began {
-		seen.ended, mistaken = false, true
+	if seen.endedAt < began {
+		seen.ended = false // the proof was wrong
 	}
 	seen.open = slices.DeleteFunc(seen.open, func(b Blame) bool { return b.At < began })
-	return mistaken
 }
 
 // Ended notes proof that a server has ended, and returns the requests that were
