--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -30,45 +31,55 @@
 // mortals are servers that end under a deadly request and are back a little later,
 // each time as another server at the same address.
 type mortals struct {
-	s       *site
 	deadly  *platformtest.Deadly
-	ctx     context.Context
 	service string
 	keyed   bool
+	count   int
+	// slots are those of each; 0 for 8.
+	slots int
+	// lives is how many ends they come back from; 0 for any number.
+	lives int
+	// down is how long they stay down; 0 for downFor.
+	down time.Duration
+
+	s   *site
+	ctx context.Context
 	// restarts are under way while it is counted up.
 	restarts sync.WaitGroup
 }
 
-// serveMortal starts servers of a service.
-func (s *site) serveMortal(service string, keyed bool, count int, deadly *platformtest.Deadly) *mortals {
+// serveMortal starts servers.
+func (s *site) serveMortal(m *mortals) {
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &mortals{s: s, deadly: deadly, ctx: ctx, service: service, keyed: keyed}
+	m.s, m.ctx, m.slots, m.down = s, ctx, cmp.Or(m.slots, 8), cmp.Or(m.down, downFor)
 	s.t.Cleanup(func() {
 		cancel()
 		m.restarts.Wait()
 	})
-	for place := range count {
+	for place := range m.count {
 		server := m.server(place, 0)
 		process, err := platformtest.StartProcess(ctx, "127.0.0.1:0", server)
 		assert.NilError(s.t, err)
 		m.mortal(server, process, place, 0)
 		m.register(server, process)
 	}
-	return m
 }
 
 func (m *mortals) server(place, life int) *platformtest.Server {
 	id := fmt.Sprintf("%s-%d-%d", m.service, place, life)
-	return &platformtest.Server{ID: id, Keyed: m.keyed, Slots: 8, Work: time.Millisecond, Deadly: []*platformtest.Deadly{m.deadly}}
+	return &platformtest.Server{ID: id, Keyed: m.keyed, Slots: m.slots, Work: time.Millisecond, Deadly: []*platformtest.Deadly{m.deadly}}
 }
 
 // mortal says how a server ends: the next one takes its place.
 func (m *mortals) mortal(server *platformtest.Server, process *platformtest.Process, place, life int) {
 	server.End = func() {
 		process.End()
+		if m.lives > 0 && m.deadly.Ended() > m.lives {
+			return
+		}
 		m.restarts.Go(func() {
 			select {
-			case <-time.After(downFor):
+			case <-time.After(m.down):
 			case <-m.ctx.Done():
 				return
 			}
@@ -83,8 +94,8 @@
 }
 
 func (m *mortals) register(server *platformtest.Server, process *platformtest.Process) {
-	spec := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":8,"state":"ready","cold-remaining":"0ms","seq":1,"born":%d}`,
-		m.service, process.Address(), firstStart)
+	spec := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":%d,"state":"ready","cold-remaining":"0ms","seq":1,"born":%d}`,
+		m.service, process.Address(), m.slots, firstStart)
 	if _, err := m.s.store.Kept().Put(m.ctx, objects.Object{Kind: "servers", Name: server.ID, Spec: []byte(spec)}); err != nil && m.ctx.Err() == nil {
 		m.s.t.Errorf("registering %s: %v", server.ID, err)
 	}
@@ -166,7 +177,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t)
 			deadly := &platformtest.Deadly{Path: play.path, After: 10 * time.Millisecond}
-			s.serveMortal(play.service, play.keyed, 6, deadly)
+			s.serveMortal(&mortals{deadly: deadly, service: play.service, keyed: play.keyed, count: 6})
 			for _, other := range []string{"x1", "x2"} {
 				s.serve(other, map[bool]string{true: "free", false: "owned"}[play.keyed], !play.keyed)
 			}
@@ -217,7 +228,7 @@
 func TestHostThatStartsLaterKnowsDeadlyRequests(t *testing.T) {
 	s := newSite(t)
 	deadly := &platformtest.Deadly{Path: "/free/deadly"}
-	s.serveMortal("free", false, 6, deadly)
+	s.serveMortal(&mortals{deadly: deadly, service: "free", count: 6})
 	s.serve("k1", "owned", true)
 	s.configure(3, "")
 	first, second := s.host("one"), s.host("two")
@@ -229,9 +240,7 @@
 	late := s.host("late")
 	s.eventually("the host has heard of it", func() bool {
 		s.call(late, http.MethodGet, "/free/harmless", "", "")
-		var page strings.Builder
-		late.gateway.WriteMetrics(&page)
-		return strings.Contains(page.String(), `cicada_judged_requests{verdict="quarantined"} 1`)
+		return judgedAt(late, "quarantined", 1)
 	})
 	ended := deadly.Ended()
 	got := s.call(late, http.MethodGet, "/free/deadly", "", "")
@@ -251,7 +260,7 @@
 	s := newSite(t)
 	// The servers end for reasons of their own, under a request that comes once each.
 	deadly := &platformtest.Deadly{Path: "/free/once/", After: 20 * time.Millisecond}
-	s.serveMortal("free", false, 6, deadly)
+	s.serveMortal(&mortals{deadly: deadly, service: "free", count: 6})
 	s.serve("k1", "owned", true)
 	s.configure(3, "")
 	for i := range 2 {
@@ -289,11 +298,7 @@
 // knows waits until a host has one request in quarantine.
 func (s *site) knows(h *hostUnderTest) {
 	s.t.Helper()
-	s.eventually("the host knows the request", func() bool {
-		var page strings.Builder
-		h.gateway.WriteMetrics(&page)
-		return strings.Contains(page.String(), `cicada_judged_requests{verdict="quarantined"} 1`)
-	})
+	s.eventually("the host knows the request", func() bool { return judgedAt(h, "quarantined", 1) })
 }
 
 // All hosts were killed at once, and with them all that they knew; the request came
@@ -302,7 +307,7 @@
 func TestDeadlyRequestIsKnownAfterAllHostsWereLost(t *testing.T) {
 	s := newSite(t)
 	deadly := &platformtest.Deadly{Path: "/free/deadly"}
-	s.serveMortal("free", false, 6, deadly)
+	s.serveMortal(&mortals{deadly: deadly, service: "free", count: 6})
 	s.serve("k1", "owned", true)
 	s.configure(3, "")
 	first, second := s.host("one"), s.host("two")
@@ -331,7 +336,7 @@
 func TestOperatorReleasesARequest(t *testing.T) {
 	s := newSite(t)
 	deadly := &platformtest.Deadly{Path: "/free/deadly"}
-	s.serveMortal("free", false, 6, deadly)
+	s.serveMortal(&mortals{deadly: deadly, service: "free", count: 6})
 	s.serve("k1", "owned", true)
 	s.configure(3, "")
 	first, second := s.host("one"), s.host("two")
@@ -362,3 +367,122 @@
 		})
 	}
 }
+
+// Copies that waited for a key's owner when the third owner ended went to the fourth as
+// soon as there was one. What is known of a request is looked at again before it leaves.
+func TestCopiesThatWaitAreTurnedAway(t *testing.T) {
+	s := newSite(t)
+	deadly := &platformtest.Deadly{Path: "/keyed/deadly", After: 10 * time.Millisecond}
+	s.serveMortal(&mortals{deadly: deadly, service: "owned", keyed: true, count: 1, slots: 1, down: time.Millisecond})
+	s.serve("f1", "free", false)
+	s.configure(3, "")
+	h := s.host("one")
+	s.eventually("keys are served", func() bool { return s.call(h, http.MethodGet, "/keyed/x", "700", "").status == http.StatusOK })
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	var callers sync.WaitGroup
+	for range 6 {
+		callers.Go(func() { s.copies(ctx, http.MethodGet, "/keyed/deadly") })
+	}
+	s.eventually("three owners have ended", func() bool { return deadly.Ended() >= 3 })
+	s.eventually("keys are served again", func() bool { return s.call(h, http.MethodGet, "/keyed/x", "700", "").status == http.StatusOK })
+	end()
+	callers.Wait()
+	assert.Equal(t, deadly.Ended(), 3)
+}
+
+// A request that has ended two servers is not sent to a third within the same call: its
+// caller hears of it, and may yet be the only one who sends it.
+func TestSuspectedRequestIsNotRepeated(t *testing.T) {
+	s := newSite(t)
+	deadly := &platformtest.Deadly{Path: "/free/deadly"}
+	s.serveMortal(&mortals{deadly: deadly, service: "free", count: 1})
+	s.configure(3, "")
+	h := s.host("one")
+	assert.Equal(t, s.call(h, http.MethodGet, "/free/deadly", "", "").status, http.StatusBadGateway)
+	assert.Equal(t, deadly.Ended(), 1, "there was no second server")
+	for _, id := range []string{"f2", "f3"} {
+		server := &platformtest.Server{ID: id, Slots: 8, Deadly: []*platformtest.Deadly{deadly}}
+		process, err := platformtest.StartProcess(t.Context(), "127.0.0.1:0", server)
+		assert.NilError(t, err)
+		server.End = process.End
+		s.register(id, "free", process.Address(), "ready")
+	}
+	s.eventually("the host knows two servers", func() bool {
+		return s.call(h, http.MethodGet, "/free/x", "", "").status == http.StatusOK && s.call(h, http.MethodGet, "/free/y", "", "").status == http.StatusOK
+	})
+	assert.Equal(t, s.call(h, http.MethodGet, "/free/deadly", "", "").status, http.StatusBadGateway)
+	assert.Equal(t, deadly.Ended(), 2)
+}
+
+// A request in quarantine is turned away for that, and at once, also where there is no
+// server that it could wait for: its caller hears how long it will not be served.
+func TestQuarantinedRequestDoesNotWait(t *testing.T) {
+	s := newSite(t)
+	deadly := &platformtest.Deadly{Path: "/free/deadly"}
+	servers := &mortals{deadly: deadly, service: "free", count: 1, lives: 2}
+	s.serveMortal(servers)
+	s.configure(3, "")
+	h := s.host("one")
+	s.eventually("three servers have ended, and the last stays down", func() bool {
+		s.call(h, http.MethodGet, "/free/deadly", "", "")
+		return deadly.Ended() == 3
+	})
+	s.remove("servers", "free-0-2")
+	var page strings.Builder
+	s.eventually("the host knows of no server", func() bool {
+		s.call(h, http.MethodGet, "/free/x", "", "")
+		page.Reset()
+		h.gateway.WriteMetrics(&page)
+		return strings.Contains(page.String(), `cicada_requests_total{outcome="no-server"}`)
+	})
+	assert.Equal(t, s.call(h, http.MethodGet, "/free/deadly", "", "").status, http.StatusServiceUnavailable)
+	assert.Equal(t, quarantinedAt(h), "1")
+}
+
+// judgedAt reports whether a host has so many requests with a verdict.
+func judgedAt(h *hostUnderTest, verdict string, count int) bool {
+	var page strings.Builder
+	h.gateway.WriteMetrics(&page)
+	return strings.Contains(page.String(), fmt.Sprintf("cicada_judged_requests{verdict=%q} %d\n", verdict, count))
+}
+
+// One whole answer, at one host, clears a request at all hosts.
+func TestAnswerAcquitsAtAllHosts(t *testing.T) {
+	s := newSite(t)
+	deadly := &platformtest.Deadly{Path: "/free/deadly"}
+	s.serveMortal(&mortals{deadly: deadly, service: "free", count: 3})
+	s.serve("k1", "owned", true)
+	s.configure(3, "")
+	hosts := []*hostUnderTest{s.host("one"), s.host("two")}
+	s.call(hosts[0], http.MethodGet, "/free/deadly", "", "")
+	assert.Equal(t, deadly.Ended(), 2, "sent once more by the host")
+	for _, h := range hosts {
+		s.eventually("the request is suspected", func() bool { return judgedAt(h, "suspected", 1) })
+	}
+	deadly.Mend()
+	s.eventually("the request is answered", func() bool { return s.call(hosts[1], http.MethodGet, "/free/deadly", "", "").status == http.StatusOK })
+	for _, h := range hosts {
+		s.eventually("nothing is held against it", func() bool { return judgedAt(h, "suspected", 0) })
+	}
+}
+
+// A request that is answered every few seconds happened to be under way at three servers
+// in a row that ended; that does not make it the reason.
+func TestRequestThatWasLatelyAnsweredIsNotBlamed(t *testing.T) {
+	s := newSite(t)
+	unlucky := &platformtest.Deadly{Path: "/free/unlucky"}
+	s.serveMortal(&mortals{deadly: unlucky, service: "free", count: 6})
+	s.serve("k1", "owned", true)
+	s.configure(3, "")
+	h := s.host("one")
+	unlucky.Mend()
+	assert.Equal(t, s.call(h, http.MethodGet, "/free/unlucky", "", "").status, http.StatusOK)
+	unlucky.Break()
+	s.eventually("three servers have ended", func() bool {
+		s.call(h, http.MethodGet, "/free/unlucky", "", "")
+		return unlucky.Ended() >= 3
+	})
+	assert.Assert(t, judgedAt(h, "quarantined", 0) && judgedAt(h, "suspected", 0))
+	assert.Equal(t, quarantinedAt(h), "0")
+}
--- a/poison/ledger_test.go
+++ b/poison/ledger_test.go
@@ -208,6 +208,9 @@
 	assert.Assert(t, a.Lately(time.Second+answeredTurn, mark("/a")))
 	assert.Assert(t, !a.Lately(time.Second, mark("/b")))
 	assert.Assert(t, !a.Lately(time.Second+2*answeredTurn+1, mark("/a")))
+	var asked Answered
+	asked.Note(time.Second, mark("/a"))
+	assert.Assert(t, !asked.Lately(time.Hour, mark("/a")), "nothing came in between")
 	for i := range 5 * mostAnswered {
 		a.Note(time.Minute, mark(fmt.Sprint("/", i)))
 	}
