--- a/poison/fuzz_test.go
+++ b/poison/fuzz_test.go
@@ -19,6 +19,8 @@
 	// exchangeEvery is how often a host and the collector tell each other.
 	exchangeEvery = 500 * time.Millisecond
 	perMessage    = 4
+	// messageWay is how long a message is under way.
+	messageWay = 5 * time.Millisecond
 	deadlyPath    = "/deadly"
 )
 
@@ -97,9 +99,9 @@
 	}
 	if h != hub {
 		told, upTo := h.ledger.Tell(w.now, h.told, perMessage, Collector)
-		hub.ledger.Take(w.now, told)
+		hub.ledger.Take(w.now+messageWay, told)
 		answer, known := hub.ledger.Tell(w.now, h.known, perMessage, Everyone)
-		h.ledger.Take(w.now, answer)
+		h.ledger.Take(w.now+2*messageWay, answer)
 		h.told, h.known = upTo, known
 		w.messages = append(w.messages, simMessage{to: slices.Index(w.hosts, h), sent: w.now, cases: answer}, simMessage{to: w.collector, sent: w.now, cases: told})
 	}
--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -168,14 +168,17 @@
 	return true
 }
 
-// acquit ends the case as of a moment, and reports whether that is news.
+// acquit ends the case as of a moment, and reports whether that is news: it is the first
+// time, or ends count no more. That the moment is a little later is none: it moves by the
+// way of each message, and ledgers would tell each other of it without end.
 func (r *record) acquit(at time.Duration) bool {
 	if r.isAcquitted && at <= r.acquitted {
 		return false
 	}
+	first, ends := !r.isAcquitted, len(r.ends)
 	r.acquitted, r.isAcquitted = at, true
 	maps.DeleteFunc(r.ends, func(_ fleet.Incarnation, each end) bool { return each.at <= at })
-	return true
+	return first || len(r.ends) < ends
 }
 
 // Blame notes that a server ended under a request, and reports whether that is news.
--- a/poison/ledger_test.go
+++ b/poison/ledger_test.go
@@ -190,6 +190,30 @@
 	assert.Equal(t, unaware.Cases(), 0, "the acquittal of what is not held takes no room")
 }
 
+// Ages are taken when a message leaves, and a moment is a little later where it arrives.
+// Two ledgers told each other of one acquittal again and again, each time as of a moment
+// later by the way of the message, for as long as they ran.
+func TestNewsComesToAnEnd(t *testing.T) {
+	var ledgers [2]Ledger
+	now := blameTimes(&ledgers[0], "/a", 3, time.Second)
+	var heard [2]uint64 // by the other
+	exchange := func(from int) int {
+		told, upTo := ledgers[from].Tell(now, heard[from], 10, Collector)
+		heard[from] = upTo
+		now += 5 * time.Millisecond // the way of the message
+		ledgers[1-from].Take(now, told)
+		return len(told)
+	}
+	exchange(0)
+	assert.Assert(t, ledgers[1].Acquit(now, mark("/a")))
+	for range 4 {
+		exchange(1)
+		exchange(0)
+	}
+	assert.Equal(t, exchange(0)+exchange(1), 0)
+	assert.Equal(t, ledgers[0].Judge(now, mark("/a")).Ends, 0)
+}
+
 // An operator's word holds against ends that a host tells of only later.
 func TestReleaseHoldsForWhatIsHeardOfLater(t *testing.T) {
 	var host, collector Ledger
--- a/tools/mutants/poison.go
+++ b/tools/mutants/poison.go
@@ -22,6 +22,7 @@
 		in("ledger.go", "suspect nobody", "	suspectAfter = 2", "	suspectAfter = 3"),
 		in("ledger.go", "blame for ends before an acquittal", "	case r.isAcquitted && told.at <= r.acquitted:", "	case false:"),
 		in("ledger.go", "acquit without ending the case", "	maps.DeleteFunc(r.ends, func(_ fleet.Incarnation, each end) bool { return each.at <= at })\n", ""),
+		in("ledger.go", "tell of one acquittal without end", "	return first || len(r.ends) < ends", "	return first || len(r.ends) <= ends"),
 		in("ledger.go", "count ends that were withdrawn", "	for _, each := range r.ends {\n		if !each.withdrawn {\n			count++", "	for range r.ends {\n		if true {\n			count++"),
 		in("ledger.go", "bring withdrawn ends back", "	case have:\n", "	case have && !known.withdrawn:\n"),
 		in("ledger.go", "withdraw for an earlier call", "!known.withdrawn && lived.during(known.at)", "!known.withdrawn"),
