--- a/poison/fuzz_test.go
+++ b/poison/fuzz_test.go
@@ -21,7 +21,7 @@
 	perMessage    = 4
 	// messageWay is how long a message is under way.
 	messageWay = 5 * time.Millisecond
-	deadlyPath    = "/deadly"
+	deadlyPath = "/deadly"
 )
 
 // simHost is a host of the simulated world.
