--- a/Makefile
+++ b/Makefile
@@ -68,4 +68,4 @@
 
 # The packages of the hosted daemon under the race detector.
 race:
-	go test -race ./gateway/... ./keyspace ./balance ./fleet ./platform/...
+	go test -race ./gateway/... ./keyspace ./balance ./fleet ./platform/... ./poison
