--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -51,7 +51,7 @@
 	before := g.ends.ledger.Judge(now, mark)
 	acquitted := g.ends.ledger.Acquit(now, mark)
 	if acquitted {
-		g.ends.suspecting.Store(g.ends.ledger.Suspects())
+		g.ends.ledgerChanged()
 	}
 	g.ends.mu.Unlock()
 	if acquitted {
@@ -154,7 +154,7 @@
 	}
 	if len(heard) > 0 {
 		g.ends.watching.Store(true)
-		g.ends.suspecting.Store(ledger.Suspects())
+		g.ends.ledgerChanged()
 	}
 	return heard, before, ledger.Changes()
 }
--- a/gateway/quarantinestore.go
+++ b/gateway/quarantinestore.go
@@ -20,13 +20,9 @@
 // all of them lost at once, such a request would end three more servers.
 const Quarantines = "cicada-quarantines"
 
-const (
-	// rereadEvery is how often a controller looks whether an operator has released a
-	// request, while any is in quarantine.
-	rereadEvery = 5 * time.Second
-	// releasedKept is for how long an operator's word is kept: as long as an end counts.
-	releasedKept = 24 * time.Hour
-)
+// rereadEvery is how often a controller looks whether an operator has released a
+// request, while any is in quarantine.
+const rereadEvery = 5 * time.Second
 
 // Quarantine is what a controller keeps in the store.
 type Quarantine struct {
@@ -141,7 +137,7 @@
 		return
 	}
 	content := Quarantine{Cases: proven, Released: slices.DeleteFunc(slices.Clone(kept.content.Released), func(r ReleasedRequest) bool {
-		return ageMs(wall, r.AtMs) > releasedKept.Milliseconds()
+		return ageMs(wall, r.AtMs) > poison.EndKept.Milliseconds()
 	})}
 	kept.busy, kept.asked = true, now
 	g.startWriteQuarantine(ctx, c, content)
@@ -199,7 +195,7 @@
 		at := now - time.Duration(ageMs(wall, released.AtMs))*time.Millisecond
 		g.ends.mu.Lock()
 		news := g.ends.ledger.Release(now, at, released.Request)
-		g.ends.suspecting.Store(g.ends.ledger.Suspects())
+		g.ends.ledgerChanged()
 		g.ends.mu.Unlock()
 		if news {
 			g.log.Info("request released by an operator", "fingerprint", released.Request.String(), "service", object.Name,
--- a/gateway/serverends.go
+++ b/gateway/serverends.go
@@ -33,6 +33,9 @@
 	ledger   poison.Ledger
 }
 
+// ledgerChanged sees to it that requests are judged if any is suspected. e.mu is held.
+func (e *serverEnds) ledgerChanged() { e.suspecting.Store(e.ledger.Suspects()) }
+
 // noteNoAnswer takes a request that was sent to a server and got no answer. Where the
 // server broke off, a new connection tells at once whether its process has ended.
 func (g *Gateway) noteNoAnswer(ctx context.Context, req *request, server *balance.Server, link *backendlink.Pool, result *attemptResult) {
@@ -103,7 +106,7 @@
 	g.ends.witness.Alive(server, lived)
 	cleared := g.ends.ledger.Alive(server, lived)
 	if len(cleared) > 0 {
-		g.ends.suspecting.Store(g.ends.ledger.Suspects())
+		g.ends.ledgerChanged()
 	}
 	return cleared
 }
@@ -164,6 +167,6 @@
 		return false, true
 	}
 	news = g.ends.ledger.Blame(g.now(), server, blame)
-	g.ends.suspecting.Store(g.ends.ledger.Suspects())
+	g.ends.ledgerChanged()
 	return news, false
 }
--- a/poison/fuzz_test.go
+++ b/poison/fuzz_test.go
@@ -209,8 +209,8 @@
 					t.Fatalf("%d copies sent when all had to know; %d servers ended", w.after, len(w.ends))
 				}
 				for _, h := range w.hosts {
-					if h.ledger.Cases() > mostCases {
-						t.Fatalf("%d cases", h.ledger.Cases())
+					if len(h.ledger.cases) > mostCases {
+						t.Fatalf("%d cases", len(h.ledger.cases))
 					}
 				}
 			},
--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -17,8 +17,8 @@
 	// provenAfter is after how many ends a request is turned away. One or two ends
 	// happen to a request by chance on days on which servers fail one after the other.
 	provenAfter = 3
-	// endKept is for how long an end counts.
-	endKept = 24 * time.Hour
+	// EndKept is for how long an end counts.
+	EndKept = 24 * time.Hour
 	// endsKept bounds the ends that are kept of one request.
 	endsKept = 8
 	// mostCases bounds the requests about which a ledger keeps anything.
@@ -31,7 +31,7 @@
 // terms are for how long a request is turned away after its last end, by how many
 // ends it has more than it needs. When a term is over one copy of it is a trial that
 // costs one server if it still ends those that run it.
-var terms = [...]time.Duration{10 * time.Minute, time.Hour, 6 * time.Hour, endKept}
+var terms = [...]time.Duration{10 * time.Minute, time.Hour, 6 * time.Hour, EndKept}
 
 // term returns for how long a request is turned away after its last end.
 func term(ends int) time.Duration { return terms[min(ends-provenAfter, len(terms)-1)] }
@@ -266,7 +266,7 @@
 	if len(l.cases) < mostCases {
 		return
 	}
-	maps.DeleteFunc(l.cases, func(_ Fingerprint, held *record) bool { return now-held.touched() > endKept })
+	maps.DeleteFunc(l.cases, func(_ Fingerprint, held *record) bool { return now-held.touched() > EndKept })
 	if len(l.cases) < mostCases {
 		return
 	}
@@ -292,7 +292,7 @@
 	switch {
 	case ends >= provenAfter && now < last+term(ends):
 		judgement.Verdict, judgement.Until = Quarantined, last+term(ends)
-	case ends >= suspectAfter && now-last <= endKept:
+	case ends >= suspectAfter && now-last <= EndKept:
 		judgement.Verdict = Suspected
 	}
 	return judgement
@@ -322,9 +322,6 @@
 // Changes returns how often the ledger has changed.
 func (l *Ledger) Changes() uint64 { return l.change }
 
-// Cases returns how many requests the ledger keeps anything about.
-func (l *Ledger) Cases() int { return len(l.cases) }
-
 // Case is what one ledger tells another of a request. Ages are in milliseconds, since
 // hosts' clocks differ.
 type Case struct {
@@ -433,7 +430,7 @@
 func (l *Ledger) Proven(now time.Duration) []Case {
 	var proven []Case
 	for request, held := range l.cases {
-		if held.standing() >= provenAfter && now-held.latest() <= endKept {
+		if held.standing() >= provenAfter && now-held.latest() <= EndKept {
 			proven = append(proven, held.tell(now, request))
 		}
 	}
--- a/poison/ledger_test.go
+++ b/poison/ledger_test.go
@@ -118,13 +118,13 @@
 		at := time.Minute + time.Duration(i)
 		l.Blame(at, run("s"), ended(fmt.Sprint("/", i), at))
 	}
-	assert.Assert(t, l.Cases() <= mostCases && l.Cases() >= mostCases-forgottenAtOnce, "%d cases", l.Cases())
+	assert.Assert(t, len(l.cases) <= mostCases && len(l.cases) >= mostCases-forgottenAtOnce, "%d cases", len(l.cases))
 	assert.Equal(t, l.Judge(time.Minute, mark("/deadly")).Verdict, Quarantined)
-	later := 2*time.Minute + endKept
+	later := 2*time.Minute + EndKept
 	for i := range forgottenAtOnce + 1 {
 		l.Blame(later, run("s"), ended(fmt.Sprint("/later", i), later))
 	}
-	assert.Assert(t, l.Cases() <= forgottenAtOnce+1, "what is too old to count is forgotten")
+	assert.Assert(t, len(l.cases) <= forgottenAtOnce+1, "what is too old to count is forgotten")
 }
 
 // Each of three hosts saw one server end. None of them can know more by itself; the
@@ -187,7 +187,7 @@
 	assert.Equal(t, other.Judge(5*time.Second, mark("/a")).Verdict, Unsuspected)
 	var unaware Ledger
 	assert.Equal(t, len(unaware.Take(5*time.Second, news)), 0)
-	assert.Equal(t, unaware.Cases(), 0, "the acquittal of what is not held takes no room")
+	assert.Equal(t, len(unaware.cases), 0, "the acquittal of what is not held takes no room")
 }
 
 // Ages are taken when a message leaves, and a moment is a little later where it arrives.
--- a/poison/witness.go
+++ b/poison/witness.go
@@ -135,9 +135,6 @@
 	return replaced
 }
 
-// Watched returns how many servers the witness keeps anything about.
-func (w *Witness) Watched() int { return len(w.servers) }
-
 // expire forgets what is too old to matter.
 func (w *Witness) expire(now time.Duration) {
 	if now-w.swept < sweepEvery {
--- a/poison/witness_test.go
+++ b/poison/witness_test.go
@@ -118,8 +118,8 @@
 			w.Unanswered(0, fleet.Incarnation{ID: "s", Start: int64(i)}, address, Fingerprint{byte(j)})
 		}
 	}
-	assert.Equal(t, w.Watched(), mostServers)
+	assert.Equal(t, len(w.servers), mostServers)
 	assert.Equal(t, len(w.Ended(1, fleet.Incarnation{ID: "s", Start: 0})), mostAtServer)
 	w.Unanswered(2*proofWithin, run("later"), address, mark("/a"))
-	assert.Equal(t, w.Watched(), 1, "there is room again when the old is forgotten")
+	assert.Equal(t, len(w.servers), 1, "there is room again when the old is forgotten")
 }
