Logs and metrics tell the limits that servers name

An incident: servers that had named a limit for all hosts together got several times as much. No line or metric told which host knew of a limit. Now a limit that a server names is read (a value that can't be used is an error with field, value and fix, and what was known stays), kept in order of the news, logged when it changes, with the request whose answer brought it, and counted. Nothing decides by it yet.

--- a/contract/adapter/adapter.go
+++ b/contract/adapter/adapter.go
@@ -50,6 +50,10 @@
 	Load *balance.Load
 	// LoadError is set if the server told a load that can't be read.
 	LoadError *FieldError
+	// Limit is how many requests a second the server takes from all hosts together; 0 if
+	// it names no limit. LimitError is set if it names one that can't be read.
+	Limit      float64
+	LimitError *FieldError
 }
 
 // Codec reads and writes the headers of requests and answers.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -67,6 +67,9 @@
 		return result
 	}
 	req.sends++
+	if g.limits.limit(server.Incarnation()) > 0 {
+		g.counts.limitedSends.Inc()
+	}
 	stop := context.AfterFunc(ctx, exchange.Abort)
 	result, response := g.exchange(ctx, req, server, exchange)
 	result.server, result.sent = server.ID, true
@@ -122,6 +125,7 @@
 // exchange sends the request and reads the answer, of a long one the first
 // part. response is nil if the connection must not be used again.
 func (g *Gateway) exchange(ctx context.Context, req *request, server *balance.Server, exchange *backendlink.Exchange) (attemptResult, *http.Response) {
+	sent := g.now()
 	out := g.outgoing(req, server)
 	if err := exchange.Send(out); err != nil {
 		return g.unanswered(ctx, err), nil
@@ -130,6 +134,7 @@
 		meta := g.codec.ReadAnswer(exchange.Response.StatusCode, exchange.Response.Header)
 		g.noteLoadError(server, meta.LoadError)
 		if meta.RequestID == req.ID || meta.RequestID == "" && meta.NotRun {
+			g.noteLimit(req, server, &meta, sent)
 			return g.answered(ctx, req, server, exchange.Response, meta)
 		}
 		// A late second answer to an earlier request lies in the way. Passing
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,6 +86,7 @@
 	sources *sources
 	reach   reach
 	ends    serverEnds
+	limits  serverLimits
 	hosts   hostCount
 	relay   relay
 	calls   storeCalls
@@ -105,6 +106,7 @@
 	g.evacuationsListed.Store(identity.EvacuateWithin == 0) // then there is nothing to read
 	g.store = newCountedStore(platform.Store, g.noteStoreCall)
 	g.counts.set.NewGauge("cicada_in_flight", g.inFlight)
+	g.counts.set.NewGauge("cicada_limited_servers", g.limits.limited)
 	for _, verdict := range []poison.Verdict{poison.Suspected, poison.Quarantined} {
 		g.counts.set.NewGauge(`cicada_judged_requests{verdict="`+verdict.String()+`"}`, g.judgedAs(verdict))
 	}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -23,25 +23,30 @@
 	unreadable  *metrics.Counter
 	loads       *metrics.Counter // of servers that could not be read
 	crowded     *metrics.Counter
-	crowdedOut  *metrics.Counter
-	endedUnder  *metrics.Counter // requests that were under way at a server as it ended
-	quarantined *metrics.Counter
-	latency     *metrics.Histogram
+	// unreadableLimits counts limits of servers that could not be read, limitedSends the
+	// requests that were sent to servers that name a limit.
+	unreadableLimits, limitedSends *metrics.Counter
+	crowdedOut                     *metrics.Counter
+	endedUnder                     *metrics.Counter // requests that were under way at a server as it ended
+	quarantined                    *metrics.Counter
+	latency                        *metrics.Histogram
 }
 
 func newCounts() *counts {
 	set := metrics.NewSet()
 	return &counts{set: set,
-		retries:     set.NewCounter("cicada_retries_total"),
-		strays:      set.NewCounter("cicada_stray_answers_total"),
-		storeErrors: set.NewCounter("cicada_store_errors_total"),
-		crowdedOut:  set.NewCounter("cicada_host_calls_turned_away_total"),
-		crowded:     set.NewCounter("cicada_crowded_assignments_total"),
-		unreadable:  set.NewCounter("cicada_unreadable_entries_total"),
-		loads:       set.NewCounter("cicada_unreadable_loads_total"),
-		quarantined: set.NewCounter("cicada_quarantined_requests_total"),
-		endedUnder:  set.NewCounter("cicada_requests_at_servers_that_ended_total"),
-		latency:     set.NewHistogram("cicada_request_seconds"),
+		retries:          set.NewCounter("cicada_retries_total"),
+		strays:           set.NewCounter("cicada_stray_answers_total"),
+		storeErrors:      set.NewCounter("cicada_store_errors_total"),
+		crowdedOut:       set.NewCounter("cicada_host_calls_turned_away_total"),
+		crowded:          set.NewCounter("cicada_crowded_assignments_total"),
+		unreadable:       set.NewCounter("cicada_unreadable_entries_total"),
+		loads:            set.NewCounter("cicada_unreadable_loads_total"),
+		unreadableLimits: set.NewCounter("cicada_unreadable_limits_total"),
+		limitedSends:     set.NewCounter("cicada_limited_sends_total"),
+		quarantined:      set.NewCounter("cicada_quarantined_requests_total"),
+		endedUnder:       set.NewCounter("cicada_requests_at_servers_that_ended_total"),
+		latency:          set.NewHistogram("cicada_request_seconds"),
 	}
 }
 
--- /dev/null
+++ b/ratelimit/ledger_test.go
@@ -0,0 +1,83 @@
+package ratelimit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/fleet"
+)
+
+var (
+	first  = fleet.Incarnation{ID: "a", Start: 1}
+	second = fleet.Incarnation{ID: "a", Start: 2}
+)
+
+// said is news of an answer to a request sent at a second, which came at another.
+func said(perSecond float64, sent, heard time.Duration) News {
+	return News{PerSecond: perSecond, Sent: sent * time.Second, Heard: heard * time.Second}
+}
+
+// Guards against a limit that is lost to an answer which another one has overtaken.
+func TestLedgerTakesNewsInOrder(t *testing.T) {
+	for name, told := range map[string]struct {
+		news []News
+		want float64
+	}{
+		"none named":                             {[]News{said(0, 1, 2)}, 0},
+		"named":                                  {[]News{said(3, 1, 2)}, 3},
+		"falls":                                  {[]News{said(3, 1, 2), said(1, 1, 3)}, 1},
+		"rises":                                  {[]News{said(3, 1, 2), said(9, 2, 3)}, 9},
+		"older value comes later":                {[]News{said(3, 1, 4), said(9, 2, 3)}, 3},
+		"ends":                                   {[]News{said(3, 1, 2), said(0, 2, 3)}, 0},
+		"answer under way since before the news": {[]News{said(3, 1, 4), said(0, 3, 5)}, 3},
+		"named again":                            {[]News{said(3, 1, 2), said(0, 2, 3), said(3, 3, 4)}, 3},
+		"older naming after the end":             {[]News{said(3, 1, 2), said(0, 3, 4), said(3, 1, 3)}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var ledger Ledger
+			for _, news := range told.news {
+				ledger.Take(first, news)
+			}
+			assert.Equal(t, ledger.Limit(first), told.want)
+			assert.Equal(t, ledger.Limit(second), 0.0, "another incarnation")
+		})
+	}
+}
+
+// Hosts tell each other what has changed, and only that.
+func TestLedgerTellsChanges(t *testing.T) {
+	var here, there Ledger
+	assert.Assert(t, here.Take(first, said(3, 1, 2)))
+	assert.Assert(t, !here.Take(first, said(3, 2, 3)), "the same limit again")
+	assert.Assert(t, here.Take(second, said(5, 1, 2)))
+	now := 10 * time.Second
+	told, upTo := here.Tell(now, 0, 1)
+	assert.Equal(t, len(told), 1)
+	rest, all := here.Tell(now, upTo, 10)
+	assert.Equal(t, len(rest), 1)
+	assert.Equal(t, all, here.Changes())
+	none, _ := here.Tell(now, all, 10)
+	assert.Equal(t, len(none), 0)
+	later := time.Minute // on another host's clock
+	for _, each := range append(told, rest...) {
+		assert.Assert(t, there.Take(each.Server, each.News(later)))
+	}
+	assert.Equal(t, there.Limit(first), 3.0)
+	assert.Equal(t, there.Limit(second), 5.0)
+	heard, _ := there.Known(first)
+	assert.Equal(t, later-heard.Heard, 7*time.Second, "news keep their age")
+}
+
+func TestLedgerIsBounded(t *testing.T) {
+	var ledger Ledger
+	for i := range 2 * mostServers {
+		ledger.Take(fleet.Incarnation{ID: fmt.Sprint(i)}, said(3, 1, 2))
+	}
+	assert.Equal(t, len(ledger.Limits()), mostServers)
+	ledger.Retain(func(server fleet.Incarnation) bool { return server.ID == "7" })
+	assert.Equal(t, len(ledger.Limits()), 1)
+	assert.Assert(t, !ledger.Empty())
+}
