Servers get no more than the limit that they name for all hosts together

Callers saw nothing; two servers that took 3.3 and 2.3 requests a second got 12.3 and 5.4, 68 and 30 in 4 s at worst, where 25 and 19 are allowed. Cause: no host decided by the limit. A host that kept to it alone would not have helped: what binds is the sum over hosts, whose parts of the demand nobody knows.

Now each request to such a server needs a place. One process, the controller of a service with keys, which the store names, gives out all places of a server as they are asked for, so the sum holds whatever the hosts' parts are, and no place lies idle at one host while another turns callers away. Hosts tell each other of limits with reports.

--- a/balance/cold.go
+++ b/balance/cold.go
@@ -87,13 +87,20 @@
 	server.coldPlace.saved, server.coldPlace.at = server.coldPlace.savedAt(now, rate)-mostColdPlaces, now
 }
 
-// Speed returns a server's speed over its service's mean, as long as it is cold no
-// more than makes it bear its few requests.
+// Speed returns a server's speed over its service's mean, as long as it is cold or names a
+// limit no more than makes it bear the few requests that it then takes.
 func (p *Pool) Speed(now time.Duration, server *Server) float64 {
 	speed := 1 / server.Ratio()
-	if p.cold.perSecond <= 0 || !server.cold(now) {
-		return speed
+	if p.cold.perSecond > 0 && server.cold(now) {
+		speed = min(speed/coldFactor, p.speedAt(server, coldShare*p.cold.perSecond))
 	}
-	bears := coldShare * p.cold.perSecond * p.mean.Seconds() / float64(max(server.Slots, 1))
-	return min(speed/coldFactor, bears)
+	if server.limited() {
+		speed = min(speed, p.speedAt(server, server.limit.perSecond))
+	}
+	return speed
+}
+
+// speedAt is the speed at which all slots of a server run some requests a second.
+func (p *Pool) speedAt(server *Server, perSecond float64) float64 {
+	return perSecond * p.mean.Seconds() / float64(max(server.Slots, 1))
 }
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -35,10 +35,12 @@
 	servers map[string]*Server
 	order   []*Server
 	waiting []*Waiter
-	mean    time.Duration
-	kinds   map[time.Duration]*kind // by objective
-	shares  map[uint16]*share       // by key
-	random  *rand.Rand
+	// undecided is the other buffer of Pump, empty between its calls.
+	undecided []*Waiter
+	mean      time.Duration
+	kinds     map[time.Duration]*kind // by objective
+	shares    map[uint16]*share       // by key
+	random    *rand.Rand
 	// usual is the smoothed load by other hosts over a server's slots.
 	usual float64
 	// gap is the smoothed time between two requests that were given a server
@@ -48,7 +50,9 @@
 	// served there, while they pass on.
 	evacuateWithin time.Duration
 	cold           coldLimit
-	window         window // of a service without keys
+	limits         map[fleet.Incarnation]float64 // that servers name, in requests a second
+	hosts          int                           // among which limits are divided
+	window         window                        // of a service without keys
 }
 
 // NewPool returns a pool for a host in a failure domain. owner is nil for a
@@ -81,6 +85,7 @@
 		}
 		server.relist(now, listed)
 		p.noteCold(now, server)
+		p.noteLimit(now, server)
 		p.order = append(p.order, server)
 	}
 	for id := range p.servers {
@@ -99,7 +104,11 @@
 		waiter.since -= known.waited(waiter.Patience)
 		known.vote(waiter.Patience)
 	}
-	if rejected := p.hopeless(now, waiter); rejected != nil {
+	rejected := p.hopeless(now, waiter)
+	if rejected == nil && len(p.limits) > 0 {
+		rejected = p.beyondLimit(now, waiter)
+	}
+	if rejected != nil {
 		p.reject(waiter, rejected)
 		return
 	}
@@ -114,14 +123,14 @@
 		return
 	}
 	slices.SortStableFunc(p.waiting, func(a, b *Waiter) int { return p.compare(now, a, b) })
-	kept := p.waiting[:0]
+	kept := p.undecided[:0]
 	for _, waiter := range p.waiting {
 		if !p.decide(now, waiter) {
 			kept = append(kept, waiter)
 		}
 	}
-	clear(p.waiting[len(kept):])
-	p.waiting = kept
+	clear(p.waiting)
+	p.undecided, p.waiting = p.waiting[:0], kept
 }
 
 // decide reports whether the waiter was given a server or turned away.
@@ -132,7 +141,7 @@
 	}
 	server := p.choose(now, waiter)
 	if server == nil {
-		return p.giveUpOnOwner(now, waiter) || p.giveUp(now, waiter)
+		return p.giveUpOnOwner(now, waiter) || p.giveUpOnPlace(now, waiter) || p.giveUp(now, waiter)
 	}
 	if server.inFlight == 0 {
 		server.newsAt = now
@@ -141,6 +150,7 @@
 	p.window.inFlight++
 	server.stalls = 0
 	p.takeColdPlace(now, server)
+	p.takePlace(now, server)
 	p.placed(now)
 	waiter.Server = server
 	close(waiter.Ready)
@@ -183,6 +193,19 @@
 	return true
 }
 
+// giveUpOnPlace turns a request away for which no place at a limited server is due in time.
+func (p *Pool) giveUpOnPlace(now time.Duration, waiter *Waiter) bool {
+	if len(p.limits) == 0 {
+		return false
+	}
+	rejected := p.beyondLimit(now, waiter)
+	if rejected == nil {
+		return false
+	}
+	p.reject(waiter, rejected)
+	return true
+}
+
 // giveUp turns a request away that has waited longer than was expected when it
 // came, so that its caller can come back while it still has time.
 func (p *Pool) giveUp(now time.Duration, waiter *Waiter) bool {
@@ -217,6 +240,11 @@
 
 // room reports whether a server may get one more request of this host.
 func (p *Pool) room(now time.Duration, server *Server) bool {
+	return p.roomBeforeLimit(now, server) && p.hasPlace(now, server)
+}
+
+// roomBeforeLimit is room without regard to a limit that the server names.
+func (p *Pool) roomBeforeLimit(now time.Duration, server *Server) bool {
 	return server.room(now, p.mean) && p.coldWait(now, server) == 0
 }
 
@@ -266,17 +294,27 @@
 	if wanted == unusable {
 		return nil
 	}
-	var best *Server
-	least, work := 0.0, p.work(waiter.Objective)
+	var best, unplaced *Server
+	least, leastUnplaced, work := 0.0, 0.0, p.work(waiter.Objective)
 	for _, server := range p.order {
-		if p.preference(now, waiter, server) != wanted || !p.room(now, server) {
+		if p.preference(now, waiter, server) != wanted || !p.roomBeforeLimit(now, server) {
 			continue
 		}
 		cost := server.cost(now, p.mean, work, p.usual, p.domain) + tieBreak*p.random.Float64()
-		if best == nil || cost < least {
-			best, least = server, cost
+		switch {
+		case p.hasPlace(now, server):
+			if best == nil || cost < least {
+				best, least = server, cost
+			}
+		case p.mayGetPlace(now, waiter, server):
+			if unplaced == nil || cost < leastUnplaced {
+				unplaced, leastUnplaced = server, cost
+			}
 		}
 	}
+	if unplaced != nil && (best == nil || leastUnplaced < least) {
+		unplaced.limit.spare = true
+	}
 	return best
 }
 
--- a/balance/reject.go
+++ b/balance/reject.go
@@ -8,17 +8,17 @@
 	if waiter.Keyed && p.owner != nil {
 		return p.ownerless(now, waiter)
 	}
-	capacity := 0
+	capacity := 0.0
 	for _, server := range p.order {
 		if !server.Leaving() {
-			capacity += server.Slots
+			capacity += p.slotsWithinLimit(server)
 		}
 	}
 	if capacity == 0 {
 		return &RejectedError{Reason: NoServer, RetryAfter: time.Second}
 	}
 	// Other hosts use the servers as well; how much they leave shows in the pace.
-	pace := max(p.gap, p.mean/time.Duration(capacity))
+	pace := max(p.gap, time.Duration(float64(p.mean)/capacity))
 	return p.crowded(now, waiter, pace*time.Duration(p.ahead(now, waiter, "")))
 }
 
@@ -58,7 +58,7 @@
 func (p *Pool) ahead(now time.Duration, waiter *Waiter, id string) int {
 	n := 0
 	for _, other := range p.waiting {
-		if p.compare(now, other, waiter) > 0 {
+		if other.decided() || other == waiter || p.compare(now, other, waiter) > 0 {
 			continue
 		}
 		if id != "" {
--- a/balance/server.go
+++ b/balance/server.go
@@ -120,6 +120,7 @@
 	ratio     float64       // its service time over the service's mean
 	failures  float64
 	coldPlace coldPlace
+	limit     limit
 	leavingAt time.Duration // when the server was first seen draining
 	// evacuatedAt is when its domain was first seen evacuated.
 	evacuatedAt time.Duration
--- a/balance/waiter.go
+++ b/balance/waiter.go
@@ -41,6 +41,9 @@
 	Rejected *RejectedError
 }
 
+// decided reports whether the request was given a server or turned away.
+func (w *Waiter) decided() bool { return w.Server != nil || w.Rejected != nil }
+
 // Reason says why a request was turned away.
 type Reason string
 
@@ -52,6 +55,9 @@
 	NoOwner Reason = "no-owner"
 	// ColdOwner: the key's owner is cold and gets no more for now.
 	ColdOwner Reason = "cold-owner"
+	// Limited: the servers that may take the request name limits, and no place there is
+	// due in time.
+	Limited Reason = "server-limit"
 	// Overload: the wait for a server does not fit the deadline.
 	Overload Reason = "overload"
 	// Expired: the deadline came while the request waited.
@@ -65,6 +71,10 @@
 	RetryAfter time.Duration
 	// Expected is the wait on which the decision rests.
 	Expected time.Duration
+	// Server and Limit are the server whose limit that is, in requests a second; of
+	// Limited only.
+	Server string
+	Limit  float64
 }
 
 // Error implements error.
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -45,6 +45,7 @@
 		return
 	}
 	g.log.Info("number of hosts", "hosts", hosts)
+	g.applyLimits()
 	if current := g.inForce.Current(); current != nil {
 		g.limitCold(current)
 	}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -10,6 +10,7 @@
 	"cicadarouter/host/clock"
 	"cicadarouter/host/ring"
 	"cicadarouter/keyspace"
+	"cicadarouter/ratelimit"
 )
 
 // Times of control.
@@ -94,7 +95,8 @@
 	unauthorized bool          // logged that authority ran out
 	crowded      bool          // logged that the record has as many ranges as it may have
 	led          time.Duration // since when this process is the controller
-	news         caseNews
+	news         peerNews
+	schedules    map[fleet.Incarnation]*ratelimit.Schedule // of limited servers, while this process is the controller
 	kept         keptQuarantine
 	leaving      bool // this process stops, since leavingAt
 	leavingAt    time.Duration
@@ -191,7 +193,7 @@
 		// A new controller has its own time to be heard. Judging it by its
 		// predecessor's silence would let every host take over in turn.
 		c.heardOf, c.heard, c.wanted, c.reported = record.Controller.Incarnation, now, 0, 0
-		c.news = caseNews{reporting: c.news.reporting}
+		c.news = peerNews{reporting: c.news.reporting}
 	}
 	switch {
 	case record == nil:
@@ -370,7 +372,7 @@
 func (g *Gateway) stepDown(c *controller, why, successor string) {
 	g.log.Info("control given up", "service", c.service.name, "why", why, "successor", successor)
 	c.machine, c.writing, c.reading, c.unauthorized = nil, false, false, false
-	c.members = newMembers()
+	c.members, c.schedules = newMembers(), nil
 	c.heard = g.boot.Now()
 }
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -264,7 +264,7 @@
 	defer g.mu.Unlock()
 	s := g.services[name]
 	if s == nil {
-		s = newService(name, g.identity, true, g.now)
+		s = g.newService(name, true)
 		g.services[name] = s
 	}
 	return s
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -141,6 +141,13 @@
 	return g.services[name]
 }
 
+// newService returns a service that has places reserved through this host.
+func (g *Gateway) newService(name string, keyed bool) *service {
+	s := newService(name, g.identity, keyed, g.now)
+	s.reserve = g.reservePlaces
+	return s
+}
+
 // keyedServices returns the services whose keys have owners.
 func (g *Gateway) keyedServices() []*service {
 	g.mu.Lock()
@@ -166,11 +173,12 @@
 	g.mu.Lock()
 	for name, described := range offered.Services {
 		if g.services[name] == nil {
-			g.services[name] = newService(name, g.identity, described.Keyed, g.now)
+			g.services[name] = g.newService(name, described.Keyed)
 		}
 	}
 	g.mu.Unlock()
 	g.limitCold(offered)
+	g.applyLimits()
 	// Services come first: a request must not meet a route without its service.
 	g.distribute()
 	if g.inForce.Offer(offered) {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -148,6 +148,9 @@
 	if answer.retryAfter > 0 {
 		fields = append(fields, "retry-after-ms", answer.retryAfter.Milliseconds(), "expected-wait-ms", answer.expected.Milliseconds())
 	}
+	if answer.limit > 0 {
+		fields = append(fields, "limited-server", answer.limitedServer, "limit-per-second", answer.limit)
+	}
 	if answer.judged.Ends > 0 {
 		fields = append(fields, "fingerprint", req.fingerprint().String(), "servers-ended", answer.judged.Ends,
 			"last-end-age-ms", (g.now() - answer.judged.LastEnd).Milliseconds())
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -16,14 +16,17 @@
 	"cicadarouter/fleet"
 	"cicadarouter/keyspace"
 	"cicadarouter/poison"
+	"cicadarouter/ratelimit"
 )
 
 // Paths between hosts.
 const (
 	pathLoad  = "/keys/load"
 	pathYield = "/keys/yield"
-	pathWatch = "/store/watch"
-	pathList  = "/store/list"
+	// pathPlaces asks for places at a server that names a limit.
+	pathPlaces = "/servers/places"
+	pathWatch  = "/store/watch"
+	pathList   = "/store/list"
 	// pathSource asks whether a host has the store's word.
 	pathSource = "/store/source"
 )
@@ -54,6 +57,10 @@
 	// heard of them; KnownCases is up to which change the host has heard of the controller's.
 	Cases      []poison.Case `json:"cases,omitempty"`
 	KnownCases uint64        `json:"knownCases,omitempty"`
+	// Limits are those that servers name, as far as the controller has not heard of them;
+	// KnownLimits is up to which change the host has heard of the controller's.
+	Limits      []ratelimit.Told `json:"limits,omitempty"`
+	KnownLimits uint64           `json:"knownLimits,omitempty"`
 }
 
 // loadAnswer tells a host that the controller lives.
@@ -81,6 +88,9 @@
 	// Cases are the requests that every host is to know of, up to the change CasesUpTo.
 	Cases     []poison.Case `json:"cases,omitempty"`
 	CasesUpTo uint64        `json:"casesUpTo,omitempty"`
+	// Limits are those that servers name, up to the change LimitsUpTo.
+	Limits     []ratelimit.Told `json:"limits,omitempty"`
+	LimitsUpTo uint64           `json:"limitsUpTo,omitempty"`
 }
 
 // yieldRequest asks a controller to stop for a successor's term.
@@ -141,6 +151,7 @@
 	controller *controller
 	to         keyspace.Controller
 	casesUpTo  uint64 // up to which change of this host's ledger the report tells of it
+	limitsUpTo uint64 // likewise of limits
 	answer     loadAnswer
 	err        error
 }
@@ -154,8 +165,9 @@
 		report.Asked[key] = asked.Microseconds()
 	}
 	casesUpTo := g.tellCases(c, &report)
+	limitsUpTo := g.tellLimits(c, &report)
 	go func() {
-		ended := &reportEnded{controller: c, to: to, casesUpTo: casesUpTo}
+		ended := &reportEnded{controller: c, to: to, casesUpTo: casesUpTo, limitsUpTo: limitsUpTo}
 		ended.err = g.askPeer(ctx, peerTimeout, to.Address, pathLoad, report, &ended.answer)
 		g.post(ctx, ended)
 	}()
@@ -183,7 +195,10 @@
 		g.reach.back() // what this host can't read in the store it hears from the controller
 		g.sources.name(e.answer.Relays, e.answer.FollowRelays)
 		c.service.setShares(e.answer.Shares)
-		g.hearCases(c, e)
+		if e.to.Incarnation == c.heardOf { // else the next controller hears of everything
+			g.hearCases(c, e)
+			g.hearReportedLimits(c, e)
+		}
 		g.noteHosts(e.answer.Hosts)
 		told := g.now()
 		confirmed := told - time.Duration(e.answer.StoreAgeMs)*time.Millisecond
@@ -231,16 +246,20 @@
 type peerCall struct {
 	load   *loadReport
 	yield  *yieldRequest
+	places *placesRequest
 	answer chan any
 }
 
 // apply implements event.
 func (p *peerCall) apply(g *Gateway, now time.Duration) {
-	if p.load != nil {
+	switch {
+	case p.load != nil:
 		p.answer <- g.takeReport(p.load, now)
-		return
+	case p.places != nil:
+		p.answer <- g.givePlaces(p.places, now)
+	default:
+		p.answer <- g.yieldTo(p.yield)
 	}
-	p.answer <- g.yieldTo(p.yield)
 }
 
 func (g *Gateway) takeReport(report *loadReport, now time.Duration) loadAnswer {
@@ -259,6 +278,8 @@
 	c.members.note(report.Host, member{address: report.Address, domain: report.Domain, small: report.Small, seen: now})
 	g.takeCases(report.Cases, report.Host)
 	answer.Cases, answer.CasesUpTo = g.casesFor(report.KnownCases)
+	g.hearLimits(report.Limits, report.Host)
+	answer.Limits, answer.LimitsUpTo = g.limits.tell(g.now(), report.KnownLimits)
 	answer.Relays = c.members.relaysFor(report.Host, report.Domain, now)
 	answer.Hosts = g.hosts.count()
 	answer.FollowRelays = len(c.members.hosts) > mostFollowers
@@ -299,6 +320,12 @@
 			g.answerPeer(w, r, &peerCall{yield: &request})
 		}
 	})
+	mux.HandleFunc("POST "+pathPlaces, func(w http.ResponseWriter, r *http.Request) {
+		var request placesRequest
+		if g.readPeer(w, r, &request) {
+			g.answerPeer(w, r, &peerCall{places: &request})
+		}
+	})
 	mux.HandleFunc("POST "+pathWatch, g.answerWatch)
 	mux.HandleFunc("POST "+pathList, g.answerList)
 	mux.HandleFunc("POST "+pathSource, g.answerSource)
--- /dev/null
+++ b/gateway/places.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"cicadarouter/balance"
+	"cicadarouter/fleet"
+	"cicadarouter/keyspace"
+	"cicadarouter/ratelimit"
+)
+
+const (
+	// placesTimeout bounds the question for places: requests wait for the answer.
+	placesTimeout = 200 * time.Millisecond
+	// mostPlaces bounds the places given with one answer.
+	mostPlaces = 64
+)
+
+// Errors of questions for places.
+var (
+	errNoScheduler = errors.New("no host is known to schedule places")
+	errControlBusy = errors.New("too many answers wait for the control loop")
+)
+
+// placesRequest asks the host that schedules places for some at a server.
+type placesRequest struct {
+	// Server is what the asking host knows of the server's limit.
+	Server ratelimit.Told `json:"server"`
+	Places int            `json:"places"`
+	// WithinMicros is how soon they must be due, in microseconds.
+	WithinMicros int64 `json:"withinMicros"`
+}
+
+// placesAnswer gives places out.
+type placesAnswer struct {
+	// Schedules is set if the process schedules places.
+	Schedules bool `json:"schedules"`
+	// Server is what the process knows of the server's limit.
+	Server ratelimit.Told `json:"server"`
+	// WaitsMicros are how long it is until each place is due, in microseconds.
+	WaitsMicros []int64 `json:"waitsMicros,omitempty"`
+	// FullMicros is how long it is until the first one that was not given; 0 if all were.
+	FullMicros int64 `json:"fullMicros,omitempty"`
+}
+
+// scheduler returns the process that schedules the places of all limited servers: the
+// controller of the first service that is divided by key. That one is named in the store,
+// so there is one at a time. ok is false while none is known.
+func (g *Gateway) scheduler() (scheduler keyspace.Controller, ok bool) {
+	keyed := g.keyedServices()
+	if len(keyed) == 0 {
+		return keyspace.Controller{}, false
+	}
+	record, _ := firstByName(keyed).view.latest()
+	if record == nil || record.Controller.Resigned {
+		return keyspace.Controller{}, false
+	}
+	return record.Controller, true
+}
+
+func firstByName(services []*service) *service {
+	return slices.MinFunc(services, func(a, b *service) int { return strings.Compare(a.name, b.name) })
+}
+
+// reservePlaces asks for places at a service's servers, and hands the service what became
+// of it.
+func (g *Gateway) reservePlaces(s *service, wishes []balance.Wish) {
+	for _, wish := range wishes {
+		go func() {
+			got := g.reserve(wish)
+			s.reserved(wish.Server, got)
+		}()
+	}
+}
+
+// reserve asks the scheduler for places at a server.
+func (g *Gateway) reserve(wish balance.Wish) balance.Reservation {
+	asked := g.now()
+	news, _ := g.limits.of(wish.Server)
+	request := placesRequest{Server: ratelimit.TellOf(asked, wish.Server, news), Places: wish.Places, WithinMicros: wish.Within.Microseconds()}
+	answer, err := g.askPlaces(&request)
+	if err != nil || !answer.Schedules {
+		if g.failureLines.take() {
+			g.log.Info("no places given: the host keeps to its own part", "server", wish.Server.String(), "places", wish.Places, "error", errorText(err))
+		}
+		return balance.Reservation{}
+	}
+	g.hearLimits([]ratelimit.Told{answer.Server}, "scheduler")
+	got := balance.Reservation{Reached: true, Asked: asked, Full: time.Duration(answer.FullMicros) * time.Microsecond}
+	for _, wait := range answer.WaitsMicros {
+		got.Waits = append(got.Waits, time.Duration(wait)*time.Microsecond)
+	}
+	if g.loadLines.take() {
+		g.log.Debug("places reserved", "server", wish.Server.String(), "asked", wish.Places, "given", len(got.Waits),
+			"within-ms", wish.Within.Milliseconds(), "full-ms", got.Full.Milliseconds(), "answered-ms", (g.now() - asked).Milliseconds())
+	}
+	return got
+}
+
+// askPlaces asks the scheduler, which may be this process.
+func (g *Gateway) askPlaces(request *placesRequest) (placesAnswer, error) {
+	scheduler, known := g.scheduler()
+	if !known {
+		return placesAnswer{}, errNoScheduler
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), placesTimeout)
+	defer cancel()
+	if scheduler.Incarnation == g.identity.Incarnation {
+		return g.askOwnPlaces(ctx, request)
+	}
+	var answer placesAnswer
+	err := g.askPeer(ctx, placesTimeout, scheduler.Address, pathPlaces, request, &answer)
+	return answer, err
+}
+
+// askOwnPlaces asks this process's control loop.
+func (g *Gateway) askOwnPlaces(ctx context.Context, request *placesRequest) (placesAnswer, error) {
+	call := &peerCall{places: request, answer: make(chan any, 1)}
+	if !g.control.events.Offer(call) {
+		g.counts.crowdedOut.Inc()
+		return placesAnswer{}, errControlBusy
+	}
+	select {
+	case answer := <-call.answer:
+		return answer.(placesAnswer), nil
+	case <-ctx.Done():
+		return placesAnswer{}, ctx.Err()
+	}
+}
+
+// givePlaces answers a question for places. Only a controller that the store has confirmed,
+// and whose predecessors have stopped, gives any: two that schedule at the same time would
+// give out a limit twice.
+func (g *Gateway) givePlaces(request *placesRequest, now time.Duration) placesAnswer {
+	g.hearLimits([]ratelimit.Told{request.Server}, "host")
+	c := g.scheduling(now)
+	if c == nil {
+		return placesAnswer{}
+	}
+	server := request.Server.Server
+	news, known := g.limits.of(server)
+	if !known {
+		return placesAnswer{}
+	}
+	answer := placesAnswer{Schedules: true, Server: ratelimit.TellOf(g.now(), server, news)}
+	if news.PerSecond <= 0 {
+		return answer // the host hears that the limit is over
+	}
+	within := time.Duration(request.WithinMicros) * time.Microsecond
+	schedule := c.scheduleOf(server)
+	for range min(request.Places, mostPlaces) {
+		wait, ok := schedule.Reserve(now, news.PerSecond, within)
+		if !ok {
+			answer.FullMicros = max(wait.Microseconds(), 1)
+			break
+		}
+		answer.WaitsMicros = append(answer.WaitsMicros, wait.Microseconds())
+	}
+	return answer
+}
+
+// scheduling returns the controller as which this process schedules places, or nil.
+func (g *Gateway) scheduling(now time.Duration) *controller {
+	keyed := g.keyedServices()
+	if len(keyed) == 0 {
+		return nil
+	}
+	c := g.control.services[firstByName(keyed).name]
+	if c == nil || c.machine == nil || !c.machine.Authority(now) || len(c.machine.Unproven(now)) > 0 {
+		return nil
+	}
+	return c
+}
+
+// mostSchedules bounds the schedules that a controller keeps. Those of servers that are gone
+// are dropped when it is reached.
+const mostSchedules = 1024
+
+func (c *controller) scheduleOf(server fleet.Incarnation) *ratelimit.Schedule {
+	schedule := c.schedules[server]
+	if schedule != nil {
+		return schedule
+	}
+	if c.schedules == nil || len(c.schedules) >= mostSchedules {
+		c.schedules = map[fleet.Incarnation]*ratelimit.Schedule{}
+	}
+	schedule = &ratelimit.Schedule{}
+	c.schedules[server] = schedule
+	return schedule
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -70,25 +70,44 @@
 	}
 }
 
-// caseNews is how far a host and the controller of a service have told each other of
-// requests under which servers ended.
-type caseNews struct {
+// exchange is how far a host and the controller of a service have told each other of the
+// changes of a ledger.
+type exchange struct {
 	// told is up to which change the controller has heard of this host's ledger, sent up
 	// to which the last report told of it, heard up to which this host has of the
 	// controller's.
 	told, sent, heard uint64
-	reporting         bool // a report is under way
+}
+
+// took notes that the controller's answer to a report was taken, whose news made the
+// ledger's changes grow: the controller need not hear at once of what it told.
+func (e *exchange) took(before, after, told, heard uint64) {
+	if before == e.sent {
+		e.sent = after
+	}
+	e.told, e.heard = told, heard
+}
+
+// peerNews is what a host and the controller of a service have told each other: of requests
+// under which servers ended, and of limits that servers name.
+type peerNews struct {
+	cases, limits exchange
+	reporting     bool // a report is under way
 }
 
 // hasNews reports whether the controller is to hear at once of what this host saw. Until
-// it has, other hosts give the request one server after the other.
+// it has, other hosts give a request one server after the other that ends them, and meet
+// each limit of a server by themselves.
 func (g *Gateway) hasNews(c *controller, now time.Duration) bool {
 	if c.news.reporting || now-c.reported < newsEvery {
 		return false
 	}
+	if g.limits.changes() > c.news.limits.sent {
+		return true
+	}
 	g.ends.mu.Lock()
 	defer g.ends.mu.Unlock()
-	return g.ends.ledger.Changes() > c.news.sent
+	return g.ends.ledger.Changes() > c.news.cases.sent
 }
 
 // tellCases adds to a report what the controller has not heard of, and returns up to
@@ -97,22 +116,16 @@
 	g.ends.mu.Lock()
 	defer g.ends.mu.Unlock()
 	var upTo uint64
-	report.Cases, upTo = g.ends.ledger.Tell(g.now(), c.news.told, mostCasesTold, poison.Collector)
-	report.KnownCases = c.news.heard
-	c.news.sent, c.news.reporting = upTo, true
+	report.Cases, upTo = g.ends.ledger.Tell(g.now(), c.news.cases.told, mostCasesTold, poison.Collector)
+	report.KnownCases = c.news.cases.heard
+	c.news.cases.sent, c.news.reporting = upTo, true
 	return upTo
 }
 
 // hearCases takes what the controller told with its answer to a report.
 func (g *Gateway) hearCases(c *controller, e *reportEnded) {
-	if e.to.Incarnation != c.heardOf {
-		return // the answer of an earlier controller: the next hears of everything
-	}
 	before, after := g.takeCases(e.answer.Cases, e.to.Host)
-	if before == c.news.sent {
-		c.news.sent = after // it need not hear at once of what it told
-	}
-	c.news.told, c.news.heard = e.casesUpTo, e.answer.CasesUpTo
+	c.news.cases.took(before, after, e.casesUpTo, e.answer.CasesUpTo)
 }
 
 // casesFor returns what a host that has heard of this ledger up to a change is to know.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -48,6 +48,9 @@
 	asked   map[uint16]time.Duration           // slot time by key, since the last report
 	paces   map[fleet.Incarnation]balance.Pace // since the last report
 	pumping bool
+
+	// reserve asks for places at servers that name limits. It does not block.
+	reserve func(s *service, wishes []balance.Wish)
 }
 
 func newService(name string, identity Identity, keyed bool, now func() time.Duration) *service {
@@ -73,6 +76,30 @@
 	s.pool.SetCold(perSecond, hosts)
 }
 
+// setLimits takes the limits that servers name, and how many hosts there are.
+func (s *service) setLimits(limits map[fleet.Incarnation]float64, hosts int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.SetLimits(s.now(), limits, hosts)
+	s.wish()
+}
+
+// wish has places reserved for waiting requests. s.mu is held.
+func (s *service) wish() {
+	if wishes := s.pool.Wishes(s.now()); len(wishes) > 0 {
+		s.reserve(s, wishes)
+	}
+}
+
+// reserved takes what became of a wish.
+func (s *service) reserved(server fleet.Incarnation, got balance.Reservation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Reserved(s.now(), server, got)
+	s.wish()
+	s.armPump()
+}
+
 // setServers takes the service's servers. Connections to others are closed.
 func (s *service) setServers(servers []fleet.Server) {
 	s.mu.Lock()
@@ -124,6 +151,7 @@
 func (s *service) acquire(ctx context.Context, waiter *balance.Waiter) (*balance.Server, *backendlink.Pool, error) {
 	s.mu.Lock()
 	s.pool.Enter(s.now(), waiter)
+	s.wish()
 	s.armPump()
 	s.mu.Unlock()
 	select {
@@ -167,6 +195,7 @@
 	if s.view != nil && pace.Samples > 0 {
 		s.paces[server.Incarnation()] = s.paces[server.Incarnation()].Plus(pace)
 	}
+	s.wish()
 	s.armPump()
 }
 
@@ -181,6 +210,7 @@
 		defer s.mu.Unlock()
 		s.pumping = false
 		s.pool.Pump(s.now())
+		s.wish()
 		s.armPump()
 	})
 }
@@ -190,6 +220,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pool.Pump(s.now())
+	s.wish()
 }
 
 // inFlight returns the requests that hold a place at one of the servers.
--- /dev/null
+++ b/ratelimit/schedule_test.go
@@ -0,0 +1,117 @@
+package ratelimit
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// The users' rule for a limit.
+const (
+	ruleWindow  = 4 * time.Second
+	ruleOverage = 1.5
+	ruleSlack   = 5
+)
+
+func allowed(perSecond float64) float64 {
+	return ruleOverage*perSecond*ruleWindow.Seconds() + ruleSlack
+}
+
+// most returns how many of the times, in order, lie in the fullest window.
+func most(times []time.Duration, window time.Duration) int {
+	fullest := 0
+	for from, to := 0, 0; to < len(times); to++ {
+		for times[to]-times[from] >= window {
+			from++
+		}
+		fullest = max(fullest, to-from+1)
+	}
+	return fullest
+}
+
+// However requests come, and however late each place is used, the places of a schedule
+// stay within its bound, and that within the rule.
+func TestScheduleBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(0.05, 50).Draw(t, "limit")
+		var schedule Schedule
+		var used []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "requests") {
+			now += time.Duration(rapid.IntRange(0, 700).Draw(t, "pause")) * time.Millisecond
+			within := time.Duration(rapid.IntRange(0, 800).Draw(t, "within")) * time.Millisecond
+			wait, ok := schedule.Reserve(now, perSecond, within)
+			assert.Equal(t, ok, wait <= within)
+			if ok {
+				used = append(used, now+wait+time.Duration(rapid.Int64Range(0, int64(PlaceKept)).Draw(t, "used after")))
+			}
+		}
+		slices.Sort(used)
+		fullest := most(used, ruleWindow)
+		assert.Assert(t, float64(fullest) <= Bound(perSecond, ruleWindow), "%d in a window at %v a second", fullest, perSecond)
+		assert.Assert(t, Bound(perSecond, ruleWindow) <= allowed(perSecond))
+	})
+}
+
+// A schedule whose places are wanted gives out the whole limit.
+func TestScheduleGivesTheWholeLimit(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	const perSecond, span = 3.3, 100 * time.Second
+	var schedule Schedule
+	given := 0
+	for now := time.Duration(0); now < span; now += time.Duration(random.ExpFloat64() * float64(time.Second) / 10) {
+		if _, ok := schedule.Reserve(now, perSecond, 200*time.Millisecond); ok {
+			given++
+		}
+	}
+	assert.Assert(t, float64(given) >= 0.97*perSecond*span.Seconds(), "%d given", given)
+}
+
+// Hosts that can't reach the schedule stay within their share on average, and within the
+// rule together with a schedule that gives out all places to others, at any size.
+func TestTurnsOfAllHosts(t *testing.T) {
+	for _, hosts := range []int{1, 3, 8, 90, 295, 4000} {
+		for _, perSecond := range []float64{0.3, 2.3, 20} {
+			random := rand.New(rand.NewPCG(uint64(hosts), uint64(perSecond*10)))
+			every := TurnInterval(perSecond, hosts)
+			turns := make([]Turn, hosts)
+			for i := range turns {
+				turns[i] = NewTurn(0, every, random.Float64())
+			}
+			const span, step = 120 * time.Second, 20 * time.Millisecond
+			var used []time.Duration
+			for now := time.Duration(0); now < span; now += step {
+				for i := range turns {
+					// As much is asked for as a service is that has to name a limit.
+					if random.Float64() < 10*perSecond*step.Seconds()/float64(hosts) && turns[i].Wait(now, every) == 0 {
+						turns[i].Take(every)
+						used = append(used, now)
+					}
+				}
+			}
+			both := float64(most(used, ruleWindow)) + Bound(perSecond, ruleWindow)
+			assert.Assert(t, both <= allowed(perSecond), "%d hosts, %v a second: %v in a window, %v allowed", hosts, perSecond, both, allowed(perSecond))
+			assert.Assert(t, float64(len(used)) <= aloneShare*perSecond*span.Seconds()+float64(min(hosts, 8)), "%d hosts, %v a second: %d used", hosts, perSecond, len(used))
+		}
+	}
+}
+
+// A host that was idle has one turn at most, however long it was.
+func TestTurnsAreNotSaved(t *testing.T) {
+	every := TurnInterval(2, 8)
+	turn := NewTurn(0, every, 0.5)
+	now := time.Hour
+	for range 3 * int(every/time.Millisecond) {
+		if turn.Wait(now, every) == 0 {
+			turn.Take(every)
+			assert.Assert(t, turn.Wait(now, every) > 0)
+			return
+		}
+		now += time.Millisecond
+	}
+	t.Fatal("no turn came")
+}
