--- a/balance/cold.go
+++ b/balance/cold.go
@@ -95,11 +95,15 @@
 		speed = min(speed/coldFactor, p.speedAt(server, coldShare*p.cold.perSecond))
 	}
 	if server.limited() {
-		speed = min(speed, p.speedAt(server, server.limit.perSecond))
+		speed = min(speed, p.speedAt(server, limitFill*server.limit.perSecond))
 	}
 	return speed
 }
 
+// limitFill is the part of a limit that the keys of a server are to ask for. Requests come at
+// random: of those of a server that is asked for all of its limit, many find no place in time.
+const limitFill = 0.5
+
 // speedAt is the speed at which all slots of a server run some requests a second.
 func (p *Pool) speedAt(server *Server, perSecond float64) float64 {
 	return perSecond * p.mean.Seconds() / float64(max(server.Slots, 1))
--- a/balance/replay_test.go
+++ b/balance/replay_test.go
@@ -40,6 +40,11 @@
 	// returns lets a rejected caller come back once, as told, but after no more
 	// than a third of the time that it has left.
 	returns bool
+	// limited servers, the first ones, name a limit each in the middle third; division is
+	// how hosts divide it.
+	limited  int
+	limit    float64
+	division division
 }
 
 // modelKind is a kind of request.
@@ -75,6 +80,8 @@
 	owed, earned float64
 	// returned callers were rejected once; refusedAgain twice.
 	returned, refusedAgain int
+	// limited tells what each limited server got.
+	limited []limitedUse
 }
 
 // worth is what was earned of what is owed.
@@ -145,6 +152,7 @@
 	told    verdicts
 	held    time.Duration
 	open    []*modelRequest
+	limits  *modelLimits // nil if no server names one
 }
 
 func (w *world) at(t time.Duration, do func(time.Duration)) {
@@ -171,6 +179,9 @@
 			w.pools = append(w.pools, p)
 		}
 	}
+	if l.limited > 0 {
+		w.limits = newModelLimits(w)
+	}
 	random := rand.New(rand.NewPCG(l.seed, 1))
 	for t := time.Duration(0); t < l.length; {
 		rate := l.perSecond
@@ -200,6 +211,9 @@
 		next := heap.Pop(&w.events).(modelEvent)
 		next.do(next.at)
 	}
+	if w.limits != nil {
+		w.told.limited = w.limits.uses()
+	}
 	if w.told.rejected > 0 {
 		w.told.held = w.held / time.Duration(w.told.rejected)
 	}
@@ -309,6 +323,7 @@
 		}
 	}
 	w.open = waiting
+	w.limits.wish(now)
 }
 
 // reject ends an attempt that was turned away.
@@ -330,6 +345,7 @@
 
 func (w *world) send(now time.Duration, r *modelRequest, s *modelServer) {
 	r.server, r.sent = s, now
+	w.limits.sent(now, s)
 	switch {
 	case s.running < s.Slots:
 		w.start(now, r)
@@ -371,6 +387,7 @@
 		w.told.earned += r.kind.worth / 2
 	}
 	if w.pools != nil {
+		w.limits.answered(now, r)
 		load := &Load{Running: r.server.running, Waiting: len(r.server.queue), Slots: r.server.Slots}
 		w.pools[r.host].Done(now, r.waiter.Server, End{Outcome: Answered, Took: now - r.sent, Objective: r.kind.objective, Load: load})
 		w.placed(now)
--- a/keyspace/replay_test.go
+++ b/keyspace/replay_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cicadarouter/ratelimit"
 )
 
 // keyLoad is a load on the keys of a service: a background over all keys, and
@@ -23,8 +25,24 @@
 	hotFrom   time.Duration
 	length    time.Duration
 	seed      uint64
+	// limited servers, the first ones, take some requests a second from limitFrom on. told
+	// says whether the plan knows.
+	limited   int
+	limit     float64
+	limitFrom time.Duration
+	told      bool
+	// patience is how long a request waits for a place there.
+	patience time.Duration
+	fill     float64
+}
+
+// limitedAt reports whether a server takes a limited number of requests at a time.
+func (l keyLoad) limitedAt(now time.Duration, server string) bool {
+	return now >= l.limitFrom && server < serverName(l.limited)
 }
 
+func serverName(i int) string { return fmt.Sprintf("s%03d", i) }
+
 // keyVerdict is what a replay found while the keys were hot.
 type keyVerdict struct {
 	fits  float64 // share of the demand that the keys' owners could take on while the keys were hot
@@ -37,7 +55,7 @@
 func replayKeys(t *testing.T, l keyLoad) keyVerdict {
 	var servers []Server
 	for i := range l.servers {
-		servers = append(servers, Server{ID: fmt.Sprintf("s%03d", i), Slots: l.slots, Speed: 1})
+		servers = append(servers, Server{ID: serverName(i), Slots: l.slots, Speed: 1})
 	}
 	b := newBench(t, New(First(Controller{Host: "one", Incarnation: 1}, servers), 0, 0), 0)
 	b.servers = servers
@@ -47,6 +65,7 @@
 	owners := ownersOf(b.m.Record())
 	const reports = 10 // ticks between two reports of the hosts
 	busy, waiting := map[uint16]time.Duration{}, backlogs{}
+	places := map[string]*ratelimit.Schedule{}
 	for n := 0; b.now < l.length; n++ {
 		hot := b.now >= l.hotFrom
 		arrived := l.arrivals(random, hot, hotAt)
@@ -57,8 +76,16 @@
 			b.m.Loads().Add(b.now, busy, l.work)
 			busy = map[uint16]time.Duration{}
 		}
+		for i := range b.servers {
+			if server := &b.servers[i]; l.told {
+				server.Speed = 1
+				if l.limitedAt(b.now, server.ID) {
+					server.Speed = l.fill * l.limit * l.work.Seconds() / float64(l.slots)
+				}
+			}
+		}
 		b.run(b.now + tick)
-		d, f := waiting.take(l, b.m.Record(), arrived)
+		d, f := waiting.take(l, b.now, b.m.Record(), arrived, places)
 		if hot {
 			demand, fitting = demand+d, fitting+f
 		}
@@ -93,7 +120,7 @@
 
 // take returns the demand of a tick and what of it the owners of the keys take
 // on. Keys between owners are turned away.
-func (b backlogs) take(l keyLoad, record *Record, arrived map[uint16]time.Duration) (demand, taken float64) {
+func (b backlogs) take(l keyLoad, now time.Duration, record *Record, arrived map[uint16]time.Duration, places map[string]*ratelimit.Schedule) (demand, taken float64) {
 	for server, left := range b {
 		b[server] = max(0, left-float64(l.slots)*tick.Seconds())
 	}
@@ -104,6 +131,14 @@
 		if r.Moving() || b[r.Server]+asked > float64(l.slots)*(1+mostWait)*l.work.Seconds() {
 			continue
 		}
+		if l.limitedAt(now, r.Server) {
+			if places[r.Server] == nil {
+				places[r.Server] = &ratelimit.Schedule{}
+			}
+			if _, ok := places[r.Server].Reserve(now, l.limit, l.patience); !ok {
+				continue
+			}
+		}
 		b[r.Server] += asked
 		taken += asked
 	}
@@ -170,3 +205,23 @@
 	t.Log(verdict)
 	assert.Assert(t, verdict.moved < 0.25)
 }
+
+// limitedServers is a service of ten servers at half of their load, two of which take a
+// quarter of what they are asked for.
+func limitedServers(seed uint64, hotShare float64, told bool) keyLoad {
+	return keyLoad{servers: 10, slots: 2, perSecond: 118, work: 90 * time.Millisecond, hotShare: hotShare, hotKeys: 60, hotFrom: 8 * time.Second, length: 30 * time.Second, seed: seed,
+		limited: 2, limit: 2.8, limitFrom: 8 * time.Second, told: told, patience: 210 * time.Millisecond, fill: 0.5}
+}
+
+// Guards against servers that keep keys which ask for several times the limits that they
+// name.
+func TestReplayLimitedOwnersLoseKeys(t *testing.T) {
+	for _, hotShare := range []float64{0, 0.36} {
+		for seed := range uint64(2) {
+			kept, moved := replayKeys(t, limitedServers(seed, hotShare, false)), replayKeys(t, limitedServers(seed, hotShare, true))
+			t.Logf("%.2f hot, seed %d: keys stay: %v; keys move: %v", hotShare, seed, kept, moved)
+			assert.Assert(t, moved.fits > kept.fits+0.08)
+			assert.Assert(t, moved.fits > 0.95)
+		}
+	}
+}
