Deployments without keyed services have a controller

No host passed news on there: a request that had ended three servers was known only to hosts that had lost one to it, and a limited server got a host's part for the 300 hosts that are assumed while nobody counts them. Now a record without keys names a controller in such a deployment. It is claimed, confirmed, succeeded and proven to have stopped like that of a service with keys, so reports, news and places work alike.

TestHostsWithoutKeyedServicesHaveAController failed before (the other hosts never heard of the request).

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -250,6 +250,10 @@
 
 // claimFirst makes the first assignment of a service.
 func (g *Gateway) claimFirst(ctx context.Context, c *controller, now time.Duration) {
+	if c.service.name == coordination {
+		g.claimCoordination(ctx, c, now)
+		return
+	}
 	servers := g.holders(c)
 	if len(servers) != c.firstCount {
 		c.firstCount, c.countedAt = len(servers), now
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -245,6 +245,10 @@
 		g.log.Error("assignment left aside", "service", object.Name, "revision", object.Revision, "error", err.Error())
 		return
 	}
+	if record.Keyless != (object.Name == coordination) {
+		g.log.Error("record left aside: only "+coordination+" has one without keys", "service", object.Name, "keyless", record.Keyless)
+		return
+	}
 	s := g.keyedService(object.Name)
 	if s.view == nil {
 		g.log.Error("assignment of a service without keys left aside", "service", object.Name)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -177,6 +177,7 @@
 		}
 	}
 	g.mu.Unlock()
+	g.coordinate()
 	g.limitCold(offered)
 	g.applyLimits()
 	// Services come first: a request must not meet a route without its service.
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -132,3 +132,34 @@
 		})
 	}
 }
+
+// Guards against deployments without keys in which no host passes news on or gives out
+// places: each host would keep to a part for the most hosts that there may be.
+func TestHostsWithoutKeyedServicesHaveAController(t *testing.T) {
+	s := newSite(t)
+	deadly := &platformtest.Deadly{Path: "/free/deadly"}
+	s.serveMortal(&mortals{deadly: deadly, service: "free", count: 6, lives: 3})
+	for i := range 3 {
+		s.serve(fmt.Sprintf("f%d", i), "free", false)
+	}
+	s.configureKeyless(3)
+	for i := range 3 {
+		s.host(fmt.Sprintf("host-%d", i))
+	}
+	s.eventually("three servers have ended", func() bool {
+		s.call(s.hosts[0], http.MethodGet, "/free/deadly", "", "")
+		return deadly.Ended() >= 3
+	})
+	for _, h := range s.hosts {
+		s.knows(h)
+	}
+	for i := range 3 {
+		s.servers[fmt.Sprintf("f%d", i)].SetLimit(3)
+	}
+	deadly.Mend()
+	sent, served := s.play(limitedLoad{path: "/free/", callers: 6, length: 8 * time.Second})
+	t.Logf("%d of %d served", served, sent)
+	for i := range 3 {
+		within(t, s.servers[fmt.Sprintf("f%d", i)])
+	}
+}
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
-	"strings"
 	"time"
 
 	"cicadarouter/balance"
@@ -48,24 +46,19 @@
 }
 
 // scheduler returns the process that schedules the places of all limited servers: the
-// controller of the first service that is divided by key. That one is named in the store,
-// so there is one at a time. ok is false while none is known.
+// controller of firstController. That one is named in the store, so there is one at a time. ok is false while none is known.
 func (g *Gateway) scheduler() (scheduler keyspace.Controller, ok bool) {
-	keyed := g.keyedServices()
-	if len(keyed) == 0 {
+	s := g.firstController()
+	if s == nil {
 		return keyspace.Controller{}, false
 	}
-	record, _ := firstByName(keyed).view.latest()
+	record, _ := s.view.latest()
 	if record == nil || record.Controller.Resigned {
 		return keyspace.Controller{}, false
 	}
 	return record.Controller, true
 }
 
-func firstByName(services []*service) *service {
-	return slices.MinFunc(services, func(a, b *service) int { return strings.Compare(a.name, b.name) })
-}
-
 // reservePlaces asks for places at a service's servers, and hands the service what became
 // of it.
 func (g *Gateway) reservePlaces(s *service, wishes []balance.Wish) {
@@ -165,11 +158,11 @@
 
 // scheduling returns the controller as which this process schedules places, or nil.
 func (g *Gateway) scheduling(now time.Duration) *controller {
-	keyed := g.keyedServices()
-	if len(keyed) == 0 {
+	s := g.firstController()
+	if s == nil {
 		return nil
 	}
-	c := g.control.services[firstByName(keyed).name]
+	c := g.control.services[s.name]
 	if c == nil || c.machine == nil || !c.machine.Authority(now) || len(c.machine.Unproven(now)) > 0 {
 		return nil
 	}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -144,6 +144,15 @@
 			{"name":"keyed","path-prefix":"/keyed/","kind":"safe","timeout":"5000ms","target-latency":"1000ms","priority":1,"service":"owned","max-attempts":2}%s]}]}`, version, extra))
 }
 
+// configureKeyless writes a configuration without services that are divided by key.
+func (s *site) configureKeyless(version int) {
+	s.put("config", "main", fmt.Sprintf(`{"version":"r%d",
+		"services":[{"name":"free","health-path":"/healthz","max-conns":100}],
+		"limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout":"3000ms","idle-timeout":"15000ms"},
+		"virtual-hosts":[{"host":"site.example","paths":[
+			{"name":"free","path-prefix":"/free/","kind":"safe","timeout":"5000ms","target-latency":"1000ms","priority":1,"service":"free","max-attempts":2}]}]}`, version))
+}
+
 // host starts a gateway and waits until it is ready.
 func (s *site) host(name string) *hostUnderTest {
 	s.t.Helper()
--- /dev/null
+++ b/keyspace/keyless_test.go
@@ -0,0 +1,31 @@
+package keyspace
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A controller without keys has nothing to grant or move, and says so in its record.
+func TestControllerWithoutKeys(t *testing.T) {
+	one, two := Controller{Host: "one", Incarnation: 1}, Controller{Host: "two", Incarnation: 2}
+	first := FirstKeyless(one)
+	assert.NilError(t, first.Check())
+	m := New(first, 0, 0)
+	for now := time.Duration(0); now < 10*time.Second; now += time.Second {
+		m.Confirm(now)
+		assert.Equal(t, len(m.Step(now, nil)), 0)
+		assert.Assert(t, m.Pending() == nil)
+	}
+	next := first.Succeed(two)
+	assert.Assert(t, next.Keyless)
+	assert.NilError(t, next.Check())
+	adopted := Adopt(next, 0, 0)
+	assert.DeepEqual(t, adopted.Unproven(0), []Controller{one})
+	adopted.Stopped(time.Second, one)
+	assert.Equal(t, len(adopted.Unproven(time.Second)), 0)
+	next.Ranges = First(two, []Server{{ID: "a", Slots: 1}}).Ranges
+	assert.Assert(t, next.Check() != nil, "ranges in a record without keys")
+	assert.Assert(t, (&Record{}).Check() != nil, "a record of keys without ranges")
+}
--- a/keyspace/record.go
+++ b/keyspace/record.go
@@ -124,6 +124,9 @@
 	// LastToken is the highest fencing token given out.
 	LastToken uint64  `json:"lastToken"`
 	Ranges    []Range `json:"ranges"`
+	// Keyless is set in the record of a controller that assigns no keys: that of a
+	// deployment without services that are divided by key.
+	Keyless bool `json:"keyless,omitempty"`
 }
 
 // Clone returns a deep copy.
@@ -201,6 +204,11 @@
 	return record
 }
 
+// FirstKeyless returns the first record of a controller that assigns no keys.
+func FirstKeyless(controller Controller) *Record {
+	return &Record{Term: 1, Controller: controller, Keyless: true}
+}
+
 // deal returns the owners of the slices in order.
 func deal(servers []Server) []Server {
 	var turns []Server
@@ -224,8 +232,12 @@
 // Error implements error.
 func (e *InvariantError) Error() string { return "assignment: " + e.What }
 
-// Check returns an *InvariantError unless the ranges cover all keys, each once.
+// Check returns an *InvariantError unless the ranges cover all keys, each once, or there
+// are none in a record without keys.
 func (r *Record) Check() error {
+	if r.Keyless {
+		return r.checkKeyless()
+	}
 	want := 0
 	for _, have := range r.Ranges {
 		if int(have.From) != want || have.To < have.From {
@@ -238,3 +250,10 @@
 	}
 	return nil
 }
+
+func (r *Record) checkKeyless() error {
+	if len(r.Ranges) > 0 {
+		return &InvariantError{What: fmt.Sprintf("%d ranges in a record without keys", len(r.Ranges))}
+	}
+	return nil
+}
