--- a/ratelimit/schedule.go
+++ b/ratelimit/schedule.go
@@ -22,8 +22,8 @@
 // time, and returns how long it is until then.
 func (s *Schedule) Reserve(now time.Duration, perSecond float64, within time.Duration) (wait time.Duration, ok bool) {
 	if !s.begun {
-		// Whoever scheduled before may have given out what could be saved.
-		s.next, s.begun = now, true
+		// Whoever scheduled before may just have given out a place.
+		s.next, s.begun = now+interval(perSecond), true
 	}
 	due := max(s.next, now-savedFor)
 	wait = max(due-now, 0)
--- a/ratelimit/schedule_test.go
+++ b/ratelimit/schedule_test.go
@@ -57,6 +57,16 @@
 	})
 }
 
+// A process that begins to schedule gives no place at once: its predecessor may just have
+// given one, and control may pass several times in seconds.
+func TestNewScheduleHasNothingSaved(t *testing.T) {
+	const perSecond = 20.0
+	var schedule Schedule
+	wait, ok := schedule.Reserve(time.Hour, perSecond, 0)
+	assert.Assert(t, !ok)
+	assert.Equal(t, wait, interval(perSecond))
+}
+
 // A schedule whose places are wanted gives out the whole limit.
 func TestScheduleGivesTheWholeLimit(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
