--- a/balance/limited_fuzz_test.go
+++ b/balance/limited_fuzz_test.go
@@ -114,7 +114,9 @@
 	w.sends = append(w.sends, fuzzSend{at: now, counted: told && inTouch})
 	w.at(now+w.millis("run", 1, 150), func(said time.Duration) {
 		perSecond := w.named()
-		w.at(said+w.millis("way back", 1, 60), func(heard time.Duration) { w.answer(heard, h, pool, waiter, ratelimit.News{PerSecond: perSecond, Sent: now, Heard: heard}) })
+		w.at(said+w.millis("way back", 1, 60), func(heard time.Duration) {
+			w.answer(heard, h, pool, waiter, ratelimit.News{PerSecond: perSecond, Sent: now, Heard: heard})
+		})
 	})
 }
 
