Hosts agree on a limit whatever news they hear first

Found by reading: a host that knew of a limit, and the scheduler that had heard of its end, each kept their own view if the two answers had overlapped, for as long as the host sent nothing; and it sent nothing, since it was given no place, and asked again at once each time. Of two news the same one wins now at every host, and a scheduler that knows of no limit gives the places that it is asked for: the next answer tells what holds.

--- a/gateway/places.go
+++ b/gateway/places.go
@@ -141,7 +141,9 @@
 	}
 	answer := placesAnswer{Schedules: true, Server: ratelimit.TellOf(g.now(), server, news)}
 	if news.PerSecond <= 0 {
-		return answer // the host hears that the limit is over
+		// Its next answer tells the host what holds.
+		answer.WaitsMicros = make([]int64, min(request.Places, mostPlaces))
+		return answer
 	}
 	within := time.Duration(request.WithinMicros) * time.Microsecond
 	schedule := c.scheduleOf(server)
--- a/ratelimit/ledger.go
+++ b/ratelimit/ledger.go
@@ -29,9 +29,13 @@
 
 // newer reports whether the news replaces what is known. Answers overtake each other: one
 // that names no limit ends a limit only if its request left after the limit was heard of.
+// Of two news the same one wins at every host, whichever it hears first.
 func (n News) newer(known News) bool {
-	if n.PerSecond == 0 && known.PerSecond > 0 {
+	switch {
+	case n.PerSecond == 0 && known.PerSecond > 0:
 		return n.Sent >= known.Heard
+	case n.PerSecond > 0 && known.PerSecond == 0:
+		return n.Heard > known.Sent
 	}
 	return n.Heard > known.Heard
 }
--- a/ratelimit/ledger_test.go
+++ b/ratelimit/ledger_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"cicadarouter/fleet"
 )
@@ -47,6 +48,30 @@
 	}
 }
 
+// Guards against hosts that disagree for good because they heard the same news in another
+// order: one that knows of a limit gets no place from one that does not.
+func TestHostsAgreeWhateverTheyHearFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var news []News
+		for range 3 {
+			sent := rapid.IntRange(1, 9).Draw(t, "sent")
+			heard := rapid.IntRange(sent, 10).Draw(t, "heard")
+			// Times differ by the news, as clocks do.
+			at := time.Duration(heard)*time.Second + time.Duration(len(news))
+			news = append(news, News{PerSecond: float64(rapid.IntRange(0, 2).Draw(t, "limit")), Sent: time.Duration(sent) * time.Second, Heard: at})
+		}
+		limit := func(order ...int) float64 {
+			ledger := Ledger{}
+			ledger.Take(first, said(9, 0, 0))
+			for _, i := range order {
+				ledger.Take(first, news[i])
+			}
+			return ledger.Limit(first)
+		}
+		assert.Equal(t, limit(0, 1), limit(1, 0))
+	})
+}
+
 // Hosts tell each other what has changed, and only that.
 func TestLedgerTellsChanges(t *testing.T) {
 	var here, there Ledger
--- a/tools/mutants/limits.go
+++ b/tools/mutants/limits.go
@@ -7,7 +7,8 @@
 	host := breaking("gateway", "LimitOfAServer|KeyedServices|RestartedServer|NewScheduler")
 	return []mutant{
 		in("ledger.go", "end a limit by an answer under way", "return n.Sent >= known.Heard", "return n.Heard >= known.Heard"),
-		in("ledger.go", "take news in any order", "return n.Heard > known.Heard", "return true"),
+		in("ledger.go", "take news in any order", "	}\n	return n.Heard > known.Heard", "	}\n	return true"),
+		in("ledger.go", "agree only if the same news comes first", "return n.Heard > known.Sent", "return n.Heard > known.Heard"),
 		in("ledger.go", "keep any number of servers", " || len(l.known) >= mostServers", ""),
 		in("ledger.go", "tell everything again", "if known.change > since {", "if true {"),
 		in("ledger.go", "lose the age of news", "Heard: now - time.Duration(t.HeardAgo)*time.Millisecond", "Heard: now"),
