Soak: a limit binds anew when its server starts again

The trace shows that the case is allowed: the server's process started again under its ID at 52.63 s (start), was registered by 53.49 s, and the first answer of the new process came at 54.03 s; the other hosts heard of its limit by 54.14 s. The window went from 51.9 to 55.9 s. The rule counts from 3 s after a process first names its limit, and the check took the earlier process's naming for the new one's.

--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -17,6 +17,8 @@
 			"and of the soak itself: a proxy delivered a grant whose sender had reset the connection, a paused host did not stop in time"},
 		{7, DeadlySeries, "with 3 hosts, 3 servers, 6 callers, 5 s, a fault each 600 ms: a server that starts again under its ID " +
 			"while the store turns all hosts away gets what a warm one does"},
+		{2041386211, LimitSeries, "of the soak itself: a limit was judged by from the moment at which the server started again, " +
+			"before the new process had told any host"},
 		{2114909493, FirstSeries, "of the soak itself: an outgoing connection took the port of a host that was about to start"},
 	}
 }
