One search for the server of an incarnation, one count of the busiest second

Four methods of a pool looked up a server and compared its incarnation, each by itself; the test of restarted servers counted the busiest second again as the stand-in of a site does. Behaviour is the same; the mutant that breaks the comparison names its text anew and is caught.

--- a/balance/cold.go
+++ b/balance/cold.go
@@ -72,9 +72,9 @@
 // whether the server is to be asked if it is cold. While the registry can't be read nothing
 // else tells, and all hosts would send a cold server what a warm one does.
 func (p *Pool) Doubt(now time.Duration, incarnation fleet.Incarnation) bool {
-	server := p.servers[incarnation.ID]
+	server := p.running(incarnation)
 	// Servers whose entries tell no start use each ID once.
-	if server == nil || server.Incarnation() != incarnation || p.cold.perSecond <= 0 || incarnation.Start == 0 || now < server.doubtUntil {
+	if server == nil || p.cold.perSecond <= 0 || incarnation.Start == 0 || now < server.doubtUntil {
 		return false
 	}
 	server.doubtUntil = now + coldDoubt
@@ -84,8 +84,8 @@
 
 // ToldCold takes that a server said for how long it is still cold.
 func (p *Pool) ToldCold(now time.Duration, incarnation fleet.Incarnation, coldFor time.Duration) {
-	server := p.servers[incarnation.ID]
-	if server == nil || server.Incarnation() != incarnation {
+	server := p.running(incarnation)
+	if server == nil {
 		return
 	}
 	server.doubtUntil, server.toldColdUntil = 0, now+coldFor
--- a/balance/limited.go
+++ b/balance/limited.go
@@ -289,8 +289,8 @@
 
 // Reserved takes what became of a wish.
 func (p *Pool) Reserved(now time.Duration, incarnation fleet.Incarnation, got Reservation) {
-	server := p.servers[incarnation.ID]
-	if server == nil || server.Incarnation() != incarnation || !server.limited() {
+	server := p.running(incarnation)
+	if server == nil || !server.limited() {
 		return
 	}
 	l := &server.limit
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -388,12 +388,21 @@
 // Learn takes what another host has measured of a server's speed. What was
 // measured of an earlier incarnation says nothing of the later one.
 func (p *Pool) Learn(incarnation fleet.Incarnation, pace Pace) {
-	server := p.servers[incarnation.ID]
-	if server != nil && server.Incarnation() == incarnation && pace.Samples > 0 {
+	server := p.running(incarnation)
+	if server != nil && pace.Samples > 0 {
 		server.learn(pace)
 	}
 }
 
+// running returns the server of an incarnation; nil if that is not the one listed.
+func (p *Pool) running(incarnation fleet.Incarnation) *Server {
+	server := p.servers[incarnation.ID]
+	if server == nil || server.Incarnation() != incarnation {
+		return nil
+	}
+	return server
+}
+
 // waits reports whether requests wait that the server could take.
 func (p *Pool) waits(server *Server) bool {
 	if p.owner == nil {
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -36,7 +36,7 @@
 		restarted = time.Now()
 		assert.Check(t, process.Start(server))
 	}})
-	warm, cold := busiestSecond(server.Runs(), began, restarted), busiestSecond(server.Runs(), restarted, restarted.Add(3*time.Second))
+	warm, cold := platformtest.BusiestSecond(server.Runs(), began, restarted), platformtest.BusiestSecond(server.Runs(), restarted, restarted.Add(3*time.Second))
 	t.Logf("at most %d requests in a second before the restart, %d after it", warm, cold)
 	assert.Assert(t, warm > most, "there is too little load to show anything")
 	assert.Assert(t, cold <= most, "%d requests in one second, %d may", cold, most)
@@ -51,21 +51,3 @@
 	}
 	return true
 }
-
-// busiestSecond returns the most requests in any second between two times.
-func busiestSecond(runs []platformtest.Run, from, to time.Time) int {
-	var times []time.Time
-	for _, run := range runs {
-		if run.At.After(from) && run.At.Before(to) {
-			times = append(times, run.At)
-		}
-	}
-	most := 0
-	for first, last := 0, 0; last < len(times); last++ {
-		for times[last].Sub(times[first]) >= time.Second {
-			first++
-		}
-		most = max(most, last-first+1)
-	}
-	return most
-}
--- a/tools/mutants/balance.go
+++ b/tools/mutants/balance.go
@@ -47,6 +47,6 @@
 		in("server.go", "count a shared server as one's own", "	return max(s.gap, alone)", "	return alone"),
 		in("pool.go", "incarnations: keep what is known of an earlier one", "if !known || !server.sameRun(listed) {", "if !known {"),
 		in("server.go", "incarnations: overlook another address", "listed.Incarnation() && s.Address == listed.Address", "listed.Incarnation()"),
-		in("pool.go", "incarnations: take an earlier one's speed", "server.Incarnation() == incarnation && ", ""),
+		in("pool.go", "incarnations: take an earlier one's speed", " || server.Incarnation() != incarnation", ""),
 	}
 }
