Routes for downloads may be repeated; an unknown kind is told and taken for the strictest

Callers of a route of the kind "download" got a failure where its server failed: every kind but "safe" counted as one that may run once at most. Kinds are decoded once, into what they mean.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -219,6 +219,11 @@
 	g.mu.Lock()
 	byService := map[string][]fleet.Server{}
 	for _, server := range g.directory.Snapshot() {
+		for _, doubt := range offered.Doubts {
+			if g.failureLines.take() {
+				g.log.Warn("configuration read with a doubt", "version", offered.Version, "error", doubt.Error())
+			}
+		}
 		server.Draining = server.Draining || g.leaving.value(server.Incarnation())
 		byService[server.Service] = append(byService[server.Service], server)
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -20,12 +20,20 @@
 	Weight  int
 }
 
+// Kind says what the requests of a route are like. The zero value is the strictest: a request
+// that may run once at most.
+type Kind struct {
+	// Idempotent requests may be executed more than once.
+	Idempotent bool
+	// LargeBody and LargeAnswer are set if requests, or answers, are far longer than usual.
+	LargeBody, LargeAnswer bool
+}
+
 // Route says how requests below a path prefix are handled.
 type Route struct {
 	Name   string
 	Prefix string
-	// Idempotent requests may be executed more than once.
-	Idempotent bool
+	Kind
 	// Timeout is the longest time to the final answer; 0 means no bound.
 	Timeout time.Duration
 	// TargetLatency is the latency objective.
@@ -62,7 +70,10 @@
 
 // Configuration is one version of the operator's configuration.
 type Configuration struct {
-	Version  uint64
+	Version uint64
+	// Doubts are what could not be read and was taken for the strictest. They don't keep the
+	// rest from being in force.
+	Doubts   []error
 	Hosts    map[string][]Route
 	Services map[string]Service
 	Limits   Limits
