Answers are read ahead of slow callers, within a bound by answer and by host

A server breaks an answer off that stays unread for some seconds, and a host read no faster than its caller: the caller lost the rest. Up to 1 MB of an answer and a sixteenth of the memory of a host are held now; beyond that the host waits for the caller as before. A server is given back when its answer has been read, not when the caller has. Metric cicada_unread_answer_bytes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -109,7 +109,7 @@
 		finish(true)
 		return result
 	}
-	result.reply.finish = finish
+	result.reply.finish, result.reply.giveUp = finish, exchange.Abort
 	return result
 }
 
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -30,6 +30,9 @@
 	heapGrowth = 40
 	// memoryShare is the part of the memory allowed that the heap may take.
 	memoryShare = 0.6
+	// unreadShare is the part of the memory allowed that may be held of answers that callers
+	// have not read.
+	unreadShare = 0.0625
 	// stopMargin is kept to the moment at which the process is killed.
 	stopMargin = 600 * time.Millisecond
 	// lastAnswers is how long the answers of requests that are ended at the stop may
@@ -68,8 +71,9 @@
 func newStore(s Settings) *platform.Store { return platform.NewStore(s.Store) }
 
 func newIdentity(s Settings) gateway.Identity {
-	return gateway.Identity{Host: s.Host, Domain: s.Domain, Peers: s.Peers, Incarnation: rand.Uint64() >> 1, FirstStart: s.FirstStart, RetryRatio: s.RetryRatio,
-		Seeds: s.Seeds, ObeyWithin: min(s.ConfigurationWithin, s.DrainWithin), EvacuateWithin: s.EvacuateWithin,
+	return gateway.Identity{Host: s.Host, Domain: s.Domain, Peers: s.Peers, Incarnation: rand.Uint64() >> 1, FirstStart: s.FirstStart, RetryRatio: s.RetryRatio, RetryReserve: s.RetryReserve,
+		ReadAhead: int64(float64(s.MemoryMB) * unreadShare * (1 << 20)),
+		Seeds:     s.Seeds, ObeyWithin: min(s.ConfigurationWithin, s.DrainWithin), EvacuateWithin: s.EvacuateWithin,
 		Small: s.Processor < smallProcessor || s.LinkMbps < smallLinkMbps}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 package gateway
 
 import (
+	"cmp"
 	"maps"
 	"net/http"
 	"slices"
@@ -49,6 +50,9 @@
 	// Incarnation is drawn anew at each start.
 	Incarnation uint64
 }
+	// ReadAhead bounds what is held of answers that callers have not read, in bytes; 0 for a
+	// default.
+	ReadAhead int64
 
 // Platform is what the gateway uses of the hosting platform.
 type Platform struct {
@@ -107,6 +111,7 @@
 	peers        *http.Client
 	wake         chan struct{} // the controller has something to do
 }
+	unread       byteQuota // of answers that callers have not read
 
 // New returns a gateway that knows nothing yet.
 func New(identity Identity, platform Platform, logger *log.Logger) *Gateway {
@@ -119,6 +124,8 @@
 	g.evacuationsListed.Store(identity.EvacuateWithin == 0) // then there is nothing to read
 	g.store = newCountedStore(platform.Store, g.noteStoreCall)
 	g.counts.set.NewGauge("cicada_in_flight", g.inFlight)
+	g.unread.most = cmp.Or(identity.ReadAhead, defaultReadAhead)
+	g.counts.set.NewGauge("cicada_unread_answer_bytes", func() float64 { return float64(g.unread.held.Load()) })
 	g.counts.set.NewGauge("cicada_hosts", func() float64 { return float64(g.hosts.count()) })
 	g.counts.set.NewGauge("cicada_limited_servers", g.limits.count)
 	g.counts.set.NewGauge("cicada_leaving_servers", g.leaving.count)
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -13,12 +13,14 @@
 
 // reply is the final answer to a caller.
 type reply struct {
-	outcome    string
-	status     int
-	header     http.Header
-	body       []byte
-	rest       io.Reader // the rest of a long answer, or nil
-	finish     func(whole bool)
+	outcome string
+	status  int
+	header  http.Header
+	body    []byte
+	rest    io.Reader // the rest of a long answer, or nil
+	finish  func(whole bool)
+	// giveUp ends the reading of the rest.
+	giveUp     func()
 	retryAfter time.Duration
 	expected   time.Duration
 	judged     poison.Judgement // of a request that is quarantined
@@ -86,10 +88,9 @@
 	g.finished(req, answer)
 	w.WriteHeader(answer.status)
 	_, err := w.Write(answer.body)
-	if err == nil && answer.rest != nil {
-		_, err = io.Copy(flushing{w}, answer.rest)
-	}
-	if answer.finish != nil {
+	if answer.rest != nil {
+		err = g.writeRest(w, answer, err)
+	} else if answer.finish != nil {
 		answer.finish(err == nil)
 	}
 	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
@@ -99,6 +100,28 @@
 	}
 }
 
+// writeRest passes the rest of a long answer on, unless what came before could not be written.
+// The server is given back as soon as the answer has been read to its end, whether its caller
+// has read it or not.
+func (g *Gateway) writeRest(w http.ResponseWriter, answer *reply, before error) error {
+	if before != nil {
+		answer.finish(false)
+		return before
+	}
+	ahead := newReadAhead(&g.unread)
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		answer.finish(errors.Is(ahead.fill(answer.rest), io.EOF))
+	}()
+	_, err := ahead.WriteTo(flushing{w})
+	if err != nil {
+		answer.giveUp()
+	}
+	<-read
+	return err
+}
+
 func bodyAllowed(r *http.Request, status int) bool {
 	return r.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified && status >= http.StatusOK
 }
