--- a/balance/kind_test.go
+++ b/balance/kind_test.go
@@ -93,11 +93,11 @@
 	for i := range 50 {
 		ran(p, time.Duration(i)*time.Second, long, 100*ms, &Load{Running: 1, Slots: 4})
 	}
-	before := p.servers["a"].Ratio()
+	before := p.servers.byID["a"].Ratio()
 	for i := range 50 {
 		ran(p, time.Duration(100+i)*time.Second, long, 500*ms, &Load{Running: 4, Waiting: 2, Slots: 4})
 	}
-	assert.Equal(t, p.servers["a"].Ratio(), before)
+	assert.Equal(t, p.servers.byID["a"].Ratio(), before)
 }
 
 // Symptom: requests wait half a second each and are then turned away.
--- a/balance/limited.go
+++ b/balance/limited.go
@@ -72,8 +72,12 @@
 	if hosts <= 0 {
 		hosts = hostsUnknown
 	}
+	noneBefore := len(p.limits) == 0
 	p.limits, p.hosts = limits, hosts
-	for _, server := range p.order {
+	if noneBefore && len(limits) == 0 {
+		return
+	}
+	for _, server := range p.servers.order {
 		p.noteLimit(now, server)
 	}
 	p.Pump(now)
@@ -181,14 +185,14 @@
 func (p *Pool) nextPlace(now time.Duration, waiter *Waiter) (next *Server, wait time.Duration) {
 	if waiter.Keyed && p.owner != nil {
 		id, _ := p.owner.OwnerOf(waiter.Key)
-		server := p.servers[id]
+		server := p.servers.byID[id]
 		if server == nil || !server.limited() || p.hasPlace(now, server) {
 			return nil, 0
 		}
 		return server, p.placeWait(now, server, p.ahead(now, waiter, id))
 	}
-	wanted := p.preferred(now, waiter)
-	for _, server := range p.order {
+	wanted := p.preferred(now, waiter, p.servers.order)
+	for _, server := range p.servers.order {
 		if p.preference(now, waiter, server) != wanted {
 			continue
 		}
@@ -224,7 +228,7 @@
 		return nil
 	}
 	var wishes []Wish
-	for _, server := range p.order {
+	for _, server := range p.servers.order {
 		l := &server.limit
 		if !server.limited() || l.asked > 0 || l.alone(now) || !p.roomBeforeLimit(now, server) {
 			continue
@@ -281,7 +285,7 @@
 // none to other hosts.
 func (p *Pool) reservedPlaces() int {
 	count := 0
-	for _, server := range p.order {
+	for _, server := range p.servers.order {
 		count += len(server.limit.places) + server.limit.asked
 	}
 	return count
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -32,8 +32,7 @@
 type Pool struct {
 	domain  string
 	owner   Owner
-	servers map[string]*Server
-	order   []*Server
+	servers roster
 	waiting []*Waiter
 	// undecided is the other buffer of Pump, empty between its calls.
 	undecided []*Waiter
@@ -59,7 +58,7 @@
 // NewPool returns a pool for a host in a failure domain. owner is nil for a
 // service without keys. Pools of different hosts are given different seeds.
 func NewPool(domain string, owner Owner, seed uint64) *Pool {
-	return &Pool{domain: domain, owner: owner, servers: map[string]*Server{}, mean: firstMean, evacuateWithin: leaveWithin, kinds: map[time.Duration]*kind{}, shares: map[uint16]*share{}, random: rand.New(rand.NewPCG(seed, 0))}
+	return &Pool{domain: domain, owner: owner, servers: roster{byID: map[string]*Server{}}, mean: firstMean, evacuateWithin: leaveWithin, kinds: map[time.Duration]*kind{}, shares: map[uint16]*share{}, random: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // Mean returns the smoothed service time.
@@ -69,34 +68,54 @@
 func (p *Pool) Waiting() int { return len(p.waiting) }
 
 // Servers returns the servers in order of their IDs.
-func (p *Pool) Servers() []*Server { return p.order }
+func (p *Pool) Servers() []*Server { return p.servers.order }
 
-// SetServers takes the service's servers, in order of their IDs.
+// SetServers takes all of the service's servers.
 func (p *Pool) SetServers(now time.Duration, servers []fleet.Server) {
-	present := make(map[string]bool, len(servers))
-	p.order = p.order[:0]
-	for _, listed := range servers {
-		present[listed.ID] = true
-		server, known := p.servers[listed.ID]
-		if !known || !server.sameRun(listed) {
-			// Requests at an earlier incarnation ended with it. Were they counted
-			// on, a server that has just started again would look full, or silent.
-			server = newServer(listed)
-			p.servers[listed.ID] = server
-		}
-		server.relist(now, listed)
-		p.noteCold(now, server)
-		p.noteLimit(now, server)
-		p.order = append(p.order, server)
-	}
-	for id := range p.servers {
-		if !present[id] {
-			delete(p.servers, id)
+	listed := make(map[string]bool, len(servers))
+	for i := range servers {
+		listed[servers[i].ID] = true
+	}
+	var gone []string
+	for _, server := range p.servers.order {
+		if !listed[server.ID] {
+			gone = append(gone, server.ID)
 		}
 	}
+	p.ChangeServers(now, servers, gone)
+}
+
+// ChangeServers takes servers that have come or changed, and the IDs of those that are gone,
+// which may never have been the service's.
+func (p *Pool) ChangeServers(now time.Duration, changed []fleet.Server, gone []string) {
+	for _, id := range gone {
+		p.servers.remove(id)
+	}
+	for i := range changed {
+		p.list(now, &changed[i])
+	}
 	p.Pump(now)
 }
 
+// list takes what a server's entry says.
+func (p *Pool) list(now time.Duration, listed *fleet.Server) {
+	server := p.servers.byID[listed.ID]
+	if server == nil || !server.sameRun(listed) {
+		// Requests at an earlier incarnation ended with it. Were they counted
+		// on, a server that has just started again would look full, or silent.
+		p.servers.remove(listed.ID)
+		server = newServer(listed)
+		p.servers.add(server)
+	}
+	server.relist(now, listed)
+	p.servers.setNear(server, server.Domain == p.domain)
+	p.noteCold(now, server)
+	p.noteLimit(now, server)
+}
+
+// Lists reports whether a server is one of the service's, and not an earlier run of it.
+func (p *Pool) Lists(server *Server) bool { return p.servers.byID[server.ID] == server }
+
 // Enter asks for a server. The waiter's Ready is closed at once if there is one
 // or if the request is turned away.
 func (p *Pool) Enter(now time.Duration, waiter *Waiter) {
@@ -155,6 +174,7 @@
 	server.stalls = 0
 	p.takeColdPlace(now, server)
 	p.takePlace(now, server)
+	p.servers.used(server)
 	p.placed(now)
 	waiter.Server = server
 	close(waiter.Ready)
@@ -188,7 +208,7 @@
 		return false
 	}
 	id, back := p.owner.OwnerOf(waiter.Key)
-	server := p.servers[id]
+	server := p.servers.byID[id]
 	if server != nil && !p.left(now, server) || now-waiter.Arrived < 2*ownerWait {
 		return false
 	}
@@ -227,7 +247,7 @@
 	}
 	if waiter.Keyed && p.owner != nil {
 		id, _ := p.owner.OwnerOf(waiter.Key)
-		if server := p.servers[id]; server != nil {
+		if server := p.servers.byID[id]; server != nil {
 			server.gaveUp(now, now-waiter.Entered)
 		}
 	}
@@ -239,7 +259,7 @@
 func (p *Pool) choose(now time.Duration, waiter *Waiter) *Server {
 	if waiter.Keyed && p.owner != nil {
 		id, _ := p.owner.OwnerOf(waiter.Key)
-		server := p.servers[id]
+		server := p.servers.byID[id]
 		if server == nil || p.left(now, server) || !p.room(now, server) {
 			return nil
 		}
@@ -248,7 +268,14 @@
 	if p.owner == nil && !p.window.open() {
 		return nil
 	}
-	return p.cheapest(now, waiter, p.preferred(now, waiter))
+	drawn, all := p.servers.draw(p.random.IntN)
+	if !all && p.preferred(now, waiter, drawn) == untried {
+		if server := p.cheapest(now, waiter, drawn, untried); server != nil {
+			return server
+		}
+	}
+	every := p.servers.order
+	return p.cheapest(now, waiter, every, p.preferred(now, waiter, every))
 }
 
 // room reports whether a server may get one more request of this host.
@@ -291,28 +318,28 @@
 	return untried
 }
 
-// preferred returns the best preference that any server has. A request waits for
+// preferred returns the best preference that any of some servers has. A request waits for
 // a server of that preference, also if others have room now. In a failure domain
 // that is cut off, the servers that can't be reached are always idle: with those
 // preferred for their room, four tries of a few milliseconds ended 346 requests of
 // one cut of 6 s, counted in the hosts' logs, while the domain's own servers went
 // on serving others.
-func (p *Pool) preferred(now time.Duration, waiter *Waiter) preference {
+func (p *Pool) preferred(now time.Duration, waiter *Waiter, among []*Server) preference {
 	best := unusable
-	for _, server := range p.order {
+	for _, server := range among {
 		best = min(best, p.preference(now, waiter, server))
 	}
 	return best
 }
 
-// cheapest returns the server of a preference, with room, that costs least.
-func (p *Pool) cheapest(now time.Duration, waiter *Waiter, wanted preference) *Server {
+// cheapest returns the one of some servers of a preference, with room, that costs least.
+func (p *Pool) cheapest(now time.Duration, waiter *Waiter, among []*Server, wanted preference) *Server {
 	if wanted == unusable {
 		return nil
 	}
 	var best, unplaced *Server
 	least, leastUnplaced, work := 0.0, 0.0, p.work(waiter.Objective)
-	for _, server := range p.order {
+	for _, server := range among {
 		if p.preference(now, waiter, server) != wanted || !p.roomBeforeLimit(now, server) {
 			continue
 		}
@@ -412,7 +439,7 @@
 
 // running returns the server of an incarnation; nil if that is not the one listed.
 func (p *Pool) running(incarnation fleet.Incarnation) *Server {
-	server := p.servers[incarnation.ID]
+	server := p.servers.byID[incarnation.ID]
 	if server == nil || server.Incarnation() != incarnation {
 		return nil
 	}
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -295,8 +295,8 @@
 func TestNoNewsIsUsual(t *testing.T) {
 	p := pool(fleet.Server{ID: "idle", Domain: "home", Slots: 2}, fleet.Server{ID: "old", Domain: "home", Slots: 2})
 	p.usual = 0.8
-	p.servers["old"].report(time.Second, Load{Slots: 2})
-	p.servers["idle"].report(20*time.Second, Load{Running: 1, Slots: 2})
+	p.servers.byID["old"].report(time.Second, Load{Slots: 2})
+	p.servers.byID["idle"].report(20*time.Second, Load{Running: 1, Slots: 2})
 	for range 5 {
 		w := enter(p, 20*time.Second, Waiter{})
 		assert.Equal(t, w.Server.ID, "idle")
@@ -312,8 +312,8 @@
 // seen no completion from which to tell the owner's pace.
 func TestWhoWaitsInVainSparesTheNext(t *testing.T) {
 	p := keyedPool(&owners{id: "a"})
-	p.servers["a"].others, p.servers["a"].reportAt = 1000, 0
-	full := func(now time.Duration) { p.servers["a"].reportAt = now }
+	p.servers.byID["a"].others, p.servers.byID["a"].reportAt = 1000, 0
+	full := func(now time.Duration) { p.servers.byID["a"].reportAt = now }
 	asked := Waiter{Keyed: true, Objective: 600 * ms, Deadline: 9 * time.Second}
 	var waiting []*Waiter
 	for range believedStalls {
@@ -330,10 +330,10 @@
 	later := enter(p, 2500*ms, asked)
 	assert.Assert(t, !later.settled(), "nobody finds out when there is room again")
 	full(0)
-	p.servers["a"].others = 0
+	p.servers.byID["a"].others = 0
 	p.Pump(2510 * ms)
 	assert.Assert(t, later.Server != nil)
-	assert.Equal(t, p.servers["a"].stalled(2510*ms), time.Duration(0))
+	assert.Equal(t, p.servers.byID["a"].stalled(2510*ms), time.Duration(0))
 }
 
 // Symptom: a server that has just started again gets no requests for as long as
@@ -433,7 +433,7 @@
 				placed[w.Server.ID] = w.Server
 			}
 		}
-		return p.servers["a"].InFlight()
+		return p.servers.byID["a"].InFlight()
 	}
 	assert.Equal(t, at(), 1)
 	p.Done(now+50*ms, placed["a"], End{Outcome: Answered, Took: 50 * ms})
--- a/balance/reject.go
+++ b/balance/reject.go
@@ -9,7 +9,7 @@
 		return p.ownerless(now, waiter)
 	}
 	capacity, rests := 0.0, false
-	for _, server := range p.order {
+	for _, server := range p.servers.order {
 		switch {
 		case server.Leaving():
 		case server.RestLeft(now) > 0:
@@ -17,6 +17,9 @@
 		default:
 			capacity += p.slotsWithinLimit(server)
 		}
+		if capacity > 0 && len(p.waiting) == 0 {
+			return nil
+		}
 	}
 	if capacity == 0 && rests {
 		return nil // until the first rest is over
@@ -32,7 +35,7 @@
 // ownerless checks a request whose key must have an owner.
 func (p *Pool) ownerless(now time.Duration, waiter *Waiter) *RejectedError {
 	id, back := p.owner.OwnerOf(waiter.Key)
-	server := p.servers[id]
+	server := p.servers.byID[id]
 	if server != nil && p.left(now, server) {
 		server, back = nil, now+p.overdue(now, server)
 	}
--- a/balance/rest.go
+++ b/balance/rest.go
@@ -37,10 +37,16 @@
 // RestLeft returns for how much longer a server wants nothing from this host.
 func (s *Server) RestLeft(now time.Duration) time.Duration { return max(s.rest.until-now, 0) }
 
+// AnyRests reports whether a server may want nothing from this host.
+func (p *Pool) AnyRests(now time.Duration) bool { return now < p.restUntil }
+
 // Resting returns how many servers want nothing from this host.
 func (p *Pool) Resting(now time.Duration) int {
+	if !p.AnyRests(now) {
+		return 0
+	}
 	count := 0
-	for _, server := range p.order {
+	for _, server := range p.servers.order {
 		if server.RestLeft(now) > 0 {
 			count++
 		}
@@ -76,21 +82,21 @@
 // restingFor returns the server whose rest a request has to wait for: the owner of its key,
 // or the first whose rest is over if all rest; nil if it need not wait for any.
 func (p *Pool) restingFor(now time.Duration, waiter *Waiter) *Server {
-	if now >= p.restUntil {
+	if !p.AnyRests(now) {
 		return nil
 	}
 	if waiter.Keyed && p.owner != nil {
 		id, _ := p.owner.OwnerOf(waiter.Key)
-		if server := p.servers[id]; server != nil && server.RestLeft(now) > 0 && !p.left(now, server) {
+		if server := p.servers.byID[id]; server != nil && server.RestLeft(now) > 0 && !p.left(now, server) {
 			return server
 		}
 		return nil
 	}
-	if p.preferred(now, waiter) != resting {
+	if p.preferred(now, waiter, p.servers.order) != resting {
 		return nil
 	}
 	var first *Server
-	for _, server := range p.order {
+	for _, server := range p.servers.order {
 		if p.preference(now, waiter, server) == resting && (first == nil || server.rest.until < first.rest.until) {
 			first = server
 		}
--- a/balance/rest_test.go
+++ b/balance/rest_test.go
@@ -35,7 +35,7 @@
 	assert.Equal(t, first.Rejected.Reason, Resting)
 	assert.Equal(t, first.Rejected.Server, "a")
 	assert.Equal(t, first.Rejected.RetryAfter, 2990*ms)
-	assert.Equal(t, second.Rejected.RetryAfter-first.Rejected.RetryAfter, p.servers["a"].pace(p.mean), "one by one")
+	assert.Equal(t, second.Rejected.RetryAfter-first.Rejected.RetryAfter, p.servers.byID["a"].pace(p.mean), "one by one")
 	p.Done(30*ms, under.Server, End{Outcome: Answered, Took: 30 * ms})
 	assert.Assert(t, enterLimited(p, 2000*ms, true).Rejected != nil, "an answer under way ends no rest")
 }
@@ -103,18 +103,18 @@
 	p := restPool(true, restServer)
 	p.Rest(0, restServer.Incarnation(), 3*time.Second)
 	p.Rest(100*ms, restServer.Incarnation(), time.Second)
-	assert.Equal(t, p.servers["a"].RestLeft(100*ms), 2900*ms, "a shorter one")
+	assert.Equal(t, p.servers.byID["a"].RestLeft(100*ms), 2900*ms, "a shorter one")
 	p.Rest(200*ms, restServer.Incarnation(), 0)
-	assert.Equal(t, p.servers["a"].RestLeft(200*ms), 2800*ms, "none")
+	assert.Equal(t, p.servers.byID["a"].RestLeft(200*ms), 2800*ms, "none")
 	p.Rest(time.Second, restServer.Incarnation(), 3*time.Second)
-	assert.Equal(t, p.servers["a"].RestLeft(time.Second), 3*time.Second, "a longer one")
+	assert.Equal(t, p.servers.byID["a"].RestLeft(time.Second), 3*time.Second, "a longer one")
 	p.Rest(2*time.Second, restServer.Incarnation(), 10*time.Minute)
 	late := enterLimited(p, 3*time.Second, true)
 	assert.Equal(t, late.Rejected.RetryAfter, mostLimitRetry, "the keys may have another owner by then")
 	next := restServer
 	next.Start = 2
 	p.SetServers(4*time.Second, []fleet.Server{next})
-	assert.Equal(t, p.servers["a"].RestLeft(4*time.Second), time.Duration(0), "another incarnation asked for none")
+	assert.Equal(t, p.servers.byID["a"].RestLeft(4*time.Second), time.Duration(0), "another incarnation asked for none")
 }
 
 // Whatever comes in whatever order: a server that rests is given nothing, gets one request at
--- a/balance/server.go
+++ b/balance/server.go
@@ -113,6 +113,10 @@
 // Server is one backend server as a host sees it.
 type Server struct {
 	fleet.Server
+	// near is set if the server is of the host's failure domain, nearAt its place in the
+	// roster's list of those.
+	near      bool
+	nearAt    int
 	inFlight  int
 	others    float64 // load by other hosts at reportAt
 	reportAt  time.Duration
@@ -139,14 +143,14 @@
 }
 
 // newServer returns a server of which nothing is known but who it is.
-func newServer(listed fleet.Server) *Server {
+func newServer(listed *fleet.Server) *Server {
 	return &Server{Server: fleet.Server{ID: listed.ID, Start: listed.Start, Address: listed.Address}, ratio: 1}
 }
 
 // relist takes what the server's entry says now. Who it is stays as it is:
 // requests under way read that without the pool's lock. So do its slots once it
 // has told them itself.
-func (s *Server) relist(now time.Duration, listed fleet.Server) {
+func (s *Server) relist(now time.Duration, listed *fleet.Server) {
 	if listed.Draining && !s.Draining {
 		s.leavingAt = now
 	}
@@ -168,7 +172,7 @@
 
 // sameRun reports whether a listed server is this one, still running. One
 // address is for one process.
-func (s *Server) sameRun(listed fleet.Server) bool {
+func (s *Server) sameRun(listed *fleet.Server) bool {
 	return s.Incarnation() == listed.Incarnation() && s.Address == listed.Address
 }
 
--- a/gateway/rest.go
+++ b/gateway/rest.go
@@ -52,6 +52,9 @@
 func (s *service) longRests() []fleet.Incarnation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.pool.AnyRests(s.now()) {
+		return nil
+	}
 	var resting []fleet.Incarnation
 	for _, server := range s.pool.Servers() {
 		if server.RestLeft(s.now()) >= longRest {
