A changed server costs a host that server, not all of them

The directory tells what has changed, services take that, and links are made when a server is first used. Entries that time changes are kept apart: each control step walked all of them.

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -14,6 +14,13 @@
 	return &Budget{share: share, most: reserve, tokens: reserve}
 }
 
+// SetReserve sets how many retries there may be at once, and adds some to those that may be
+// made now.
+func (b *Budget) SetReserve(reserve, added float64) {
+	b.most = reserve
+	b.tokens = min(reserve, b.tokens+added)
+}
+
 // First notes a first attempt.
 func (b *Budget) First() { b.tokens = min(b.most, b.tokens+b.share) }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -83,8 +83,16 @@
 // News may arrive in another order than it was written, from a list that is
 // behind or from another host. So each entry keeps the revision of its last
 // version, also past its end, and older versions are refused.
+//
+// Everything that is done for a change is done for the entries that it concerns: a host that
+// takes a few requests a second must not pay for thousands of servers each time that one of
+// them changes.
 type Directory struct {
 	entries map[string]*entry
+	// fading are the entries that change with time: those that are missing or have ended.
+	fading map[string]*entry
+	// changed are the IDs whose servers Changes has not returned as they are now.
+	changed map[string]struct{}
 	// Evacuations are the operators' requests that concern servers.
 	Evacuations *Evacuations
 	awayAt      time.Duration // last moment at which the registry was known to be away
@@ -107,7 +115,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{entries: map[string]*entry{}, Evacuations: NewEvacuations()}
+	return &Directory{entries: map[string]*entry{}, fading: map[string]*entry{}, changed: map[string]struct{}{}, Evacuations: NewEvacuations()}
 }
 
 // Away notes that the registry did not answer.
@@ -177,7 +185,7 @@
 	if version.Unreadable {
 		// Whoever wrote it, the registry names no server here any more. A server
 		// that lives writes its entry anew with its next heartbeat.
-		known.end(now)
+		d.end(now, version.ID, known)
 		return Taken
 	}
 	if known.server.Incarnation().Replaces(version.Incarnation()) {
@@ -189,6 +197,8 @@
 	if version.ColdFor > 0 {
 		known.server.ColdUntil = now + version.ColdFor
 	}
+	delete(d.fading, version.ID)
+	d.Touch(version.ID)
 	return Taken
 }
 
@@ -214,45 +224,103 @@
 	known.revision = max(known.revision, asOf)
 	if d.recentlyAway(now) {
 		known.missing = true
+		d.fading[id] = known
 		return
 	}
-	known.end(now)
+	d.end(now, id, known)
 }
 
-func (e *entry) end(now time.Duration) {
-	if !e.ended {
-		e.endedAt = now
+func (d *Directory) end(now time.Duration, id string, known *entry) {
+	if !known.ended {
+		known.endedAt = now
 	}
-	e.ended, e.missing, e.earlier = true, false, 0
+	known.ended, known.missing, known.earlier = true, false, 0
+	d.fading[id] = known
+	d.Touch(id)
 }
 
 // Expire drops servers whose entries stayed away, and reports whether any was.
 func (d *Directory) Expire(now time.Duration) (changed bool) {
-	changed = d.Evacuations.expire(now)
-	for id, known := range d.entries {
+	if d.Evacuations.expire(now) {
+		changed = true
+		d.TouchAll()
+	}
+	for id, known := range d.fading {
 		switch {
 		case known.missing && !d.recentlyAway(now):
-			known.end(now)
+			d.end(now, id, known)
 			changed = true
 		case known.ended && now-known.endedAt >= endKept:
 			delete(d.entries, id)
+			delete(d.fading, id)
 		}
 	}
 	return changed
 }
 
+// Touch has Changes return a server, whether its entry has changed or not.
+func (d *Directory) Touch(id string) { d.changed[id] = struct{}{} }
+
+// TouchAll has Changes return all servers.
+func (d *Directory) TouchAll() {
+	for id := range d.entries {
+		d.Touch(id)
+	}
+}
+
+// Changes returns the servers that may have changed since the last call, and the IDs of those
+// that are gone, both in order of their IDs.
+func (d *Directory) Changes() (changed []Server, gone []string) {
+	for _, id := range slices.Sorted(maps.Keys(d.changed)) {
+		if server, listed := d.Get(id); listed {
+			changed = append(changed, server)
+		} else {
+			gone = append(gone, id)
+		}
+	}
+	clear(d.changed)
+	return changed, gone
+}
+
+// Get returns the server that has an ID; listed is false if there is none.
+func (d *Directory) Get(id string) (server Server, listed bool) {
+	known := d.entries[id]
+	if known == nil || known.ended {
+		return Server{}, false
+	}
+	server = known.server
+	server.Evacuated = d.Evacuations.InForce(server.Domain)
+	server.ColdUntil = max(server.ColdUntil, d.Evacuations.doubtUntil(server.Domain, known.revision))
+	return server, true
+}
+
+// Lists reports whether an incarnation is the one that its entry names.
+func (d *Directory) Lists(incarnation Incarnation) bool {
+	known := d.entries[incarnation.ID]
+	return known != nil && !known.ended && known.server.Incarnation() == incarnation
+}
+
+// At returns the servers that are listed at any of some addresses, by address.
+func (d *Directory) At(addresses map[string]bool) map[string]Incarnation {
+	found := map[string]Incarnation{}
+	if len(addresses) == 0 {
+		return found
+	}
+	for _, known := range d.entries {
+		if !known.ended && addresses[known.server.Address] {
+			found[known.server.Address] = known.server.Incarnation()
+		}
+	}
+	return found
+}
+
 // Snapshot returns the servers in order of their IDs.
 func (d *Directory) Snapshot() []Server {
 	servers := make([]Server, 0, len(d.entries))
 	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
-		known := d.entries[id]
-		if known.ended {
-			continue
+		if server, listed := d.Get(id); listed {
+			servers = append(servers, server)
 		}
-		server := known.server
-		server.Evacuated = d.Evacuations.InForce(server.Domain)
-		server.ColdUntil = max(server.ColdUntil, d.Evacuations.doubtUntil(server.Domain, known.revision))
-		servers = append(servers, server)
 	}
 	return servers
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -148,3 +149,47 @@
 		assert.DeepEqual(t, got, map[Incarnation]int{want: 1})
 	}
 }
+
+// Guards against a cost of each change that grows with the servers that are registered.
+func TestChangesAreThoseOfTheEntriesThatChanged(t *testing.T) {
+	for _, n := range []int{10, 1000, 10000} {
+		d := NewDirectory()
+		for i := range n {
+			d.Put(0, Version{Server: named(fmt.Sprintf("s%05d", i)), Revision: uint64(i + 1)})
+		}
+		all, gone := d.Changes()
+		assert.Equal(t, len(all), n)
+		assert.Equal(t, len(gone), 0)
+
+		d.Put(time.Second, Version{Server: named("s00003"), Revision: uint64(n + 1)})
+		d.Remove(time.Second, "s00005", uint64(n+2))
+		changed, gone := d.Changes()
+		assert.Equal(t, len(changed), 1)
+		assert.DeepEqual(t, gone, []string{"s00005"})
+		assert.Equal(t, len(d.fading), 1, "entries that each look has to pass")
+		changed, gone = d.Changes()
+		assert.Equal(t, len(changed)+len(gone), 0)
+	}
+}
+
+// An entry that comes back, or a domain that is evacuated, shows among the changes.
+func TestChangesOfTimeAndOfDomains(t *testing.T) {
+	d := twoDomains()
+	d.Changes()
+	d.Away(time.Second)
+	d.Remove(time.Second, "a1", 3)
+	assert.Assert(t, !d.Expire(2*time.Second))
+	d.Put(2*time.Second, Version{Server: in("a1", "a"), Revision: 4})
+	assert.Assert(t, !d.Expire(time.Minute))
+	changed, gone := d.Changes()
+	assert.Equal(t, len(changed), 1)
+	assert.Equal(t, len(gone), 0)
+
+	d.Evacuations.Begin("b", 5)
+	d.TouchAll()
+	changed, _ = d.Changes()
+	assert.Equal(t, len(changed), 2)
+	assert.Assert(t, changed[1].Evacuated)
+	assert.Assert(t, d.Lists(changed[0].Incarnation()))
+	assert.Assert(t, !d.Lists(Incarnation{ID: "a1", Start: 9}))
+}
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -42,7 +42,7 @@
 				repeats++
 			}
 		}
-		assert.Assert(t, float64(repeats) <= retryReserve+retryPart*most*requests, "%d repeats at a ratio of %v", repeats, ratio)
+		assert.Assert(t, float64(repeats) <= mostRetryReserve+retryPart*most*requests, "%d repeats at a ratio of %v", repeats, ratio)
 		assert.Assert(t, float64(repeats) >= retryPart*most*requests, "%d repeats at a ratio of %v", repeats, ratio)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,9 @@
 	// RetryRatio is the share of requests that operators allow to be sent once
 	// more, over all hosts; 0 if they name none.
 	RetryRatio float64
+	// RetryReserve is how many more operators allow, over all hosts and in the time over
+	// which they count; 0 if they name none.
+	RetryReserve float64
 	// ObeyWithin is the time in which a change in the store has to be obeyed; 0 if
 	// operators name none.
 	ObeyWithin time.Duration
@@ -47,12 +50,12 @@
 	// FirstStart is set if the whole system starts for the first time: no
 	// configuration has been in force yet that this host could fall behind.
 	FirstStart bool
-	// Incarnation is drawn anew at each start.
-	Incarnation uint64
-}
 	// ReadAhead bounds what is held of answers that callers have not read, in bytes; 0 for a
 	// default.
 	ReadAhead int64
+	// Incarnation is drawn anew at each start.
+	Incarnation uint64
+}
 
 // Platform is what the gateway uses of the hosting platform.
 type Platform struct {
@@ -165,10 +168,12 @@
 	return g.services[name]
 }
 
-// newService returns a service that has places reserved through this host.
+// newService returns a service that has places reserved through this host. It is handed its
+// servers by the next distribution. g.mu is held.
 func (g *Gateway) newService(name string, keyed bool) *service {
 	s := newService(name, g.identity, keyed, g.now)
 	s.reserve = g.reservePlaces
+	g.directory.TouchAll()
 	return s
 }
 
@@ -219,7 +224,7 @@
 	g.nudge()
 }
 
-// distribute hands the directory's servers to their services.
+// distribute hands the servers that have changed to their services.
 func (g *Gateway) distribute() {
 	g.distributing.Lock()
 	defer g.distributing.Unlock()
@@ -234,17 +239,48 @@
 		server.Draining = server.Draining || g.leaving.value(server.Incarnation())
 		byService[server.Service] = append(byService[server.Service], server)
 	}
-	g.noteReplaced(byService)
-	present := incarnations(byService)
-	g.limits.retain(g.now(), present)
-	g.leaving.retain(g.now(), present)
-	services := make(map[*service][]fleet.Server, len(g.services))
+}
+
+// serverChanges are the changes that concern one service.
+type serverChanges struct {
+	changed []fleet.Server
+	gone    []string
+}
+
+// takeChanges returns what has changed in the directory since the last call, by service.
+func (g *Gateway) takeChanges() map[*service]serverChanges {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed, gone := g.directory.Changes()
+	g.noteReplaced()
+	g.limits.retain(g.now(), g.directory.Lists)
+	g.leaving.retain(g.now(), g.directory.Lists)
+	concerns := make(map[*service]serverChanges, len(g.services))
 	for name, s := range g.services {
-		services[s] = byService[name]
+		concerns[s] = g.changesOf(name, changed, gone)
 	}
-	g.mu.Unlock()
-	for s, servers := range services {
-		s.setServers(servers)
+	return concerns
+}
+
+// changesOf returns what changes mean for a service: a server of another one is gone from it.
+func (g *Gateway) changesOf(service string, changed []fleet.Server, gone []string) serverChanges {
+	changes := serverChanges{gone: slices.Clone(gone)}
+	for _, server := range changed {
+		if server.Service != service {
+			changes.gone = append(changes.gone, server.ID)
+			continue
+		}
+	return changes
+}
+
+// touchServer has a server handed to its service again, since other hosts or it itself have
+// told something of it.
+func (g *Gateway) touchServer(server fleet.Incarnation) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.directory.Touch(server.ID)
+		server.Draining = server.Draining || g.leaving.value(server.Incarnation())
+		changes.changed = append(changes.changed, server)
 	}
 }
 
--- a/gateway/keyview.go
+++ b/gateway/keyview.go
@@ -25,7 +25,7 @@
 }
 
 func newKeyView(now func() time.Duration) *keyView {
-	return &keyView{now: now, vacant: map[uint16]time.Duration{}}
+	return &keyView{now: now, present: map[string]fleet.Incarnation{}, vacant: map[uint16]time.Duration{}}
 }
 
 // offer takes a record unless a newer one is known: a slow answer must not
@@ -61,10 +61,16 @@
 	return v.now() - v.seen
 }
 
-func (v *keyView) setPresent(present map[string]fleet.Incarnation) {
+// changePresent takes servers that are registered, and the IDs of those that are not any more.
+func (v *keyView) changePresent(changed []fleet.Server, gone []string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.present = present
+	for _, id := range gone {
+		delete(v.present, id)
+	}
+	for i := range changed {
+		v.present[changed[i].ID] = changed[i].Incarnation()
+	}
 }
 
 // OwnerOf implements balance.Owner.
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -18,6 +18,7 @@
 	if _, changed := g.leaving.take(h.server, news); !changed {
 		return
 	}
+	g.touchServer(h.server)
 	if g.failureLines.take() {
 		g.log.Info("server says whether it leaves", "server", h.server.String(), "leaving", h.Leaving, "call", h.call, "request", h.request,
 			"answered-ms", (news.Heard - news.Sent).Milliseconds())
@@ -48,6 +49,9 @@
 	for _, each := range told {
 		_, changed := g.leaving.take(each.Server, each.News(g.now()))
 		any = any || changed
+		if changed {
+			g.touchServer(each.Server)
+		}
 		if changed && g.failureLines.take() {
 			g.log.Info("heard whether a server leaves", "teller", teller, "server", each.Server.String(), "leaving", each.Value, "age-ms", each.HeardAgo)
 		}
@@ -88,9 +92,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var doubted []fleet.Server
-	for _, server := range g.directory.Snapshot() {
-		news, _ := g.leaving.of(server.Incarnation())
-		if news.Value && !server.Draining && now-news.Heard >= doubtLeavingAfter && g.directory.FollowedFor(now) >= doubtLeavingAfter {
+	for leaving := range g.leaving.inForce() {
+		news, _ := g.leaving.of(leaving)
+		server, listed := g.directory.Get(leaving.ID)
+		if !listed || server.Incarnation() != leaving || server.Draining {
+			continue
+		}
+		if now-news.Heard >= doubtLeavingAfter && g.directory.FollowedFor(now) >= doubtLeavingAfter {
 			doubted = append(doubted, server)
 		}
 	}
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -135,22 +135,11 @@
 }
 
 // retain forgets servers that have been gone for long.
-func (n *notices[V]) retain(now time.Duration, present map[fleet.Incarnation]bool) {
+func (n *notices[V]) retain(now time.Duration, present func(fleet.Incarnation) bool) {
 	if !n.any.Load() {
 		return
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.ledger.Retain(now, func(server fleet.Incarnation) bool { return present[server] })
-}
-
-// incarnations returns the servers that are registered.
-func incarnations(byService map[string][]fleet.Server) map[fleet.Incarnation]bool {
-	present := map[fleet.Incarnation]bool{}
-	for _, servers := range byService {
-		for i := range servers {
-			present[servers[i].Incarnation()] = true
-		}
-	}
-	return present
+	n.ledger.Retain(now, present)
 }
--- a/gateway/serverends.go
+++ b/gateway/serverends.go
@@ -111,24 +111,28 @@
 	return cleared
 }
 
-// noteReplaced looks for servers whose places others have taken, by their entries.
-func (g *Gateway) noteReplaced(byService map[string][]fleet.Server) {
+// noteReplaced looks for servers whose places others have taken, by their entries. g.mu is
+// held.
+func (g *Gateway) noteReplaced() {
 	if !g.ends.watching.Load() {
 		return
 	}
-	present, atAddress := map[string]fleet.Incarnation{}, map[string]fleet.Incarnation{}
-	for _, servers := range byService {
-		for i := range servers {
-			present[servers[i].ID] = servers[i].Incarnation()
-			atAddress[servers[i].Address] = servers[i].Incarnation()
-		}
+	for _, server := range g.replaced() {
+		g.noteEnded(server, "another server is registered in its place")
 	}
+}
+
+func (g *Gateway) replaced() []fleet.Incarnation {
 	g.ends.mu.Lock()
-	replaced := g.ends.witness.Replaced(present, atAddress)
-	g.ends.mu.Unlock()
-	for _, server := range replaced {
-		g.noteEnded(server, "another server is registered in its place")
+	defer g.ends.mu.Unlock()
+	ids, addresses := g.ends.witness.Watched()
+	present := make(map[string]fleet.Incarnation, len(ids))
+	for id := range ids {
+		if server, listed := g.directory.Get(id); listed {
+			present[id] = server.Incarnation()
+		}
 	}
+	return g.ends.witness.Replaced(present, g.directory.At(addresses))
 }
 
 // noteEnded takes proof that a server has ended.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -20,16 +20,6 @@
 	// mostAnswer bounds answers that are read whole by backendlink's callers;
 	// the gateway streams longer ones.
 	mostAnswer = 1 << 20
-	// defaultRetryRatio is the share of requests that may be sent once more, over
-	// all hosts, where operators name none.
-	defaultRetryRatio = 0.2
-	// retryPart is the part of the operators' ratio that is used. They count over
-	// windows of their own and allow some tens beyond; what is left covers the
-	// reserves of all hosts: 3 each are 48 when 8 hosts start twice in a window of
-	// 10 s, and 0.04 of 300 requests a second 120.
-	retryPart = 0.8
-	// retryReserve is how many may be at once after a calm time.
-	retryReserve = 3
 	// pumpEvery is how often waiting requests are looked at when nothing else
 	// happens: estimates of load decay in hundreds of milliseconds.
 	pumpEvery = 20 * time.Millisecond
@@ -41,13 +31,15 @@
 	now  func() time.Duration
 	view *keyView // nil for a service without keys
 
-	mu      sync.Mutex
-	pool    *balance.Pool
-	links   map[fleet.Incarnation]*backendlink.Pool
-	budget  *dispatch.Budget
-	asked   map[uint16]time.Duration           // slot time by key, since the last report
-	paces   map[fleet.Incarnation]balance.Pace // since the last report
-	pumping bool
+	mu     sync.Mutex
+	pool   *balance.Pool
+	links  map[string]*serverLink // by the server's ID, of those that have been used
+	budget *dispatch.Budget
+	// reserveShared is set once the host has its part of the reserve of a start.
+	reserveShared bool
+	asked         map[uint16]time.Duration           // slot time by key, since the last report
+	paces         map[fleet.Incarnation]balance.Pace // since the last report
+	pumping       bool
 
 	// reserve asks for places at servers that name limits. It does not block.
 	reserve func(s *service, wishes []balance.Wish)
@@ -55,8 +47,10 @@
 
 func newService(name string, identity Identity, keyed bool, now func() time.Duration) *service {
 	share := retryPart * cmp.Or(identity.RetryRatio, defaultRetryRatio)
-	s := &service{name: name, now: now, links: map[fleet.Incarnation]*backendlink.Pool{},
-		budget: dispatch.NewBudget(share, retryReserve), asked: map[uint16]time.Duration{}, paces: map[fleet.Incarnation]balance.Pace{}}
+	s := &service{name: name, now: now, links: map[string]*serverLink{},
+		budget: dispatch.NewBudget(share, 0), asked: map[uint16]time.Duration{}, paces: map[fleet.Incarnation]balance.Pace{}}
+	reserve := reserveOf(identity.RetryReserve, 0)
+	s.budget.SetReserve(reserve.most, reserve.first)
 	var owner balance.Owner
 	if keyed {
 		s.view = newKeyView(now)
@@ -115,32 +109,57 @@
 	s.armPump()
 }
 
-// setServers takes the service's servers. Connections to others are closed.
-func (s *service) setServers(servers []fleet.Server) {
+// changeServers takes servers of the service that have changed, and the IDs of those that are
+// not its servers any more. Connections to the latter are closed.
+func (s *service) changeServers(changed []fleet.Server, gone []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	present := make(map[string]fleet.Incarnation, len(servers))
-	for i := range servers {
-		server := &servers[i]
-		incarnation := server.Incarnation()
-		present[server.ID] = incarnation
-		if link := s.links[incarnation]; link == nil || link.Address() != server.Address {
-			if link != nil {
-				link.Close()
-			}
-			s.links[incarnation] = backendlink.NewPool(server.Address, mostIdle, mostAnswer)
-		}
+	for _, id := range gone {
+		s.unlink(id)
 	}
-	for incarnation, link := range s.links {
-		if present[incarnation.ID] != incarnation {
-			link.Close()
-			delete(s.links, incarnation)
+	for i := range changed {
+		server := &changed[i]
+		if linked := s.links[server.ID]; linked != nil && !linked.leadsTo(server) {
+			s.unlink(server.ID)
 		}
 	}
 	if s.view != nil {
-		s.view.setPresent(present)
+		s.view.changePresent(changed, gone)
+	}
+	s.pool.ChangeServers(s.now(), changed, gone)
+}
+
+// serverLink holds the connections to one incarnation of a server.
+type serverLink struct {
+	incarnation fleet.Incarnation
+	pool        *backendlink.Pool
+}
+
+func (l *serverLink) leadsTo(server *fleet.Server) bool {
+	return l.incarnation == server.Incarnation() && l.pool.Address() == server.Address
+}
+
+// link returns the connections to a server, nil if the server is not the one listed. A host
+// has connections to few of the servers, so they are made when they are first used. s.mu is
+// held.
+func (s *service) link(server *balance.Server) *backendlink.Pool {
+	if !s.pool.Lists(server) {
+		return nil
+	}
+	linked := s.links[server.ID]
+	if linked == nil {
+		linked = &serverLink{incarnation: server.Incarnation(), pool: backendlink.NewPool(server.Address, mostIdle, mostAnswer)}
+		s.links[server.ID] = linked
+	}
+	return linked.pool
+}
+
+// unlink closes the connections to a server. s.mu is held.
+func (s *service) unlink(id string) {
+	if linked := s.links[id]; linked != nil {
+		linked.pool.Close()
+		delete(s.links, id)
 	}
-	s.pool.SetServers(s.now(), servers)
 }
 
 // first notes a request's first attempt. What is asked of a key counts whether
@@ -155,6 +174,19 @@
 	}
 }
 
+// shareReserve takes this host's part of the requests that may be sent once more beyond the
+// ratio.
+func (s *service) shareReserve(reserve retryReserve) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	added := reserve.first
+	if s.reserveShared {
+		added = 0
+	}
+	s.reserveShared = true
+	s.budget.SetReserve(reserve.most, added)
+}
+
 // mayRetry takes the right to send a request once more.
 func (s *service) mayRetry() bool {
 	s.mu.Lock()
@@ -185,7 +217,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	link := s.links[waiter.Server.Incarnation()]
+	link := s.link(waiter.Server)
 	if link == nil {
 		s.pool.Done(s.now(), waiter.Server, balance.End{Outcome: balance.Abandoned})
 		return nil, nil, &balance.RejectedError{Reason: balance.NoServer, RetryAfter: retryAfterUnknown}
@@ -199,7 +231,7 @@
 func (s *service) expectedToEnd(server *balance.Server, brokeOff bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return server.Leaving() || brokeOff && s.links[server.Incarnation()] == nil
+	return server.Leaving() || brokeOff && !s.pool.Lists(server)
 }
 
 // done gives a server back.
--- a/poison/witness.go
+++ b/poison/witness.go
@@ -119,6 +119,18 @@
 	return blamed
 }
 
+// Watched returns the IDs and addresses of the servers whose end would be held against
+// requests.
+func (w *Witness) Watched() (ids, addresses map[string]bool) {
+	ids, addresses = map[string]bool{}, map[string]bool{}
+	for server, seen := range w.servers {
+		if !seen.ended && len(seen.open) > 0 {
+			ids[server.ID], addresses[seen.address] = true, true
+		}
+	}
+	return ids, addresses
+}
+
 // Replaced returns the servers that must have ended, since another incarnation stands
 // at their address or under their ID.
 func (w *Witness) Replaced(present map[string]fleet.Incarnation, atAddress map[string]fleet.Incarnation) []fleet.Incarnation {
