Hosts divide what may be sent once more beyond the ratio

What grew: each host had a reserve of 3 repeats, 2,955 on 985 hosts where operators allow 1,040 in all, and anew after each start. The reserve is now a part of what operators allow (setting retries.reserve), by the number of hosts that the controller tells; a host that does not know it yet begins with none. Test: the sum over hosts, with all of them started again, at 8 to 2,000.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -50,6 +50,9 @@
 	}
 	g.log.Info("number of hosts", "hosts", hosts)
 	g.applyLimits()
+	for _, s := range g.allServices() {
+		s.shareReserve(reserveOf(g.identity.RetryReserve, hosts))
+	}
 	if current := g.inForce.Current(); current != nil {
 		g.limitCold(current)
 	}
--- a/gateway/daemon/settings.go
+++ b/gateway/daemon/settings.go
@@ -28,6 +28,9 @@
 	// RetryRatio is the share of requests that may be sent once more, over all
 	// hosts together.
 	RetryRatio float64
+	// RetryReserve is how many more may be, over all hosts together; 0 if operators name
+	// none.
+	RetryReserve float64
 	// Seeds are addresses of other hosts, for one that starts while the store is away.
 	Seeds []string
 	// ConfigurationWithin and DrainWithin are the times in which a configuration
@@ -70,6 +73,7 @@
 		{Section: "changes", Name: "drain-within", Default: "2s", Allowed: "1s to 1m", Set: settings.Duration(&s.DrainWithin, time.Second, time.Minute)},
 		{Section: "changes", Name: "evacuate-within", Default: "0s", Allowed: "0s to 1m", Set: settings.Duration(&s.EvacuateWithin, 0, time.Minute)},
 		{Section: "retries", Name: "ratio", Default: "0.2", Allowed: "0.001 to 1", Set: settings.Float(&s.RetryRatio, 0.001, 1)},
+		{Section: "retries", Name: "reserve", Default: "0", Allowed: "0 to 1000000 requests", Set: settings.Float(&s.RetryReserve, 0, 1e6)},
 		{Section: "stop", Name: "leave-for", Default: "3300ms", Allowed: "0s to 1h", Set: settings.Duration(&s.LeaveFor, 0, time.Hour)},
 		{Section: "stop", Name: "within", Default: "6s", Allowed: "1s to 1h", Set: settings.Duration(&s.StopWithin, time.Second, time.Hour)},
 		{Section: "log", Name: "level", Default: "info", Allowed: "debug, info, warn or error",
