Hosts pass entries on in columns and pages, compressed, and tell whoever is behind what changed

What grew: a relay kept the last 512 KB of changes, 2,000 entries; a host that was further behind listed everything anew, 2.5 MB, more than a body between hosts may have. A relay now keeps which objects changed when, and deletions up to a bound; lists come in pages, answers of 4 KB and more compressed, entries as texts of our own that are read from the registry's form once. Earlier hosts are sent to the store.

--- /dev/null
+++ b/fleet/text.go
@@ -0,0 +1,69 @@
+package fleet
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// EntryError reports a text that is no server's entry.
+type EntryError struct {
+	Field, Value, Fix string
+}
+
+// Error implements error.
+func (e *EntryError) Error() string {
+	return fmt.Sprintf("entry of a server: %s = %q: %s", e.Field, e.Value, e.Fix)
+}
+
+const (
+	entrySeparator = "\t"
+	entryFields    = 7
+	entryReady     = "ready"
+	entryDraining  = "draining"
+)
+
+// EntryText returns what an entry says of a server, without its ID, as hosts tell it to each
+// other: a host that starts takes thousands. ok is false if the server can't be told so.
+func EntryText(s *Server) (text string, ok bool) {
+	if strings.ContainsAny(s.Service+s.Address+s.Domain, "\t\n\r\"\\") {
+		return "", false
+	}
+	state := entryReady
+	if s.Draining {
+		state = entryDraining
+	}
+	return strings.Join([]string{s.Service, s.Address, s.Domain, strconv.Itoa(s.Slots), state,
+		strconv.FormatInt(s.ColdFor.Milliseconds(), 10), strconv.FormatInt(s.Start, 10)}, entrySeparator), true
+}
+
+// ReadEntryText returns the server that a text of EntryText tells of. The error is an
+// *EntryError.
+func ReadEntryText(id, text string) (Server, error) {
+	parts := strings.Split(text, entrySeparator)
+	if len(parts) != entryFields {
+		return Server{}, &EntryError{Field: "fields", Value: text, Fix: "must be " + strconv.Itoa(entryFields)}
+	}
+	s := Server{ID: id, Service: parts[0], Address: parts[1], Domain: parts[2], Draining: parts[4] == entryDraining}
+	if !s.Draining && parts[4] != entryReady {
+		return Server{}, &EntryError{Field: "state", Value: parts[4], Fix: "must be " + entryReady + " or " + entryDraining}
+	}
+	var cold int64
+	for _, number := range []struct {
+		field, text string
+		set         func(int64)
+	}{
+		{"slots", parts[3], func(n int64) { s.Slots = int(n) }},
+		{"cold", parts[5], func(n int64) { cold = n }},
+		{"start", parts[6], func(n int64) { s.Start = n }},
+	} {
+		n, err := strconv.ParseInt(number.text, 10, 64)
+		if err != nil || n < 0 {
+			return Server{}, &EntryError{Field: number.field, Value: number.text, Fix: "must be a whole number that is not negative"}
+		}
+		number.set(n)
+	}
+	s.ColdFor = time.Duration(cold) * time.Millisecond
+	return s, nil
+}
--- a/gateway/deltas.go
+++ b/gateway/deltas.go
@@ -22,10 +22,11 @@
 	// longDocument is from how many bytes on a document travels as a delta.
 	longDocument = 1 << 10
 	// longAnswer is from how many bytes on a host is sent to the store for a
-	// document. A controller that sent a configuration of 1,400 routes to 75
+	// document. A small controller that sent a configuration of 1,400 routes to 75
 	// others itself kept its link and processor busy for seconds, in which the
-	// others missed changes.
-	longAnswer = 64 << 10
+	// others missed changes. Large hosts pass on what a body may hold.
+	longAnswer      = 64 << 10
+	largeLongAnswer = mostPeerBody / 2
 	// mostDeltas bounds the deltas that are kept: nearly all hosts have the
 	// version before the last and ask for the same.
 	mostDeltas = 8
@@ -40,6 +41,29 @@
 	InStore []string `json:"inStore,omitempty"`
 }
 
+// watchAnswerWire is a watchAnswer as it passes between hosts.
+type watchAnswerWire struct {
+	columns
+	Deltas  []documentDelta `json:"deltas,omitempty"`
+	InStore []string        `json:"inStore,omitempty"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (a watchAnswer) MarshalJSON() ([]byte, error) {
+	return json.Marshal(watchAnswerWire{columns: columnsOf(a.Listing), Deltas: a.Deltas, InStore: a.InStore})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (a *watchAnswer) UnmarshalJSON(data []byte) error {
+	var wire watchAnswerWire
+	err := json.Unmarshal(data, &wire)
+	if err == nil {
+		a.Listing, err = wire.listing()
+	}
+	a.Deltas, a.InStore = wire.Deltas, wire.InStore
+	return err
+}
+
 // documentDelta makes one version of a document into a later one.
 type documentDelta struct {
 	Name string `json:"name"`
@@ -81,10 +105,19 @@
 
 // deltas makes the deltas for other hosts, each once.
 type deltas struct {
+	// long is from how many bytes on a host is sent to the store for a document.
+	long int
 	mu   sync.Mutex
 	made map[deltaKey]madeDelta
 }
 
+func newDeltas(identity Identity) deltas {
+	if identity.Small {
+		return deltas{long: longAnswer}
+	}
+	return deltas{long: largeLongAnswer}
+}
+
 // shorten returns a listing for a host that knows the kind up to a revision,
 // with deltas in place of the long documents of which it has an earlier version.
 func (d *deltas) shorten(relay *relay, kind string, listing objects.Listing, known uint64) *watchAnswer {
@@ -96,12 +129,12 @@
 		}
 		base, ok := relay.versionAt(kind, object.Name, known)
 		if !ok {
-			answer.whole(object)
+			answer.whole(object, d.long)
 			continue
 		}
 		made := d.get(kind, base, object)
-		if made.bytes >= min(longAnswer, len(object.Spec)) {
-			answer.whole(object)
+		if made.bytes >= min(d.long, len(object.Spec)) {
+			answer.whole(object, d.long)
 			continue
 		}
 		answer.Deltas = append(answer.Deltas, documentDelta{Name: object.Name, Base: base.Revision, Revision: object.Revision, Delta: made.delta})
@@ -109,8 +142,8 @@
 	return answer
 }
 
-func (a *watchAnswer) whole(object objects.Object) {
-	if len(object.Spec) >= longAnswer {
+func (a *watchAnswer) whole(object objects.Object, long int) {
+	if len(object.Spec) >= long {
 		a.InStore = append(a.InStore, object.Name)
 		return
 	}
--- /dev/null
+++ b/gateway/entries_bench_test.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"encoding/json"
+	"testing"
+
+	"cicadarouter/contract/objects"
+	"cicadarouter/host/logs"
+	"cicadarouter/platform"
+)
+
+// BenchmarkEntriesTaken is what a host spends on entries that another host passes on, a batch
+// at a time, until it knows 10,000 servers.
+func BenchmarkEntriesTaken(b *testing.B) {
+	const servers, batch = 10000, 500
+	var batches [][]byte
+	source := New(Identity{}, Platform{Registry: platform.Registry{}}, logs.Discard())
+	for from := 0; from < servers; from += batch {
+		encoded, err := json.Marshal(watchAnswer{Listing: source.asPassedOn("servers", entries(from, from+batch))})
+		if err != nil {
+			b.Fatal(err)
+		}
+		batches = append(batches, encoded)
+	}
+	for b.Loop() {
+		g := New(Identity{Host: "h", Domain: "a"}, Platform{Registry: platform.Registry{}}, logs.Discard())
+		g.services["s"] = g.newService("s", true)
+		reader := &entryReader{gateway: g, reported: map[string]uint64{}}
+		g.relay.note("servers", objects.Listing{}, true)
+		for _, encoded := range batches {
+			var answer watchAnswer
+			if err := json.Unmarshal(encoded, &answer); err != nil {
+				b.Fatal(err)
+			}
+			for _, object := range answer.Objects {
+				g.changeServer(reader, object)
+			}
+			g.directoryChanged()
+			g.relay.note("servers", answer.Listing, false)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*servers), "us/entry")
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -137,7 +137,7 @@
 		return g.firstList(ctx, kind)
 	}
 	if source := g.fresh.follows(g.now()); source != "" {
-		listing, err := g.relayedList(ctx, source, kind)
+		listing, _, err := g.relayedList(ctx, source, kind)
 		if err == nil && revision.Era(listing.Revision) < g.era.Load() {
 			err = &objects.RewoundError{Given: listing.Revision, Era: g.era.Load()}
 		}
@@ -151,7 +151,7 @@
 	if err == nil {
 		g.fresh.touch(kind, began)
 	}
-	return canonical(listing), err
+	return g.asPassedOn(kind, listing), err
 }
 
 // firstList lists a kind after the start of the process. It may be seconds old, at
@@ -163,9 +163,9 @@
 	listing, err := g.store.Stale().List(ctx, kind)
 	source := g.sources.current()
 	if err == nil || source == "" || ctx.Err() != nil {
-		return canonical(listing), err
+		return g.asPassedOn(kind, listing), err
 	}
-	listing, peerErr := g.relayedList(ctx, source, kind)
+	listing, _, peerErr := g.relayedList(ctx, source, kind)
 	if peerErr != nil {
 		g.sources.miss()
 		return listing, errors.Join(err, peerErr)
@@ -180,14 +180,14 @@
 func (g *Gateway) watchStore(ctx context.Context, kind string, revision uint64, wait time.Duration) (objects.Listing, error) {
 	if g.identity.FirstStart && g.fresh.startingNow(g.now()) {
 		listing, err := g.store.Stale().Watch(ctx, kind, revision, wait)
-		return canonical(listing), err
+		return g.asPassedOn(kind, listing), err
 	}
 	began := g.now()
 	listing, err := g.store.Watch(ctx, kind, revision, wait)
 	if err == nil {
 		g.fresh.touch(kind, began)
 	}
-	return canonical(listing), err
+	return g.asPassedOn(kind, listing), err
 }
 
 // lost notes a failed call, and reports whether the watch may go on from its
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,7 +122,7 @@
 		identity: identity, codec: platform.Codec, registry: platform.Registry, keys: platform.Keys,
 		clock: clock.System(), boot: clock.Boot(), log: logger, counts: newCounts(),
 		directory: fleet.NewDirectory(), services: map[string]*service{},
-		stop: newStop(), control: newControl(), fresh: newFreshness(identity.ObeyWithin), sources: newSources(identity), peers: newPeerClient(), wake: make(chan struct{}, 1),
+		stop: newStop(), control: newControl(), fresh: newFreshness(identity.ObeyWithin), sources: newSources(identity), deltas: newDeltas(identity), peers: newPeerClient(), wake: make(chan struct{}, 1),
 	}
 	g.evacuationsListed.Store(identity.EvacuateWithin == 0) // then there is nothing to read
 	g.store = newCountedStore(platform.Store, g.noteStoreCall)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -118,7 +118,7 @@
 	dialer := net.Dialer{Timeout: peerTimeout}
 	const idle = 4
 	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext,
-		DisableCompression: true, MaxIdleConnsPerHost: idle, IdleConnTimeout: 5 * time.Second, ReadBufferSize: 2048, WriteBufferSize: 2048}}
+		MaxIdleConnsPerHost: idle, IdleConnTimeout: 5 * time.Second, ReadBufferSize: 2048, WriteBufferSize: 2048}}
 }
 
 // peerStatusError reports an answer of another host that is not a success.
@@ -368,9 +368,7 @@
 	}
 	select {
 	case answer := <-call.answer:
-		if err := json.NewEncoder(w).Encode(answer); err != nil {
-			g.log.Info("answer to a host not written", "error", err.Error())
-		}
+		g.writePeer(w, r, answer)
 	case <-r.Context().Done():
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,17 +14,24 @@
 	"github.com/rotisserie/eris"
 
 	"cicadarouter/contract/objects"
+	"cicadarouter/fleet"
 	"cicadarouter/revision"
 )
 
 const (
-	// relayKept and relayBytes bound the changes of a kind that are kept for
-	// hosts that are behind. One that is further behind lists the kind anew.
+	// relayKept and relayBytes bound the earlier versions of long documents that are kept
+	// to make deltas from. A host that has none of them gets the document whole.
 	relayKept  = 32
 	relayBytes = 512 << 10
-	// listTimeout bounds a list between hosts: 1,000 entries are some 250 KB, a
-	// quarter of a second on a link of 10 Mbit/s.
+	// mostGone bounds the deletions that are kept. A host that is further behind lists the
+	// kind anew.
+	mostGone = 4096
+	// mostTold is after how many changes an answer to a watch ends.
+	mostTold = 2000
+	// listTimeout bounds a page of a list between hosts.
 	listTimeout = 2 * time.Second
+	// listPage is the number of objects in a page: some 500 KB of servers' entries.
+	listPage = 2000
 )
 
 // relay passes what a host learns of the store on to others: each call to the
@@ -39,13 +47,29 @@
 	revision uint64
 	// current are the objects as of the revision; nil before the first listing.
 	current map[string]objects.Object
+	// sorted are the names of current in order; nil if they are to be sorted again.
+	sorted []string
+	// steps tell which objects changed when, the earliest first, and floor as of which
+	// revision that is complete.
+	steps []relayedStep
+	floor uint64
+	gone  int // steps that are deletions
 	// first holds the long documents as they were before the kept changes.
 	first   map[string]objects.Object
 	kept    []relayedChange
 	changed chan struct{}
 }
 
-// relayedChange is what changed after one revision, up to that of the listing.
+// relayedStep is a change of one object, of which the host learned with a listing.
+type relayedStep struct {
+	listed   uint64 // the listing's revision
+	revision uint64 // the object's
+	name     string
+	deletion *objects.Object // as it was told; nil for a change
+}
+
+// relayedChange holds the long documents that changed after one revision, up to that of
+// the listing.
 type relayedChange struct {
 	after   uint64
 	listing objects.Listing
@@ -84,8 +108,8 @@
 		listing.Objects = known.differences(listing)
 	}
 	if len(listing.Objects) > 0 {
-		known.kept = append(known.kept, relayedChange{after: known.revision, listing: listing})
-		known.take(listing.Objects)
+		known.keep(listing)
+		known.take(listing)
 		known.trim()
 		known.announce()
 	}
@@ -94,21 +118,36 @@
 
 // begin takes the first complete listing.
 func (k *relayed) begin(listing objects.Listing) {
-	k.current, k.first, k.revision = map[string]objects.Object{}, map[string]objects.Object{}, listing.Revision
-	k.take(listing.Objects)
+	k.current, k.first = make(map[string]objects.Object, len(listing.Objects)), map[string]objects.Object{}
+	k.revision, k.floor = listing.Revision, listing.Revision
+	for _, object := range listing.Objects {
+		k.current[object.Name] = object
+	}
 	k.fold(listing.Objects)
 }
 
 // take makes the changes part of the current objects. A source that is behind may
 // tell of a version before the one known.
-func (k *relayed) take(changes []objects.Object) {
-	for _, object := range changes {
+func (k *relayed) take(listing objects.Listing) {
+	for _, object := range listing.Objects {
+		before, known := k.current[object.Name]
 		switch {
 		case object.Deleted:
 			delete(k.current, object.Name)
-		case object.Revision >= k.current[object.Name].Revision:
+			k.gone++
+		case object.Revision >= before.Revision:
 			k.current[object.Name] = object
+		default:
+			continue
+		}
+		if known == object.Deleted {
+			k.sorted = nil
+		}
+		step := relayedStep{listed: listing.Revision, revision: object.Revision, name: object.Name}
+		if object.Deleted {
+			step.deletion = &object
 		}
+		k.steps = append(k.steps, step)
 	}
 }
 
@@ -137,16 +176,31 @@
 	return changes
 }
 
-// list returns a kind as this host knows it; ok is false before it does.
-func (r *relay) list(name string) (listing objects.Listing, ok bool) {
+// names returns the names of the current objects in order.
+func (k *relayed) names() []string {
+	if k.sorted == nil {
+		k.sorted = slices.Sorted(maps.Keys(k.current))
+	}
+	return k.sorted
+}
+
+// page returns objects of a kind as this host knows it, at most some and those whose names
+// follow a given one, and whether there are more. ok is false before the host knows the kind.
+func (r *relay) page(name, after string, most int) (listing objects.Listing, more, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.kind(name)
 	listing.Revision = known.revision
-	for _, each := range slices.Sorted(maps.Keys(known.current)) {
+	names := known.names()
+	from, found := slices.BinarySearch(names, after)
+	if found {
+		from++
+	}
+	to := min(from+most, len(names))
+	for _, each := range names[from:to] {
 		listing.Objects = append(listing.Objects, known.current[each])
 	}
-	return listing, known.current != nil
+	return listing, to < len(names), known.current != nil
 }
 
 // canonical returns a listing of the store with its long documents in the one form
@@ -161,6 +215,35 @@
 	return listing
 }
 
+// asPassedOn returns a listing of the store in the form in which it passes between hosts. An
+// entry of a server is read once, by the hosts that follow the store.
+func (g *Gateway) asPassedOn(kind string, listing objects.Listing) objects.Listing {
+	listing = canonical(listing)
+	if kind == g.registry.Servers() {
+		for i := range listing.Objects {
+			listing.Objects[i] = g.canonicalEntry(listing.Objects[i])
+		}
+	}
+	return listing
+}
+
+// canonicalEntry returns an entry that can't be read as it is, for each host to tell.
+func (g *Gateway) canonicalEntry(object objects.Object) objects.Object {
+	if object.Deleted {
+		return object
+	}
+	server, err := g.registry.Server(object)
+	if err != nil {
+		return object
+	}
+	if text, ok := fleet.EntryText(&server); ok {
+		if encoded, err := json.Marshal(text); err == nil {
+			object.Spec = encoded
+		}
+	}
+	return object
+}
+
 // canonicalObject is canonical for one object.
 func canonicalObject(object objects.Object) objects.Object {
 	if len(object.Spec) < longDocument {
@@ -172,6 +255,19 @@
 	return object
 }
 
+// keep keeps the long documents of a change.
+func (k *relayed) keep(listing objects.Listing) {
+	long := objects.Listing{Revision: listing.Revision}
+	for _, object := range listing.Objects {
+		if _, was := k.first[object.Name]; len(object.Spec) >= longDocument || was || len(k.current[object.Name].Spec) >= longDocument {
+			long.Objects = append(long.Objects, object)
+		}
+	}
+	if len(long.Objects) > 0 {
+		k.kept = append(k.kept, relayedChange{after: k.revision, listing: long})
+	}
+}
+
 // fold takes the long documents of changes that are not kept any more.
 func (k *relayed) fold(changes []objects.Object) {
 	for _, object := range changes {
@@ -183,7 +279,7 @@
 	}
 }
 
-// trim holds the kept changes within their bounds.
+// trim holds what is kept of earlier changes within its bounds.
 func (k *relayed) trim() {
 	size := 0
 	for _, change := range k.kept {
@@ -194,6 +290,36 @@
 		k.fold(k.kept[0].listing.Objects)
 		k.kept = k.kept[1:]
 	}
+	if len(k.steps) > 2*len(k.current)+2*mostGone {
+		k.compact()
+	}
+}
+
+// compact drops the steps that later ones of the same objects have replaced, and the earliest
+// deletions.
+func (k *relayed) compact() {
+	last := make(map[string]int, len(k.steps))
+	for i, step := range k.steps {
+		last[step.name] = i
+	}
+	forget := k.gone - mostGone
+	var steps []relayedStep
+	k.gone = 0
+	for i, step := range k.steps {
+		if step.deletion != nil && forget > 0 {
+			forget--
+			k.floor = max(k.floor, step.listed)
+			continue
+		}
+		if last[step.name] != i {
+			continue
+		}
+		if step.deletion != nil {
+			k.gone++
+		}
+		steps = append(steps, step)
+	}
+	k.steps = steps
 }
 
 func (c *relayedChange) bytes() int {
@@ -217,15 +343,28 @@
 	if revision.Era(after) < revision.Era(known.revision) {
 		return listing, known.changed, false // whoever asks may know what this host never did
 	}
-	oldest := known.revision
-	for _, change := range known.kept {
-		oldest = min(oldest, change.after)
-		if change.listing.Revision > after {
-			listing.Objects = append(listing.Objects, change.listing.Objects...)
+	listing.Objects, listing.Revision = known.changedSince(after)
+	return listing, known.changed, after >= known.floor
+}
+
+// changedSince returns the objects that changed after a revision, as they are now, and up to
+// which revision: as many as one answer may tell of.
+func (k *relayed) changedSince(after uint64) (changes []objects.Object, upTo uint64) {
+	from, _ := slices.BinarySearchFunc(k.steps, after+1, func(step relayedStep, want uint64) int { return cmp.Compare(step.listed, want) })
+	for i, step := range k.steps[from:] {
+		if i >= mostTold && step.listed > k.steps[from+i-1].listed {
+			return latest(changes), k.steps[from+i-1].listed
 		}
+		object, present := k.current[step.name]
+		switch {
+		case step.deletion != nil:
+			object = *step.deletion
+		case !present || object.Revision != step.revision:
+			continue // a later step tells what became of it
+		}
+		changes = append(changes, object)
 	}
-	listing.Objects = latest(listing.Objects)
-	return listing, known.changed, after >= oldest
+	return latest(changes), k.revision
 }
 
 // latest leaves the last of the changes of each object.
@@ -285,42 +424,85 @@
 	}
 }
 
-// listRequest asks a host for all objects of a kind.
+// listRequest asks a host for a page of the objects of a kind.
 type listRequest struct {
 	Kind string `json:"kind"`
-}
-
-// relayedList asks another host in place of the store.
-func (g *Gateway) relayedList(ctx context.Context, source, kind string) (objects.Listing, error) {
-	var answer listAnswer
-	if err := g.askPeer(ctx, listTimeout, source, pathList, listRequest{Kind: kind}, &answer); err != nil {
-		return objects.Listing{}, err
-	}
-	g.log.Info("listed from a host", "kind", kind, "source", source, "revision", answer.Revision, "objects", len(answer.Objects), "age-ms", answer.AgeMs)
-	return answer.Listing, nil
+	// After is the last name of the page before; empty for the first page.
+	After string `json:"after,omitempty"`
+	// Columns is set by hosts that take objects column by column. Earlier ones are to ask
+	// the store.
+	Columns bool `json:"columns"`
 }
 
 // listAnswer is what a host knows of a kind.
 type listAnswer struct {
 	objects.Listing
+	// More is set if another page follows.
+	More bool
 	// AgeMs is how old the host's knowledge of the store may be, in milliseconds.
+	AgeMs int64
+}
+
+// listAnswerWire is a listAnswer as it passes between hosts.
+type listAnswerWire struct {
+	columns
+	More  bool  `json:"more,omitempty"`
 	AgeMs int64 `json:"ageMs"`
 }
 
+// MarshalJSON implements json.Marshaler.
+func (a listAnswer) MarshalJSON() ([]byte, error) {
+	return json.Marshal(listAnswerWire{columns: columnsOf(a.Listing), More: a.More, AgeMs: a.AgeMs})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (a *listAnswer) UnmarshalJSON(data []byte) error {
+	var wire listAnswerWire
+	err := json.Unmarshal(data, &wire)
+	if err == nil {
+		a.Listing, err = wire.listing()
+	}
+	a.More, a.AgeMs = wire.More, wire.AgeMs
+	return err
+}
+
+// relayedList asks another host in place of the store. The revision is that of the first page,
+// so that a watch from it misses nothing that changed between two pages. age is how old the
+// host's knowledge of the store may be.
+func (g *Gateway) relayedList(ctx context.Context, source, kind string) (listing objects.Listing, age time.Duration, err error) {
+	request := listRequest{Kind: kind, Columns: true}
+	for first := true; ; first = false {
+		var page listAnswer
+		if err := g.askPeer(ctx, listTimeout, source, pathList, request, &page); err != nil {
+			return objects.Listing{}, 0, err
+		}
+		if first {
+			listing.Revision, age = page.Revision, time.Duration(page.AgeMs)*time.Millisecond
+		} else if revision.Era(page.Revision) != revision.Era(listing.Revision) {
+			return objects.Listing{}, 0, &objects.RewoundError{Given: listing.Revision, Era: revision.Era(page.Revision)}
+		}
+		listing.Objects = append(listing.Objects, page.Objects...)
+		if !page.More || len(page.Objects) == 0 {
+			break
+		}
+		request.After = page.Objects[len(page.Objects)-1].Name
+	}
+	g.log.Info("listed from a host", "kind", kind, "source", source, "revision", listing.Revision, "objects", len(listing.Objects), "age-ms", age.Milliseconds())
+	return listing, age, nil
+}
+
 // answerList answers another host's list, if this host knows the kind.
 func (g *Gateway) answerList(w http.ResponseWriter, r *http.Request) {
 	var request listRequest
 	if !g.readPeer(w, r, &request) {
 		return
 	}
-	listing, ok := g.relay.list(request.Kind)
-	if !ok {
+	listing, more, ok := g.relay.page(request.Kind, request.After, listPage)
+	if !ok || !request.Columns {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if err := json.NewEncoder(w).Encode(listAnswer{Listing: listing, AgeMs: g.fresh.ageNow(g.now()).Milliseconds()}); err != nil {
-		g.log.Info("answer to a host not written", "error", err.Error())
-	}
+	g.writePeer(w, r, listAnswer{Listing: listing, More: more, AgeMs: g.fresh.ageNow(g.now()).Milliseconds()})
 }
 
 // watchRequest asks a host for the changes of a kind.
@@ -330,11 +512,13 @@
 	WaitMs   int64  `json:"waitMs"`
 	// Whole asks for whole documents in place of deltas.
 	Whole bool `json:"whole,omitempty"`
+	// Columns is as in listRequest.
+	Columns bool `json:"columns"`
 }
 
 // relayedWatch asks another host in place of the store.
 func (g *Gateway) relayedWatch(ctx context.Context, source, kind string, revision uint64, wait time.Duration) (objects.Listing, error) {
-	request := watchRequest{Kind: kind, Revision: revision, WaitMs: wait.Milliseconds()}
+	request := watchRequest{Kind: kind, Revision: revision, WaitMs: wait.Milliseconds(), Columns: true}
 	listing, err := g.askRelay(ctx, source, request)
 	var unfit *unfitError
 	if errors.As(err, &unfit) {
@@ -367,7 +551,7 @@
 	if !g.readPeer(w, r, &request) {
 		return
 	}
-	if !g.fresh.serves(g.now()) {
+	if !g.fresh.serves(g.now()) || !request.Columns {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -383,7 +567,5 @@
 	if !request.Whole {
 		answer = g.deltas.shorten(&g.relay, request.Kind, listing, request.Revision)
 	}
-	if err := json.NewEncoder(w).Encode(answer); err != nil {
-		g.log.Info("answer to a host not written", "error", err.Error())
-	}
+	g.writePeer(w, r, answer)
 }
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -28,3 +29,9 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, all.Revision, revision.In(2, 45))
 }
+
+// list returns all that a relay knows of a kind.
+func (r *relay) list(name string) (objects.Listing, bool) {
+	listing, _, ok := r.page(name, "", math.MaxInt32)
+	return listing, ok
+}
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"cicadarouter/contract/objects"
 	"cicadarouter/fleet"
@@ -107,7 +108,7 @@
 
 // read returns what an entry says.
 func (e *entryReader) read(object objects.Object) fleet.Version {
-	server, err := e.gateway.registry.Server(object)
+	server, err := e.server(object)
 	if err == nil {
 		return fleet.Version{Server: server, Revision: object.Revision}
 	}
@@ -115,6 +116,18 @@
 	return fleet.Version{Server: fleet.Server{ID: object.Name}, Revision: object.Revision, Unreadable: true}
 }
 
+// server reads an entry as the registry holds it, or as another host has read it.
+func (e *entryReader) server(object objects.Object) (fleet.Server, error) {
+	if len(object.Spec) == 0 || object.Spec[0] != '"' {
+		return e.gateway.registry.Server(object)
+	}
+	var text string
+	if err := json.Unmarshal(object.Spec, &text); err != nil {
+		return fleet.Server{}, err
+	}
+	return fleet.ReadEntryText(object.Name, text)
+}
+
 func (e *entryReader) report(object objects.Object, cause error) {
 	if revision, known := e.reported[object.Name]; known && revision == object.Revision {
 		return
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
@@ -202,8 +201,5 @@
 		return
 	}
 	age, revisions := g.fresh.question(g.now())
-	answer := sourceAnswer{AgeMs: age.Milliseconds(), Revisions: revisions}
-	if err := json.NewEncoder(w).Encode(answer); err != nil {
-		g.log.Info("answer to a host not written", "error", err.Error())
-	}
+	g.writePeer(w, r, sourceAnswer{AgeMs: age.Milliseconds(), Revisions: revisions})
 }
