Relays grow with the root of the hosts, and are named anew as hosts come

What grew: two relays a failure domain whatever its size, 98 followers each at 985 hosts; and the first host that reported was named as the relay of all for a second. A domain has as many relays as leave each with the root of all hosts, 32 at least; the choice is made anew when hosts double.

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"hash/fnv"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -13,7 +14,7 @@
 // Bounds of relays.
 const (
 	// relaysPerDomain is how many hosts of each failure domain a controller names
-	// as relays: the second stands in for the first.
+	// as relays at least: the second stands in for the first.
 	relaysPerDomain = 2
 	// mostRelays bounds the relays that a host or a record names.
 	mostRelays = 16
@@ -42,6 +43,8 @@
 type members struct {
 	hosts  map[string]member
 	chosen time.Duration // when the relays were
+	// chosenOf is how many hosts reported then.
+	chosenOf int
 	// relays are addresses by failure domain, domains their domains in order.
 	relays  map[string][]string
 	domains []string
@@ -71,19 +74,22 @@
 	return 1 - float64(resting)/float64(len(m.hosts)+1)
 }
 
-// choose names relays anew if it is time.
+// choose names relays anew if it is time, or if twice as many hosts report: as the system
+// starts, the first one that reports would be named to all the others.
 func (m *members) choose(now time.Duration) {
-	if m.relays != nil && now-m.chosen < namedEvery {
+	if m.relays != nil && now-m.chosen < namedEvery && len(m.hosts) < 2*m.chosenOf {
 		return
 	}
-	m.chosen, m.relays = now, map[string][]string{}
+	m.chosen, m.chosenOf, m.relays = now, len(m.hosts), map[string][]string{}
 	var names []string
+	hosts := map[string]int{}
 	for name, each := range m.hosts {
 		if now-each.seen > memberKept {
 			delete(m.hosts, name)
 			continue
 		}
 		names = append(names, name)
+		hosts[each.domain]++
 	}
 	// Large hosts first: dozens of others may come to follow a relay.
 	slices.SortFunc(names, func(a, b string) int {
@@ -91,7 +97,7 @@
 	})
 	for _, name := range names {
 		each := m.hosts[name]
-		if len(m.relays[each.domain]) < relaysPerDomain {
+		if len(m.relays[each.domain]) < relaysNeeded(hosts[each.domain], len(names)) {
 			m.relays[each.domain] = append(m.relays[each.domain], each.address)
 		}
 	}
@@ -99,10 +105,17 @@
 	m.all = m.inTurn()
 }
 
+// relaysNeeded returns how many relays a domain needs. As many hosts follow a relay as relays
+// follow the controller, so that what either passes on grows with the root of the hosts.
+func relaysNeeded(ofDomain, hosts int) int {
+	followers := max(mostFollowers, math.Sqrt(float64(hosts)))
+	return max(relaysPerDomain, int(math.Ceil(float64(ofDomain)/followers)))
+}
+
 // inTurn returns the relays of all domains, one of each domain at a time.
 func (m *members) inTurn() []string {
 	var relays []string
-	for i := range relaysPerDomain {
+	for i := range mostRelays {
 		for _, domain := range m.domains {
 			if i < len(m.relays[domain]) {
 				relays = append(relays, m.relays[domain][i])
