Control is claimed before the servers have registered, and hosts learn of them from each other

What grew: every host read all entries in the store at the first start, 985 x 2.5 MB over a link of 1 Gbit/s; the first assignment was made of the 3 servers that had come through by then, and the controller was lost five times in 10 s. The first record names a controller and assigns nothing; it deals the keys out once no server has come for 1.5 s. Only it reads the entries in the store, relays learn of them from it and the others from relays. After a restart of many hosts those that the record names as relays read them, the others ask these. First reports are spread over half a second; the controller is not asked for its own word in its place. The fuzz of keys begins with such a record too, also after the store has forgotten it.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -19,6 +21,9 @@
 	stepEvery = 50 * time.Millisecond
 	// stepLeast is the least time between two looks. A move takes three steps.
 	stepLeast = 8 * time.Millisecond
+	// stepRest is how many times as long as a look has taken the next one begins after it:
+	// a look at thousands of ranges must leave most of the time to the answers.
+	stepRest = 4
 	// idleEvery is how often a host that controls nothing looks whether it should.
 	idleEvery = 250 * time.Millisecond
 	// confirmEvery is how often a controller has the store confirm it. Several
@@ -40,8 +45,10 @@
 	// is made. Servers that start together register over some seconds, and keys
 	// that are dealt out once more are cold or held back.
 	firstWait = 1500 * time.Millisecond
-	// firstWaitMost bounds the wait while requests come, or servers.
-	firstWaitMost = 4500 * time.Millisecond
+	// firstWaitAsked bounds the wait while requests come, firstWaitMost while only
+	// servers do.
+	firstWaitAsked = 4500 * time.Millisecond
+	firstWaitMost  = 15 * time.Second
 	// forgottenWait is how much longer the controller has to show that it lives while the
 	// store, which has come back from a copy, does not hold its record: it writes it again
 	// when next confirmed, and whoever else takes over must let all leases lapse.
@@ -53,6 +60,8 @@
 	// AssignmentTaken), 12 ms where it has 0.16 cores; with 295 hosts records then
 	// follow each other 8 times a second at most, a tenth of such a host's processor.
 	recordCost = 400 * time.Microsecond
+	// hostsUnknown is the number of hosts that is assumed before one is told.
+	hostsUnknown = 1000
 	// mostEvents bounds answers that wait for the controller.
 	mostEvents = 4096
 )
@@ -111,7 +120,7 @@
 // next is decided at most every stepLeast, since each decision looks at all
 // ranges and hundreds of answers may come in a second.
 func (g *Gateway) runControl(ctx context.Context) {
-	stepped := g.boot.Now()
+	stepped, least := g.boot.Now(), stepLeast
 	for ctx.Err() == nil {
 		pause := idleEvery
 		if g.controls() {
@@ -127,12 +136,13 @@
 		}
 		timer.Stop()
 		g.drainEvents()
-		if early := stepLeast - (g.boot.Now() - stepped); early > 0 {
+		if early := least - (g.boot.Now() - stepped); early > 0 {
 			clock.Sleep(ctx, early)
 			g.drainEvents()
 		}
 		stepped = g.boot.Now()
 		g.stepControl(ctx)
+		least = max(stepLeast, stepRest*(g.boot.Now()-stepped))
 	}
 }
 
@@ -198,7 +208,7 @@
 	if record != nil && record.Controller.Incarnation != c.heardOf {
 		// A new controller has its own time to be heard. Judging it by its
 		// predecessor's silence would let every host take over in turn.
-		c.heardOf, c.heard, c.wanted, c.reported = record.Controller.Incarnation, now, 0, 0
+		c.heardOf, c.heard, c.wanted, c.reported = record.Controller.Incarnation, now, 0, now-reportEvery+g.firstReportDelay(c)
 		c.news = peerNews{reporting: c.news.reporting}
 	}
 	switch {
@@ -220,6 +230,22 @@
 	}
 }
 
+const (
+	// reportSpread is over how long the first reports to a controller are spread, for each
+	// host: all of them learn of it within milliseconds, and a burst of connections beyond
+	// its queue for new ones is dropped.
+	reportSpread = 500 * time.Microsecond
+	// mostReportSpread bounds it: a controller that is not heard of is taken for lost.
+	mostReportSpread = reportEvery
+)
+
+// firstReportDelay is how long this host waits before its first report to a controller.
+func (g *Gateway) firstReportDelay(c *controller) time.Duration {
+	hosts := cmp.Or(g.hosts.count(), hostsUnknown)
+	spread := min(time.Duration(hosts)*reportSpread, mostReportSpread)
+	return spread * time.Duration(hashOf(g.identity.Host+c.service.name)%1000) / 1000
+}
+
 // claimDelay spreads the claims of hosts over claimSpread, those of small hosts
 // over as long again after it.
 func (g *Gateway) claimDelay(c *controller, term uint64) time.Duration {
@@ -261,34 +287,48 @@
 	g.claim(ctx, c, next, revision)
 }
 
-// claimFirst makes the first assignment of a service.
+// claimFirst makes the first record of a service, which names its controller and assigns no
+// keys yet. Servers take seconds to register, and thousands of hosts that each read all
+// entries meanwhile would keep the store's link busy for longer than that.
 func (g *Gateway) claimFirst(ctx context.Context, c *controller, now time.Duration) {
+	if now-c.firstAt < g.claimDelay(c, 0) || !g.mayClaimFirst() {
+		return
+	}
+	record := keyspace.FirstUnassigned(g.self(), g.era.Load())
 	if c.service.name == coordination {
-		g.claimCoordination(ctx, c, now)
+		record = keyspace.FirstKeyless(g.self(), g.era.Load())
+	}
+	g.log.Info("first claim of control", "service", c.service.name)
+	c.claiming = true
+	g.claim(ctx, c, record, 0)
+}
+
+// mayClaimFirst reports whether this host may be a service's first controller. It need not be
+// ready: it learns of the servers once it is.
+func (g *Gateway) mayClaimFirst() bool {
+	return !g.stop.stopping() && !g.reach.isAway() && g.inForce.Current() != nil
+}
+
+// assignFirst makes the first assignment once the servers have registered. Servers that come
+// later have to be given keys of others.
+func (g *Gateway) assignFirst(c *controller, servers []keyspace.Server, now time.Duration) {
+	if !c.machine.Record().Unassigned || c.machine.Pending() != nil || !g.Ready() {
 		return
 	}
-	servers := g.holders(c)
 	if len(servers) != c.firstCount {
 		c.firstCount, c.countedAt = len(servers), now
 	}
-	delay := g.claimDelay(c, 0)
-	settled := now-c.countedAt >= firstWait+delay || now-c.firstAt >= firstWaitMost+delay
-	if !settled || !g.Ready() {
-		return
-	}
-	var eligible []keyspace.Server
-	for _, server := range servers {
-		if !server.Leaving {
-			eligible = append(eligible, server)
-		}
+	longest := firstWaitMost
+	if c.machine.Loads().Any() {
+		longest = firstWaitAsked
 	}
-	if len(eligible) == 0 {
+	if now-c.countedAt < firstWait && now-c.led < longest {
 		return
 	}
-	record := keyspace.First(g.self(), g.era.Load(), eligible)
-	g.log.Info("first assignment", "service", c.service.name, "servers", len(eligible))
-	c.claiming = true
-	g.claim(ctx, c, record, 0)
+	eligible := slices.DeleteFunc(slices.Clone(servers), func(server keyspace.Server) bool { return server.Leaving })
+	if c.machine.AssignFirst(now, eligible) {
+		g.log.Info("first assignment", "service", c.service.name, "servers", len(eligible), "after-ms", (now - c.led).Milliseconds())
+	}
 }
 
 // leastAdmitting is the least part of its speed that a server counts for which rests for all
@@ -315,6 +355,7 @@
 		return
 	}
 	servers := g.holders(c)
+	g.assignFirst(c, servers, now)
 	if now-c.reported >= reportEvery {
 		c.reported = now
 		load := c.service.takeLoad()
@@ -327,7 +368,7 @@
 	if now-c.led >= memberKept { // all that live have reported
 		g.noteHosts(len(c.members.hosts) + 1)
 	}
-	c.machine.Advertise(c.members.all)
+	c.machine.Advertise(c.members.all, g.hosts.count())
 	c.machine.SetPace(time.Duration(len(c.members.hosts)) * recordCost)
 	g.noteCrowded(c, len(servers))
 	for _, call := range c.machine.Step(now, servers) {
--- a/gateway/coordination.go
+++ b/gateway/coordination.go
@@ -1,12 +1,5 @@
 package gateway
 
-import (
-	"context"
-	"time"
-
-	"cicadarouter/keyspace"
-)
-
 // coordination is the name of a service without servers and requests. Deployments in which
 // no service is divided by key have it, so that they too have a controller: one process that
 // the store names, which passes news on between hosts, counts them, and gives out places at
@@ -21,16 +14,6 @@
 	}
 }
 
-// claimCoordination makes the first record of a controller that assigns no keys.
-func (g *Gateway) claimCoordination(ctx context.Context, c *controller, now time.Duration) {
-	if now-c.firstAt < g.claimDelay(c, 0) || !g.Ready() {
-		return
-	}
-	g.log.Info("first record of a controller without keys")
-	c.claiming = true
-	g.claim(ctx, c, keyspace.FirstKeyless(g.self(), g.era.Load()), 0)
-}
-
 // firstController returns the service whose controller serves all hosts beyond its keys, or
 // nil. All hosts choose the same: they follow the same records.
 func (g *Gateway) firstController() *service {
--- /dev/null
+++ b/gateway/firststart_test.go
@@ -0,0 +1,77 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/platform/platformtest"
+)
+
+// entryReads counts the calls by which a host reads servers' entries in the store.
+type entryReads struct {
+	store *platformtest.Store
+	calls atomic.Int64
+}
+
+// ServeHTTP implements http.Handler.
+func (e *entryReads) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasSuffix(r.URL.Path, "/servers") {
+		e.calls.Add(1)
+	}
+	e.store.ServeHTTP(w, r)
+}
+
+// Guards against hosts that all read the entries of all servers in the store as the whole
+// system starts: only the one that has claimed control does.
+func TestOneHostReadsTheEntriesAtTheFirstStart(t *testing.T) {
+	const hosts = 6
+	s := newSite(t)
+	s.configure(1, "")
+	s.serve("owned-1", "owned", true)
+	s.serve("free-1", "free", false)
+	var reads []*entryReads
+	for i := range hosts {
+		front := &entryReads{store: s.store}
+		reads = append(reads, front)
+		s.start(hostSetup{name: fmt.Sprintf("h%d", i), store: s.listen(front), firstStart: true})
+	}
+	for _, h := range s.hosts {
+		s.eventually("the host is ready", h.gateway.Ready)
+		s.eventually("keys are served", func() bool { return s.call(h, http.MethodGet, "/keyed/", "7", "").status == http.StatusOK })
+	}
+	readers := 0
+	for _, each := range reads {
+		if each.calls.Load() > 0 {
+			readers++
+		}
+	}
+	assert.Equal(t, readers, 1)
+}
+
+// Guards against a first assignment of the few servers that register first: those that come
+// later would have to be given keys of theirs, each by a move.
+func TestFirstAssignmentWaitsForTheServers(t *testing.T) {
+	const servers = 12
+	s := newSite(t)
+	s.configure(1, "")
+	s.serve("owned-00", "owned", true)
+	h := s.start(hostSetup{name: "h", store: s.address, firstStart: true})
+	s.eventually("control is claimed", func() bool { _, claimed := s.record(); return claimed })
+	for i := 1; i < servers; i++ {
+		s.serve(fmt.Sprintf("owned-%02d", i), "owned", true)
+	}
+	s.eventually("keys are assigned", func() bool { record, _ := s.record(); return len(record.Ranges) > 0 })
+	record, _ := s.record()
+	owners := map[string]bool{}
+	for _, r := range record.Ranges {
+		owners[r.Server] = true
+		assert.Assert(t, !r.Moving())
+	}
+	assert.Equal(t, len(owners), servers)
+	s.eventually("keys are served", func() bool { return s.call(h, http.MethodGet, "/keyed/", "7", "").status == http.StatusOK })
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -28,6 +28,9 @@
 	// firstGather takes its place while the system starts for the first time and all
 	// servers register: each change wakes every host.
 	firstGather = 800 * time.Millisecond
+	// gathered is how many changes a call must bring for the next one to be made at once:
+	// the store tells some hundreds at a time, and there may be thousands.
+	gathered = 256
 	// Assignments is the kind of the records in which owners of keys lie.
 	Assignments = "cicada-assignments"
 )
@@ -80,7 +83,7 @@
 		g.relay.note(f.kind, listing, !connected)
 		g.fresh.known(f.kind, listing.Revision, !connected || len(listing.Objects) > 0)
 		connected, pause, known = true, awayFirst, max(known, listing.Revision)
-		if f.gather > 0 {
+		if f.gather > 0 && len(listing.Objects) < gathered {
 			clock.Sleep(ctx, g.gatherFor(f.gather))
 		}
 	}
@@ -88,7 +91,7 @@
 
 // gatherFor returns the pause after a call of a kind that changes often.
 func (g *Gateway) gatherFor(usual time.Duration) time.Duration {
-	if g.identity.FirstStart && g.now() < firstWatches && !g.fresh.vouchedOnce() {
+	if g.identity.FirstStart && g.now() < firstWatches {
 		return max(usual, firstGather)
 	}
 	return usual
@@ -160,6 +163,11 @@
 // it would turn away every request until the store is back, though its servers
 // serve; a watch of the store brings what has changed as soon as there is one.
 func (g *Gateway) firstList(ctx context.Context, kind string) (objects.Listing, error) {
+	if kind == g.registry.Servers() {
+		if listing, ok := g.firstServers(ctx); ok {
+			return listing, nil
+		}
+	}
 	listing, err := g.store.Stale().List(ctx, kind)
 	source := g.sources.current()
 	if err == nil || source == "" || ctx.Err() != nil {
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -390,6 +390,13 @@
 	return true
 }
 
+// leading reports whether this host is a controller.
+func (f *freshness) leading() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leads
+}
+
 // tend ends long watches that nobody vouches for any more. leads tells whether
 // this host is a controller.
 func (f *freshness) tend(now time.Duration, leads bool) {
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -189,6 +189,8 @@
 	name  string
 	store string // address at which it reaches the store
 	seeds []string
+	// firstStart is set if the whole system starts for the first time.
+	firstStart bool
 	// peers is where other hosts reach it; nil for a new address.
 	peers *peerAddress
 }
@@ -200,7 +202,7 @@
 		h.peers = s.newPeerAddress()
 	}
 	store := platform.NewStore(setup.store)
-	identity := gateway.Identity{Host: setup.name, Domain: "a", Peers: h.peers.address, Seeds: setup.seeds, EvacuateWithin: 5 * time.Second, Incarnation: uint64(len(s.hosts) + 1)}
+	identity := gateway.Identity{Host: setup.name, Domain: "a", Peers: h.peers.address, Seeds: setup.seeds, FirstStart: setup.firstStart, EvacuateWithin: 5 * time.Second, Incarnation: uint64(len(s.hosts) + 1)}
 	h.gateway = gateway.New(identity, gateway.Platform{Store: store, Registry: platform.Registry{}, Codec: platform.Codec{}, Keys: platform.NewKeys()}, logs.Discard())
 	h.peers.process.Store(h.gateway)
 	h.callers = httptest.NewServer(h.gateway)
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -17,6 +17,8 @@
 	askEvery = 100 * time.Millisecond
 	// askTimeout bounds the question: hosts answer within milliseconds.
 	askTimeout = 300 * time.Millisecond
+	// fewHosts is how many hosts may read the entries of all servers in the store at once.
+	fewHosts = 64
 	// askPause is left when no relay had the store's word: all of them may be cut
 	// off together, or the store is away for all.
 	askPause = 400 * time.Millisecond
@@ -25,12 +27,21 @@
 // sources are the hosts that this one may ask in a controller's place.
 type sources struct {
 	self string // this host's address
+	// turn differs between hosts, so that they do not all begin with the same relay.
+	turn int
 
 	mu sync.Mutex
 	// named are those that the last answer of a controller named, written those
 	// that an assignment in the store names. A host that has just started knows
 	// the latter only.
 	named, written []string
+	// hosts is how many hosts an assignment names, and serves is set if this one is a relay
+	// by it or was its controller.
+	hosts  int
+	serves bool
+	// controller is the one that an assignment names. All hosts report to it, so it is not
+	// asked in its own place.
+	controller string
 	// follow is set if this host is to follow a relay in the controller's place also
 	// while that vouches.
 	follow bool
@@ -45,7 +56,7 @@
 // whole system starts for the first time nobody knows more than the store tells
 // everybody at a tenth of the price, and hundreds of hosts would ask three.
 func newSources(identity Identity) *sources {
-	s := &sources{self: identity.Peers}
+	s := &sources{self: identity.Peers, turn: int(hashOf(identity.Host))}
 	if !identity.FirstStart {
 		s.seeds = identity.Seeds
 	}
@@ -80,7 +91,27 @@
 func (s *sources) read(controller keyspace.Controller) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.written = append(slices.Clone(controller.Relays), controller.Address)
+	s.hosts = max(s.hosts, controller.Hosts)
+	s.serves = controller.Address == s.self || slices.Contains(controller.Relays, s.self)
+	relays := slices.Clone(controller.Relays)
+	if n := len(relays); n > 0 {
+		relays = slices.Concat(relays[s.turn%n:], relays[:s.turn%n])
+	}
+	s.written, s.controller = append(relays, controller.Address), controller.Address
+}
+
+// asksHosts reports whether this host is to learn of the servers from others when it starts:
+// there are many hosts, and it is not one of those that the others ask.
+func (s *sources) asksHosts() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hosts > fewHosts && !s.serves
+}
+
+func (s *sources) controllerAddress() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.controller
 }
 
 // known reports whether there is anybody to ask.
@@ -102,6 +133,17 @@
 	return candidates[s.next%len(candidates)]
 }
 
+// relay returns whom to ask in the controller's place; empty if nobody is known.
+func (s *sources) relay() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	candidates := slices.DeleteFunc(s.candidates(), func(address string) bool { return address == s.controller })
+	if len(candidates) == 0 {
+		return ""
+	}
+	return candidates[s.next%len(candidates)]
+}
+
 func (s *sources) candidates() []string {
 	candidates := s.named
 	if len(candidates) == 0 {
@@ -164,7 +206,7 @@
 		if !g.fresh.needsSource(now) && (following == "" || !g.fresh.renewal(now, following)) {
 			continue
 		}
-		address := g.sources.current()
+		address := g.sources.relay()
 		if address == "" {
 			continue
 		}
--- a/keyspace/change.go
+++ b/keyspace/change.go
@@ -50,6 +50,9 @@
 		}
 	}
 	next.Controller.Relays = slices.Clone(m.relays)
+	if m.hosts > 0 {
+		next.Controller.Hosts = m.hosts
+	}
 	return alive == 0
 }
 
--- a/keyspace/fuzz_test.go
+++ b/keyspace/fuzz_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"cicadarouter/fleet"
@@ -19,6 +20,28 @@
 	})
 }
 
+// The same from a service's first claim on, before any key is assigned.
+func TestNoKeyIsHeldTwiceAfterAFirstClaim(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newUnassignedWorld(t)
+		t.Repeat(w.actions())
+	})
+}
+
+// A controller that has yet to assign keys is replaced; every key has an owner nevertheless.
+func TestSuccessorMakesTheFirstAssignment(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newUnassignedWorld(t)
+		w.hosts[0].cut = true
+		w.claim(w.hosts[1], w.stored)
+		for range 40 {
+			w.calmTick()
+		}
+		w.complete(t, "after a succession")
+		assert.Assert(t, !w.stored.Unassigned && len(w.stored.Ranges) > 0)
+	})
+}
+
 func (w *world) actions() map[string]func(*rapid.T) {
 	pickHost := func(t *rapid.T) *trueHost { return rapid.SampledFrom(w.hosts).Draw(t, "host") }
 	known := func(t *rapid.T) *Record {
--- a/keyspace/loads.go
+++ b/keyspace/loads.go
@@ -41,6 +41,9 @@
 // NewKeyLoads returns loads without observations.
 func NewKeyLoads() *KeyLoads { return &KeyLoads{rates: map[uint16]float64{}} }
 
+// Any reports whether any key has been asked for lately.
+func (k *KeyLoads) Any() bool { return len(k.rates) > 0 }
+
 // Add takes the slot time that requests for keys asked for at one host, up to
 // now. work is how long one request holds a slot.
 func (k *KeyLoads) Add(now time.Duration, asked map[uint16]time.Duration, work time.Duration) {
--- a/keyspace/machine.go
+++ b/keyspace/machine.go
@@ -46,6 +46,7 @@
 	stopped   map[uint64]bool                     // incarnations of earlier controllers proven stopped
 	loads     *KeyLoads
 	relays    []string      // to be named by the next record
+	hosts     int           // likewise
 	pace      time.Duration // least time between two records
 	proposed  time.Duration // when the last record was proposed
 }
@@ -116,8 +117,9 @@
 // Loads returns the measured load of keys.
 func (m *Machine) Loads() *KeyLoads { return m.loads }
 
-// Advertise notes the hosts that the next record is to name as relays.
-func (m *Machine) Advertise(relays []string) { m.relays = relays }
+// Advertise notes the hosts that the next record is to name as relays, and how many hosts
+// there are, 0 if that is not known.
+func (m *Machine) Advertise(relays []string, hosts int) { m.relays, m.hosts = relays, hosts }
 
 // SetPace sets the least time between two records. Each is sent to every host, which
 // then spends milliseconds on it; moves that end within the time share a record.
--- a/keyspace/record.go
+++ b/keyspace/record.go
@@ -110,6 +110,8 @@
 	// Relays are the addresses of hosts that follow the store for others while the
 	// controller does not. A host that has just started knows no other.
 	Relays []string `json:"relays,omitempty"`
+	// Hosts is about how many hosts there were when the record was written; 0 if nobody knew.
+	Hosts int `json:"hosts,omitempty"`
 	// Resigned is set by a controller that has stopped granting.
 	Resigned bool `json:"resigned,omitempty"`
 }
@@ -132,6 +134,9 @@
 	// Keyless is set in the record of a controller that assigns no keys: that of a
 	// deployment without services that are divided by key.
 	Keyless bool `json:"keyless,omitempty"`
+	// Unassigned is set from the first claim of a service until its controller has made the
+	// first assignment. The record then has no ranges.
+	Unassigned bool `json:"unassigned,omitempty"`
 }
 
 // Clone returns a deep copy.
@@ -161,9 +166,9 @@
 		replaced.Relays = nil
 		next.Earlier = append(next.Earlier, replaced)
 	}
-	relays := r.Controller.Relays
+	relays, hosts := r.Controller.Relays, r.Controller.Hosts
 	next.Controller = controller
-	next.Controller.Relays = relays // until the successor names its own
+	next.Controller.Relays, next.Controller.Hosts = relays, hosts // until the successor names its own
 	return next
 }
 
@@ -195,18 +200,28 @@
 	mostSlices = 128
 )
 
-// First returns a first assignment: ranges dealt out in turn, in proportion to
-// the servers' slots.
+// First returns a first assignment.
 func First(controller Controller, era uint64, servers []Server) *Record {
 	record := &Record{Term: 1, Controller: controller, Era: era + 1}
+	record.assign(servers)
+	return record
+}
+
+// FirstUnassigned returns the record of a controller that has yet to make the first
+// assignment. Other hosts learn of the servers through it in the meantime.
+func FirstUnassigned(controller Controller, era uint64) *Record {
+	return &Record{Term: 1, Controller: controller, Era: era + 1, Unassigned: true}
+}
+
+// assign deals all keys out to servers in turn, in proportion to their slots.
+func (r *Record) assign(servers []Server) {
 	turns := deal(servers)
 	for i, server := range turns {
-		record.LastToken++
-		record.Ranges = append(record.Ranges, Range{
+		r.LastToken++
+		r.Ranges = append(r.Ranges, Range{
 			From: uint16((LastKey + 1) * i / len(turns)), To: uint16((LastKey+1)*(i+1)/len(turns) - 1),
-			Holder: Holder{Server: server.ID, Start: server.Start, Token: record.LastToken}})
+			Holder: Holder{Server: server.ID, Start: server.Start, Token: r.LastToken}})
 	}
-	return record
 }
 
 // FirstKeyless returns the first record of a controller that assigns no keys.
@@ -238,10 +253,10 @@
 func (e *InvariantError) Error() string { return "assignment: " + e.What }
 
 // Check returns an *InvariantError unless the ranges cover all keys, each once, or there
-// are none in a record without keys.
+// are none in a record that assigns none.
 func (r *Record) Check() error {
-	if r.Keyless {
-		return r.checkKeyless()
+	if r.Keyless || r.Unassigned {
+		return r.checkEmpty()
 	}
 	want := 0
 	for _, have := range r.Ranges {
@@ -256,9 +271,9 @@
 	return nil
 }
 
-func (r *Record) checkKeyless() error {
+func (r *Record) checkEmpty() error {
 	if len(r.Ranges) > 0 {
-		return &InvariantError{What: fmt.Sprintf("%d ranges in a record without keys", len(r.Ranges))}
+		return &InvariantError{What: fmt.Sprintf("%d ranges in a record that assigns no keys", len(r.Ranges))}
 	}
 	return nil
 }
--- a/keyspace/world_test.go
+++ b/keyspace/world_test.go
@@ -98,6 +98,19 @@
 const tick = 50 * time.Millisecond
 
 func newWorld(t *rapid.T) *world {
+	w := newServers(t)
+	w.begin(First(w.controller(w.hosts[0]), 0, w.eligible()))
+	return w
+}
+
+// newUnassignedWorld returns a world whose first controller has yet to make an assignment.
+func newUnassignedWorld(t *rapid.T) *world {
+	w := newServers(t)
+	w.begin(FirstUnassigned(w.controller(w.hosts[0]), 0))
+	return w
+}
+
+func newServers(t *rapid.T) *world {
 	w := &world{t: t, now: time.Second}
 	for i := range 4 {
 		w.servers = append(w.servers, &trueServer{id: fmt.Sprintf("s%d", i), start: firstStart, told: firstStart, starts: map[int64]bool{firstStart: true}, up: true, registered: i < 3, slow: i % 3})
@@ -105,12 +118,15 @@
 	for i := range 3 {
 		w.hosts = append(w.hosts, &trueHost{id: i, incarnation: uint64(i + 1)})
 	}
+	return w
+}
+
+// begin lets the store hold the first record, and the first host be the controller.
+func (w *world) begin(record *Record) {
 	first := w.hosts[0]
-	record := First(w.controller(first), 0, w.eligible())
 	w.stored, w.version, w.term, w.latest = record, 1, 1, record
 	w.copied, w.copyOf = record, 1
 	first.machine, first.version = New(record, w.now, w.now), 1
-	return w
 }
 
 func (w *world) controller(h *trueHost) Controller {
@@ -178,6 +194,7 @@
 	if h.machine == nil || h.frozen {
 		return
 	}
+	h.machine.AssignFirst(w.now, w.eligible())
 	for _, call := range h.machine.Step(w.now, w.eligible()) {
 		if w.server(call.Server) == nil {
 			h.machine.Answered(call, CallUnanswered, "", w.now, w.now) // nobody knows where it is
