--- /dev/null
+++ b/gateway/scale_test.go
@@ -0,0 +1,215 @@
+package gateway
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/contract/objects"
+	"cicadarouter/fleet"
+	"cicadarouter/host/logs"
+)
+
+// Guards against a change of one server that costs each host a look at all servers.
+func TestCostOfAChangeDoesNotGrowWithTheServers(t *testing.T) {
+	cost := func(servers int) float64 {
+		g := New(Identity{Domain: "d"}, Platform{}, logs.Discard())
+		g.services["s"] = g.newService("s", true)
+		g.services["t"] = g.newService("t", false)
+		put := func(i int, revision uint64) {
+			name := []string{"s", "t"}[i%2]
+			g.directory.Put(0, fleet.Version{Server: fleet.Server{ID: fmt.Sprintf("i%05d", i), Service: name, Domain: "d", Slots: 4}, Revision: revision})
+		}
+		for i := range servers {
+			put(i, uint64(i+1))
+		}
+		g.distribute()
+		revision := uint64(servers)
+		return testing.AllocsPerRun(100, func() {
+			revision++
+			put(int(revision)%servers, revision)
+			g.distribute()
+		})
+	}
+	few, many := cost(100), cost(10000)
+	assert.Assert(t, many <= few+2, "%v allocations with 100 servers, %v with 10,000", few, many)
+}
+
+func entryOf(i int) objects.Object {
+	return objects.Object{Kind: "servers", Name: fmt.Sprintf("i-%06d", i), Revision: uint64(i + 1),
+		Spec: fmt.Appendf(nil, `{"service":"s","address":"10.0.%d.%d:8080","zone":"a","version":"v1","slots":4,"state":"ready","cold-remaining":"0ms","seq":1}`, i/250, i%250)}
+}
+
+func entries(from, to int) objects.Listing {
+	listing := objects.Listing{Revision: uint64(to)}
+	for i := from; i < to; i++ {
+		listing.Objects = append(listing.Objects, entryOf(i))
+	}
+	return listing
+}
+
+// Guards against hosts that list thousands of servers anew because they were some hundreds of
+// changes behind, while all servers register.
+func TestHostFarBehindIsToldTheChanges(t *testing.T) {
+	const servers, batch = 10000, 500
+	var r relay
+	r.note("servers", objects.Listing{Revision: 1}, true)
+	for from := 1; from < servers; from += batch {
+		r.note("servers", entries(from, min(from+batch, servers)), false)
+	}
+	assert.Equal(t, len(r.kind("servers").kept), 0, "versions of entries that nobody makes deltas from")
+	known := map[string]bool{}
+	for after := uint64(1); after < servers; {
+		listing, _, ok := r.since("servers", after)
+		assert.Assert(t, ok)
+		assert.Assert(t, len(listing.Objects) <= mostTold+batch, "%d in one answer", len(listing.Objects))
+		for _, object := range listing.Objects {
+			known[object.Name] = true
+		}
+		after = listing.Revision
+	}
+	assert.Equal(t, len(known), servers-1)
+}
+
+// Guards against deletions that a host is not told of, or that are kept without bound.
+func TestRelayTellsDeletions(t *testing.T) {
+	var r relay
+	r.note("servers", entries(0, 100), true)
+	revision := uint64(100)
+	for i := range 5 * mostGone {
+		object := entryOf(i % 50)
+		revision++
+		object.Revision, object.Deleted = revision, i%100 < 50
+		r.note("servers", objects.Listing{Revision: revision, Objects: []objects.Object{object}}, false)
+	}
+	_, _, ok := r.since("servers", 100)
+	assert.Assert(t, !ok, "it is to list again")
+	assert.Assert(t, len(r.kind("servers").steps) <= 2*100+2*mostGone)
+	listing, _, ok := r.since("servers", revision-200)
+	assert.Assert(t, ok)
+	last := map[string]bool{}
+	for _, object := range listing.Objects {
+		last[object.Name] = object.Deleted
+	}
+	for name, deleted := range last {
+		_, present := r.kind("servers").current[name]
+		assert.Equal(t, present, !deleted, name)
+	}
+	assert.Equal(t, len(last), 50)
+}
+
+// A list of thousands of servers passes between hosts in pages, compressed.
+func TestListsPassInPages(t *testing.T) {
+	const servers = 2*listPage + 10
+	source := New(Identity{Host: "source"}, Platform{}, logs.Discard())
+	source.relay.note("servers", entries(0, servers), true)
+	var pages, bodies int
+	handler := source.PeerHandler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, r)
+		pages++
+		bodies = max(bodies, recorder.Body.Len())
+		for name, values := range recorder.Header() {
+			w.Header()[name] = values
+		}
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	defer server.Close()
+	host := New(Identity{Host: "host"}, Platform{}, logs.Discard())
+	listing, _, err := host.relayedList(context.Background(), strings.TrimPrefix(server.URL, "http://"), "servers")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, listing, entries(0, servers))
+	assert.Equal(t, pages, 3)
+	assert.Assert(t, bodies < 100<<10, "%d bytes of a page", bodies)
+}
+
+// A host that does not say that it takes compressed answers gets others.
+func TestAnswersAreCompressedForThoseWhoTakeIt(t *testing.T) {
+	g := New(Identity{}, Platform{}, logs.Discard())
+	for _, accepted := range []string{"", "gzip"} {
+		recorder := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodPost, pathList, nil)
+		request.Header.Set("Accept-Encoding", accepted)
+		g.writePeer(recorder, request, entries(0, 100))
+		body := recorder.Body.Bytes()
+		assert.Equal(t, recorder.Header().Get("Content-Encoding"), accepted)
+		if accepted != "" {
+			reader, err := gzip.NewReader(bytes.NewReader(body))
+			assert.NilError(t, err)
+			var decoded bytes.Buffer
+			_, err = decoded.ReadFrom(reader)
+			assert.NilError(t, err)
+			body = decoded.Bytes()
+		}
+		var got objects.Listing
+		assert.NilError(t, json.Unmarshal(body, &got))
+		assert.DeepEqual(t, got, entries(0, 100))
+	}
+}
+
+// Guards against relays, or a controller, that as many hosts follow as there are hosts.
+func TestFollowersGrowWithTheRootOfTheHosts(t *testing.T) {
+	for _, hosts := range []int{100, 400, 1000, 4000} {
+		m := newMembers()
+		name := func(i int) string { return fmt.Sprintf("h%04d", i) }
+		domain := func(i int) string { return fmt.Sprintf("d%d", i%5) }
+		for i := range hosts {
+			m.note(name(i), member{address: name(i), domain: domain(i), small: i >= hosts/20})
+		}
+		followers := map[string]int{}
+		for i := range hosts {
+			followers[m.relaysFor(name(i), domain(i), 0)[0]]++
+		}
+		bound := 1.6 * max(mostFollowers, math.Sqrt(float64(hosts)))
+		for relay, n := range followers {
+			assert.Assert(t, float64(n) <= bound, "%d of %d hosts follow %s", n, hosts, relay)
+		}
+		assert.Assert(t, float64(len(followers)) <= bound+10, "%d relays of %d hosts follow the controller", len(followers), hosts)
+	}
+}
+
+// Guards against relays that are named while the first few hosts report, and that all hosts
+// then follow.
+func TestRelaysAreNamedAnewAsHostsCome(t *testing.T) {
+	const hosts = 1000
+	m := newMembers()
+	named := map[string]int{}
+	for i := range hosts {
+		name := fmt.Sprintf("h%04d", i)
+		m.note(name, member{address: name, domain: "d", small: i%20 > 0})
+		if relays := m.relaysFor(name, "d", 0); len(m.hosts) > mostFollowers {
+			named[relays[0]]++
+		}
+	}
+	// Each time that the hosts double, a relay is named to as many as may follow it.
+	most := int(mostFollowers * math.Ceil(math.Log2(hosts/mostFollowers)))
+	for relay, n := range named {
+		assert.Assert(t, n <= most, "%s is named to %d of %d hosts", relay, n, hosts)
+	}
+}
+
+// Guards against first reports that all reach a new controller within the same milliseconds.
+func TestFirstReportsAreSpread(t *testing.T) {
+	within := map[time.Duration]int{}
+	for i := range 1000 {
+		g := New(Identity{Host: fmt.Sprintf("h%d", i)}, Platform{}, logs.Discard())
+		g.hosts.note(0, 1000)
+		delay := g.firstReportDelay(&controller{service: newService("s", Identity{}, true, g.now)})
+		assert.Assert(t, delay <= mostReportSpread)
+		within[delay/(10*time.Millisecond)]++
+	}
+	for _, n := range within {
+		assert.Assert(t, n < 50, "%d of 1000 in 10 ms", n)
+	}
+}
