--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,10 +111,10 @@
 	era          atomic.Uint64 // of the store, as last told
 	calls        storeCalls
 	deltas       deltas
+	unread       byteQuota // of answers that callers have not read
 	peers        *http.Client
 	wake         chan struct{} // the controller has something to do
 }
-	unread       byteQuota // of answers that callers have not read
 
 // New returns a gateway that knows nothing yet.
 func New(identity Identity, platform Platform, logger *log.Logger) *Gateway {
@@ -124,11 +124,11 @@
 		directory: fleet.NewDirectory(), services: map[string]*service{},
 		stop: newStop(), control: newControl(), fresh: newFreshness(identity.ObeyWithin), sources: newSources(identity), deltas: newDeltas(identity), peers: newPeerClient(), wake: make(chan struct{}, 1),
 	}
+	g.unread.most = cmp.Or(identity.ReadAhead, defaultReadAhead)
+	g.counts.set.NewGauge("cicada_unread_answer_bytes", func() float64 { return float64(g.unread.held.Load()) })
 	g.evacuationsListed.Store(identity.EvacuateWithin == 0) // then there is nothing to read
 	g.store = newCountedStore(platform.Store, g.noteStoreCall)
 	g.counts.set.NewGauge("cicada_in_flight", g.inFlight)
-	g.unread.most = cmp.Or(identity.ReadAhead, defaultReadAhead)
-	g.counts.set.NewGauge("cicada_unread_answer_bytes", func() float64 { return float64(g.unread.held.Load()) })
 	g.counts.set.NewGauge("cicada_hosts", func() float64 { return float64(g.hosts.count()) })
 	g.counts.set.NewGauge("cicada_limited_servers", g.limits.count)
 	g.counts.set.NewGauge("cicada_leaving_servers", g.leaving.count)
@@ -219,6 +219,11 @@
 	// Services come first: a request must not meet a route without its service.
 	g.distribute()
 	if g.inForce.Offer(offered) {
+		for _, doubt := range offered.Doubts {
+			if g.failureLines.take() {
+				g.log.Warn("configuration read with a doubt", "version", offered.Version, "error", doubt.Error())
+			}
+		}
 		g.log.Info("configuration in force", "version", offered.Version, "hosts", len(offered.Hosts), "services", len(offered.Services))
 	}
 	g.nudge()
@@ -228,16 +233,8 @@
 func (g *Gateway) distribute() {
 	g.distributing.Lock()
 	defer g.distributing.Unlock()
-	g.mu.Lock()
-	byService := map[string][]fleet.Server{}
-	for _, server := range g.directory.Snapshot() {
-		for _, doubt := range offered.Doubts {
-			if g.failureLines.take() {
-				g.log.Warn("configuration read with a doubt", "version", offered.Version, "error", doubt.Error())
-			}
-		}
-		server.Draining = server.Draining || g.leaving.value(server.Incarnation())
-		byService[server.Service] = append(byService[server.Service], server)
+	for s, changes := range g.takeChanges() {
+		s.changeServers(changes.changed, changes.gone)
 	}
 }
 
@@ -270,6 +267,9 @@
 			changes.gone = append(changes.gone, server.ID)
 			continue
 		}
+		server.Draining = server.Draining || g.leaving.value(server.Incarnation())
+		changes.changed = append(changes.changed, server)
+	}
 	return changes
 }
 
@@ -279,9 +279,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.directory.Touch(server.ID)
-		server.Draining = server.Draining || g.leaving.value(server.Incarnation())
-		changes.changed = append(changes.changed, server)
-	}
 }
 
 // nudge wakes the controller.
