Calls to owners are bounded and spread over the time of a renewal

What grew: all owners were granted their keys at once and renewed together ever after: 4,018 calls within one step of the controller each 1.2 s, half a second of its processor, while a grant is given 0.6 s to be answered. 512 are under way at most, the others first in turn next time; the first renewal of a server's ranges comes at a time of its own. Test: calls a step at 500 to 4,000 servers, all renewed in time.

--- a/keyspace/answers.go
+++ b/keyspace/answers.go
@@ -1,6 +1,7 @@
 package keyspace
 
 import (
+	"hash/fnv"
 	"time"
 
 	"cicadarouter/fleet"
@@ -20,6 +21,7 @@
 // An unanswered call must have been aborted, so that it can't arrive any more
 // after ended.
 func (m *Machine) Answered(call Call, result CallResult, handoff string, began, ended time.Duration) {
+	m.underWay--
 	l, known := m.leases[leaseKey{from: call.From, to: call.To, holder: call.Holder}]
 	if !known {
 		return
@@ -28,7 +30,7 @@
 	l.heard = result != CallUnanswered
 	switch call.Kind {
 	case GrantCall:
-		m.grantAnswered(l, result, began, ended)
+		m.grantAnswered(l, call.Server, result, began, ended)
 	case ReleaseCall:
 		if result == CallUnanswered {
 			l.retry = ended + callRetry
@@ -56,12 +58,24 @@
 	}
 }
 
-func (m *Machine) grantAnswered(l *lease, result CallResult, began, ended time.Duration) {
+// firstRenewal returns when a range is renewed that has just been granted to a server. Those of
+// thousands of servers that are granted together are renewed one after the other from then on,
+// those of one server together.
+func firstRenewal(server string) time.Duration {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(server)) // never fails
+	return renewEvery/2 + renewEvery/2*time.Duration(hash.Sum32()%1000)/1000
+}
+
+func (m *Machine) grantAnswered(l *lease, server string, result CallResult, began, ended time.Duration) {
 	l.until = max(l.until, lapse(ended))
 	switch result {
 	case CallDone:
-		l.granted, l.silent = true, false
 		l.next = began + renewEvery
+		if !l.granted {
+			l.next = began + firstRenewal(server)
+		}
+		l.granted, l.silent = true, false
 	case CallStale:
 		l.stale = true
 		l.next = ended + renewEvery
--- /dev/null
+++ b/keyspace/calls_test.go
@@ -0,0 +1,39 @@
+package keyspace
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a burst of calls to all servers at each renewal, and at the first grants: as
+// many wait in vain for their answers as the host can't send in the meantime.
+func TestCallsToThousandsOfServersAreSpread(t *testing.T) {
+	for _, n := range []int{500, 2000, 4000} {
+		var servers []Server
+		for i := range n {
+			servers = append(servers, Server{ID: fmt.Sprintf("s%04d", i), Slots: 4, Speed: 1})
+		}
+		m := New(First(Controller{Host: "one", Incarnation: 1}, 0, servers), 0, 0)
+		granted := map[string]time.Duration{}
+		const slot = 50 * time.Millisecond
+		for now := time.Duration(0); now < 6*time.Second; now += slot {
+			m.Confirm(now)
+			calls := m.Step(now, servers)
+			assert.Assert(t, len(calls) <= mostCalls)
+			if now > 3*time.Second {
+				mean := float64(n) * float64(slot) / float64(renewEvery)
+				assert.Assert(t, float64(len(calls)) < 4*mean+20, "%d calls at once, %v on average", len(calls), mean)
+			}
+			for _, call := range calls {
+				granted[call.Server] = now
+				m.Answered(call, CallDone, "", now, now)
+			}
+		}
+		for _, server := range servers {
+			assert.Assert(t, granted[server.ID] > 6*time.Second-2*renewEvery, "%s was last renewed at %v", server.ID, granted[server.ID])
+		}
+	}
+}
--- a/keyspace/machine.go
+++ b/keyspace/machine.go
@@ -49,8 +49,14 @@
 	hosts     int           // likewise
 	pace      time.Duration // least time between two records
 	proposed  time.Duration // when the last record was proposed
+	underWay  int           // calls that have not been answered
+	turn      int           // the range that is first in turn for a call
 }
 
+// mostCalls bounds the calls that are under way. Thousands at once would each take longer than a
+// server is given to answer.
+const mostCalls = 512
+
 // New returns a machine for the first record of a service, which the store has
 // acknowledged by a call begun at confirmed.
 func New(record *Record, confirmed, now time.Duration) *Machine {
@@ -179,9 +185,16 @@
 		live[server.ID] = server
 	}
 	m.noteEarlierStarts(now, live)
-	for i := range m.record.Ranges {
-		calls = m.stepRange(now, &m.record.Ranges[i], live, calls)
+	ranges := m.record.Ranges
+	for i := range ranges {
+		if m.underWay+len(calls) >= mostCalls {
+			// The rest is first in turn when some have been answered.
+			m.turn = (m.turn + i) % len(ranges)
+			break
+		}
+		calls = m.stepRange(now, &ranges[(m.turn+i)%len(ranges)], live, calls)
 	}
+	m.underWay += len(calls)
 	if m.pending == nil && (m.proposed == 0 || now-m.proposed >= m.pace) {
 		m.propose(now, servers, live)
 	}
