Records of a thousand ranges and more are written in columns

What grew: each change of an assignment had every host read all ranges, 3.1 us each: 12 ms for 4,018, 75 ms on 0.16 of a core, up to 2.5 times a second.

--- /dev/null
+++ b/keyspace/recordjson.go
@@ -0,0 +1,109 @@
+package keyspace
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"slices"
+	"strings"
+)
+
+// Thousands of ranges are written column by column: a host reads them in a tenth of the time
+// that it takes one by one, each time that the assignment changes.
+
+// columnsFrom is from how many ranges on a record is written in columns.
+const columnsFrom = 1024
+
+// serverSeparator parts the servers of a column. A record with a server whose ID has one is
+// not written in columns.
+const serverSeparator = "\n"
+
+// rangeColumns are the ranges of a record, column by column. Numbers are big-endian, of two
+// bytes in To and of eight in the others.
+type rangeColumns struct {
+	// To are the last keys; each range begins after the one before.
+	To []byte `json:"to"`
+	// Servers are the owners, parted by serverSeparator.
+	Servers string `json:"servers"`
+	Starts  []byte `json:"starts"`
+	Tokens  []byte `json:"tokens"`
+	// Moving are the ranges that have former holders.
+	Moving []movingRange `json:"moving,omitempty"`
+}
+
+// movingRange is a range between owners.
+type movingRange struct {
+	Index    int      `json:"index"`
+	Former   []Holder `json:"former"`
+	Answered bool     `json:"answered,omitempty"`
+}
+
+// recordFields are the fields of a record without its methods.
+type recordFields Record
+
+// wireRecord is a record as it is stored.
+type wireRecord struct {
+	*recordFields
+	Columns *rangeColumns `json:"columns,omitempty"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (r Record) MarshalJSON() ([]byte, error) {
+	if !r.fitsColumns() {
+		return json.Marshal(recordFields(r))
+	}
+	columns, servers := &rangeColumns{}, make([]string, len(r.Ranges))
+	for i := range r.Ranges {
+		each := &r.Ranges[i]
+		servers[i] = each.Server
+		columns.To = binary.BigEndian.AppendUint16(columns.To, each.To)
+		columns.Starts = binary.BigEndian.AppendUint64(columns.Starts, uint64(each.Start))
+		columns.Tokens = binary.BigEndian.AppendUint64(columns.Tokens, each.Token)
+		if each.Moving() || each.Answered {
+			columns.Moving = append(columns.Moving, movingRange{Index: i, Former: each.Former, Answered: each.Answered})
+		}
+	}
+	columns.Servers = strings.Join(servers, serverSeparator)
+	r.Ranges = nil
+	return json.Marshal(wireRecord{recordFields: (*recordFields)(&r), Columns: columns})
+}
+
+func (r *Record) fitsColumns() bool {
+	if len(r.Ranges) < columnsFrom || r.Check() != nil {
+		return false
+	}
+	return !slices.ContainsFunc(r.Ranges, func(each Range) bool { return strings.Contains(each.Server, serverSeparator) })
+}
+
+// UnmarshalJSON implements json.Unmarshaler. The error of a record whose columns do not fit
+// together is an *InvariantError.
+func (r *Record) UnmarshalJSON(data []byte) error {
+	*r = Record{}
+	wire := wireRecord{recordFields: (*recordFields)(r)}
+	if err := json.Unmarshal(data, &wire); err != nil || wire.Columns == nil {
+		return err
+	}
+	return wire.Columns.into(r)
+}
+
+func (c *rangeColumns) into(r *Record) error {
+	servers := strings.Split(c.Servers, serverSeparator)
+	n := len(servers)
+	if len(c.To) != 2*n || len(c.Starts) != 8*n || len(c.Tokens) != 8*n {
+		return &InvariantError{What: "columns have different lengths"}
+	}
+	r.Ranges = make([]Range, n)
+	from := 0
+	for i, server := range servers {
+		to := binary.BigEndian.Uint16(c.To[2*i:])
+		r.Ranges[i] = Range{From: uint16(from), To: to, Holder: Holder{Server: server,
+			Start: int64(binary.BigEndian.Uint64(c.Starts[8*i:])), Token: binary.BigEndian.Uint64(c.Tokens[8*i:])}}
+		from = int(to) + 1
+	}
+	for _, moving := range c.Moving {
+		if moving.Index < 0 || moving.Index >= n {
+			return &InvariantError{What: "columns name a range that is not there"}
+		}
+		r.Ranges[moving.Index].Former, r.Ranges[moving.Index].Answered = moving.Former, moving.Answered
+	}
+	return nil
+}
