--- a/gateway/scale_test.go
+++ b/gateway/scale_test.go
@@ -134,6 +134,19 @@
 	assert.Assert(t, bodies < 100<<10, "%d bytes of a page", bodies)
 }
 
+// Guards against hosts of an earlier version that take nothing from what they can't read: they
+// are to ask the store.
+func TestEarlierHostsAreNotTold(t *testing.T) {
+	g := New(Identity{Host: "h"}, Platform{}, logs.Discard())
+	g.relay.note("servers", entries(0, 3), true)
+	g.fresh.told(g.now(), wordOf(g.now(), "controller", nil))
+	for path, body := range map[string]string{pathList: `{"kind":"servers"}`, pathWatch: `{"kind":"servers","revision":1,"waitMs":1}`} {
+		recorder := httptest.NewRecorder()
+		g.PeerHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
+		assert.Equal(t, recorder.Code, http.StatusServiceUnavailable, path)
+	}
+}
+
 // A host that does not say that it takes compressed answers gets others.
 func TestAnswersAreCompressedForThoseWhoTakeIt(t *testing.T) {
 	g := New(Identity{}, Platform{}, logs.Discard())
