--- a/gateway/control.go
+++ b/gateway/control.go
@@ -60,8 +60,10 @@
 	// AssignmentTaken), 12 ms where it has 0.16 cores; with 295 hosts records then
 	// follow each other 8 times a second at most, a tenth of such a host's processor.
 	recordCost = 400 * time.Microsecond
-	// hostsUnknown is the number of hosts that is assumed before one is told.
-	hostsUnknown = 1000
+	// hostsUnknown is the number of hosts that is assumed before one is told, hostsAtFirst
+	// while the whole system starts for the first time: nothing depends on the time then.
+	hostsUnknown = 100
+	hostsAtFirst = 1000
 	// mostEvents bounds answers that wait for the controller.
 	mostEvents = 4096
 )
@@ -208,7 +210,7 @@
 	if record != nil && record.Controller.Incarnation != c.heardOf {
 		// A new controller has its own time to be heard. Judging it by its
 		// predecessor's silence would let every host take over in turn.
-		c.heardOf, c.heard, c.wanted, c.reported = record.Controller.Incarnation, now, 0, now-reportEvery+g.firstReportDelay(c)
+		c.heardOf, c.heard, c.wanted, c.reported = record.Controller.Incarnation, now, 0, now-reportEvery+g.firstReportDelay(c, record)
 		c.news = peerNews{reporting: c.news.reporting}
 	}
 	switch {
@@ -240,8 +242,11 @@
 )
 
 // firstReportDelay is how long this host waits before its first report to a controller.
-func (g *Gateway) firstReportDelay(c *controller) time.Duration {
-	hosts := cmp.Or(g.hosts.count(), hostsUnknown)
+func (g *Gateway) firstReportDelay(c *controller, record *keyspace.Record) time.Duration {
+	hosts := cmp.Or(g.hosts.count(), record.Controller.Hosts, hostsUnknown)
+	if g.identity.FirstStart {
+		hosts = max(hosts, hostsAtFirst)
+	}
 	spread := min(time.Duration(hosts)*reportSpread, mostReportSpread)
 	return spread * time.Duration(hashOf(g.identity.Host+c.service.name)%1000) / 1000
 }
--- a/gateway/scale_test.go
+++ b/gateway/scale_test.go
@@ -18,6 +18,7 @@
 	"cicadarouter/contract/objects"
 	"cicadarouter/fleet"
 	"cicadarouter/host/logs"
+	"cicadarouter/keyspace"
 )
 
 // Guards against a change of one server that costs each host a look at all servers.
@@ -218,7 +219,7 @@
 	for i := range 1000 {
 		g := New(Identity{Host: fmt.Sprintf("h%d", i)}, Platform{}, logs.Discard())
 		g.hosts.note(0, 1000)
-		delay := g.firstReportDelay(&controller{service: newService("s", Identity{}, true, g.now)})
+		delay := g.firstReportDelay(&controller{service: newService("s", Identity{}, true, g.now)}, &keyspace.Record{})
 		assert.Assert(t, delay <= mostReportSpread)
 		within[delay/(10*time.Millisecond)]++
 	}
--- a/tools/mutants/entries.go
+++ b/tools/mutants/entries.go
@@ -7,13 +7,13 @@
 	}
 	return []mutant{
 		in("fleet", "fleet.go", "believe older versions", "version.Revision < known.revision || version.Revision == known.revision && known.ended", "false"),
-		in("fleet", "fleet.go", "believe an old end", "known.ended || revision < known.revision {", "known.ended {"),
+		in("fleet", "fleet.go", "believe an old end", "known.ended || asOf < known.revision {", "known.ended {"),
 		in("fleet", "fleet.go", "believe an earlier start at once", "known.earlier < believedWrites", "false"),
 		in("fleet", "fleet.go", "never believe an earlier start", "known.earlier < believedWrites", "true"),
-		in("fleet", "fleet.go", "keep using what can't be read", "		known.end(now)\n		return Taken\n", "		return Taken\n"),
+		in("fleet", "fleet.go", "keep using what can't be read", "		d.end(now, version.ID, known)\n		return Taken\n", "		return Taken\n"),
 		in("fleet", "fleet.go", "never forget an end", "now-known.endedAt >= endKept", "false"),
-		in("fleet", "evacuation.go", "evacuate again by old news", "revision < known.revision || revision == known.revision && !known.inForce", "false"),
-		in("fleet", "evacuation.go", "take back by old news", "!known.inForce || revision < known.revision", "!known.inForce"),
+		in("fleet", "evacuation.go", "evacuate again by old news", "version < known.revision || version == known.revision && !known.inForce", "false"),
+		in("fleet", "evacuation.go", "take back by old news", "!known.inForce || asOf < known.revision", "!known.inForce"),
 		in("fleet", "evacuation.go", "trust servers that are taken back", "return known.endedAt + coldDoubt", "return 0"),
 		in("fleet", "fleet.go", "use evacuated servers", "return s.Draining || s.Evacuated", "return s.Draining"),
 		in("platform", "headers.go", "drop a load with further figures", "if len(parts) < loadFigures {", "if len(parts) != loadFigures {"),
--- a/tools/mutants/gateway.go
+++ b/tools/mutants/gateway.go
@@ -23,6 +23,6 @@
 		in("sources.go", "ask oneself", "return address == s.self || address == \"\"", "return address == \"\""),
 		in("members.go", "name hosts that do not report any more", "		if now-each.seen > memberKept {\n", "		if now < each.seen-memberKept {\n"),
 		in("follow.go", "ask nobody while the store is away", "	if err == nil || source == \"\" || ctx.Err() != nil {", "	if true {"),
-		in("follow.go", "list at the full price", "	if revision == 0 {\n		return g.firstList(ctx, kind)\n	}\n", "	if revision == 0 {\n		return g.store.List(ctx, kind)\n	}\n"),
+		in("follow.go", "list at the full price", "	if known == 0 {\n		return g.firstList(ctx, kind)\n	}\n", "	if known == 0 {\n		return g.store.List(ctx, kind)\n	}\n"),
 	}
 }
--- a/tools/mutants/keyspace.go
+++ b/tools/mutants/keyspace.go
@@ -20,7 +20,7 @@
 		in("record.go", "forget controllers before the last", "next.Earlier = append(next.Earlier, replaced)", "next.Earlier = []Controller{replaced}"),
 		in("machine.go", "take one earlier controller's word for all", "if m.Settled(now) || len(m.Unproven(now)) > 0 {", "if m.Settled(now) {"),
 		in("machine.go", "take what a predecessor may still hold as free", "l.until, l.late = m.calm, m.calm", "l.until, l.late = now, now"),
-		in("machine.go", "grant what has not been written", "for i := range m.record.Ranges {\n		calls = m.stepRange(now, &m.record.Ranges[i]", "known := m.record\n	if m.pending != nil {\n		known = m.pending\n	}\n	for i := range known.Ranges {\n		calls = m.stepRange(now, &known.Ranges[i]"),
+		in("machine.go", "grant what has not been written", "	ranges := m.record.Ranges\n", "	ranges := m.record.Ranges\n	if m.pending != nil {\n		ranges = m.pending.Ranges\n	}\n"),
 		in("renew.go", "grant before former holders are free", "	if !free {\n		return calls\n	}\n", "	_ = free\n"),
 		in("change.go", "cut a range while a call about it is under way", "		if m.calling(next, move) {\n			continue\n		}\n", ""),
 		in("change.go", "forget the leases of a range that is cut", "			m.leases[keyOf(&part, holder)] = &copied\n", "			_ = copied\n			_ = part\n"),
--- a/tools/mutants/limits.go
+++ b/tools/mutants/limits.go
@@ -26,7 +26,7 @@
 		pool("limited.go", "reserve places for each request at each server", "wish.Places = unkeyed - p.reservedPlaces()", "wish.Places = unkeyed"),
 		pool("limited.go", "wait although no place is due in time", "if server == nil || wait <= p.patience(now, waiter) {", "if true {"),
 		pool("limited.go", "tell all callers to come back at once", "		l.retryAt += spacing\n", ""),
-		pool("pool.go", "forget limits when servers are listed", "		p.noteLimit(now, server)\n", ""),
+		pool("pool.go", "forget limits when servers are listed", "	p.noteCold(now, server)\n	p.noteLimit(now, server)\n", "	p.noteCold(now, server)\n"),
 		pool("cold.go", "leave a limited server its keys", "if server.limited() {", "if false {"),
 		pool("cold.go", "doubt servers that use an ID once", " || incarnation.Start == 0", ""),
 		pool("cold.go", "go on doubting a server that told", "server.doubtUntil, server.toldColdUntil = 0, now+coldFor", "server.toldColdUntil = now + coldFor"),
--- a/tools/mutants/main.go
+++ b/tools/mutants/main.go
@@ -47,6 +47,11 @@
 	Steps  int    `long:"steps" default:"60" description:"actions of each case"`
 }
 
+// allMutants returns the mutants of all packages.
+func allMutants() []mutant {
+	return slices.Concat(ownershipMutants(), pathMutants(), keyspaceMutants(), balanceMutants(), entryMutants(), gatewayMutants(), poisonMutants(), limitMutants(), noticeMutants(), eraMutants(), scaleMutants())
+}
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -55,7 +60,7 @@
 		return code
 	}
 	var chosen []mutant
-	for _, m := range slices.Concat(ownershipMutants(), pathMutants(), keyspaceMutants(), balanceMutants(), entryMutants(), gatewayMutants(), poisonMutants(), limitMutants(), noticeMutants(), eraMutants()) {
+	for _, m := range allMutants() {
 		if strings.Contains(m.name, given.Only) {
 			chosen = append(chosen, m)
 		}
