A text in the registry is no entry of a host

An entry that another writer leaves as a text of our form between hosts would have been taken for one that a host has read.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -227,13 +227,17 @@
 	return listing
 }
 
-// canonicalEntry returns an entry that can't be read as it is, for each host to tell.
+// canonicalEntry returns an entry that can't be read as it is, for each host to tell; a text in
+// a list, lest it be taken for one of a host.
 func (g *Gateway) canonicalEntry(object objects.Object) objects.Object {
 	if object.Deleted {
 		return object
 	}
 	server, err := g.registry.Server(object)
 	if err != nil {
+		if isEntryText(object) {
+			object.Spec = slices.Concat([]byte("["), object.Spec, []byte("]"))
+		}
 		return object
 	}
 	if text, ok := fleet.EntryText(&server); ok {
@@ -244,6 +248,9 @@
 	return object
 }
 
+// isEntryText reports whether an object is an entry as hosts tell it to each other.
+func isEntryText(object objects.Object) bool { return len(object.Spec) > 0 && object.Spec[0] == '"' }
+
 // canonicalObject is canonical for one object.
 func canonicalObject(object objects.Object) objects.Object {
 	if len(object.Spec) < longDocument {
--- a/gateway/scale_test.go
+++ b/gateway/scale_test.go
@@ -19,6 +19,7 @@
 	"cicadarouter/fleet"
 	"cicadarouter/host/logs"
 	"cicadarouter/keyspace"
+	"cicadarouter/platform"
 )
 
 // Guards against a change of one server that costs each host a look at all servers.
@@ -172,6 +173,17 @@
 	}
 }
 
+// Guards against an entry of another writer that is taken for what a host has read.
+func TestTextInTheRegistryIsNoEntry(t *testing.T) {
+	g := New(Identity{}, Platform{Registry: platform.Registry{}}, logs.Discard())
+	forged := objects.Object{Kind: "servers", Name: "i-1", Revision: 1, Spec: []byte(`"s\t10.0.0.1:80\ta\t4\tready\t0\t0"`)}
+	reader := &entryReader{gateway: g, reported: map[string]uint64{}}
+	assert.Assert(t, !reader.read(forged).Unreadable, "as a host tells it")
+	listing := g.asPassedOn("servers", objects.Listing{Objects: []objects.Object{forged, entryOf(1)}})
+	assert.Assert(t, reader.read(listing.Objects[0]).Unreadable, "as the registry holds it")
+	assert.Equal(t, reader.read(listing.Objects[1]).Service, "s")
+}
+
 // Guards against relays, or a controller, that as many hosts follow as there are hosts.
 func TestFollowersGrowWithTheRootOfTheHosts(t *testing.T) {
 	for _, hosts := range []int{100, 400, 1000, 4000} {
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -118,7 +118,7 @@
 
 // server reads an entry as the registry holds it, or as another host has read it.
 func (e *entryReader) server(object objects.Object) (fleet.Server, error) {
-	if len(object.Spec) == 0 || object.Spec[0] != '"' {
+	if !isEntryText(object) {
 		return e.gateway.registry.Server(object)
 	}
 	var text string
