--- a/gateway/control.go
+++ b/gateway/control.go
@@ -41,6 +41,9 @@
 	storelessAfter = 2000 * time.Millisecond
 	// claimSpread spreads the hosts' claims, so that mostly one call is made.
 	claimSpread = 700 * time.Millisecond
+	// unreadyWait is how much later a host claims control that does not know the servers yet:
+	// it can't renew leases.
+	unreadyWait = 2 * claimSpread
 	// firstWait is for how long no server may have come before a first assignment
 	// is made. Servers that start together register over some seconds, and keys
 	// that are dealt out once more are cold or held back.
@@ -277,7 +280,10 @@
 	if !record.WrittenIn(era) && !g.own(record) {
 		delay += forgottenWait
 	}
-	if now-c.wanted < delay || !g.Ready() {
+	if !g.Ready() {
+		delay += unreadyWait
+	}
+	if now-c.wanted < delay || !g.mayClaim() {
 		return
 	}
 	c.wanted = 0
@@ -296,7 +302,7 @@
 // keys yet. Servers take seconds to register, and thousands of hosts that each read all
 // entries meanwhile would keep the store's link busy for longer than that.
 func (g *Gateway) claimFirst(ctx context.Context, c *controller, now time.Duration) {
-	if now-c.firstAt < g.claimDelay(c, 0) || !g.mayClaimFirst() {
+	if now-c.firstAt < g.claimDelay(c, 0) || g.reach.isAway() || !g.mayClaim() {
 		return
 	}
 	record := keyspace.FirstUnassigned(g.self(), g.era.Load())
@@ -308,11 +314,10 @@
 	g.claim(ctx, c, record, 0)
 }
 
-// mayClaimFirst reports whether this host may be a service's first controller. It need not be
-// ready: it learns of the servers once it is.
-func (g *Gateway) mayClaimFirst() bool {
-	return !g.stop.stopping() && !g.reach.isAway() && g.inForce.Current() != nil
-}
+// mayClaim reports whether this host may be a controller. It need not be ready: where all hosts
+// have just started, those that wait for others to tell them of the servers wait for a
+// controller.
+func (g *Gateway) mayClaim() bool { return !g.stop.stopping() && g.inForce.Current() != nil }
 
 // assignFirst makes the first assignment once the servers have registered. Servers that come
 // later have to be given keys of others.
@@ -376,8 +381,10 @@
 	c.machine.Advertise(c.members.all, g.hosts.count())
 	c.machine.SetPace(time.Duration(len(c.members.hosts)) * recordCost)
 	g.noteCrowded(c, len(servers))
-	for _, call := range c.machine.Step(now, servers) {
-		g.startCall(ctx, c, call)
+	if g.listed.Load() { // else every owner would be taken for lost
+		for _, call := range c.machine.Step(now, servers) {
+			g.startCall(ctx, c, call)
+		}
 	}
 	if pending := c.machine.Pending(); pending != nil && !c.writing {
 		c.writing = true
--- a/gateway/firstservers.go
+++ b/gateway/firstservers.go
@@ -21,6 +21,9 @@
 	// assignmentsWait is how long a host that starts waits until it has read the assignments,
 	// which name the relays.
 	assignmentsWait = 400 * time.Millisecond
+	// storeSpread is over how long hosts that get no answer of others spread their reads of the
+	// store, for each host.
+	storeSpread = 5 * time.Millisecond
 	// sourceLook is how often it looks whether there is one.
 	sourceLook = 20 * time.Millisecond
 	// sourceRetry is left after one that has nothing to tell yet.
@@ -32,10 +35,10 @@
 // firstServers lists the servers after the start of the process as another host knows them. ok
 // is false if the store is to be asked.
 func (g *Gateway) firstServers(ctx context.Context) (listing objects.Listing, ok bool) {
-	until := g.now() + hostsWait
 	if !g.asksHosts(ctx) {
 		return objects.Listing{}, false
 	}
+	until := g.now() + hostsWait + g.storeTurn()
 	for g.now() < until && ctx.Err() == nil && !g.fresh.leading() {
 		source := g.firstSource()
 		if source == "" {
@@ -53,6 +56,13 @@
 	return objects.Listing{}, false
 }
 
+// storeTurn is how much later this host asks the store than the first one does that gets no
+// answer of others.
+func (g *Gateway) storeTurn() time.Duration {
+	spread := time.Duration(g.sources.hostsNamed()) * storeSpread
+	return spread * time.Duration(hashOf(g.identity.Host)%1000) / 1000
+}
+
 // asksHosts reports whether other hosts are to be asked for the servers. While the whole
 // system starts for the first time nobody knows how many hosts there are.
 func (g *Gateway) asksHosts(ctx context.Context) bool {
--- a/gateway/firststart_test.go
+++ b/gateway/firststart_test.go
@@ -53,6 +53,31 @@
 	assert.Equal(t, readers, 1)
 }
 
+// withoutEntries is a store that turns away reads of servers' entries.
+type withoutEntries struct{ store *platformtest.Store }
+
+// ServeHTTP implements http.Handler.
+func (e withoutEntries) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasSuffix(r.URL.Path, "/servers") {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	e.store.ServeHTTP(w, r)
+}
+
+// Guards against hosts that all wait for a controller to tell them of the servers, and for the
+// servers to claim control.
+func TestHostThatKnowsNoServersYetClaimsControl(t *testing.T) {
+	s, first := calm(t)
+	s.eventually("all keys are served", func() bool { return s.allServed(first) })
+	before := s.assignment()
+	first.kill()
+	late := s.start(hostSetup{name: "late", store: s.listen(withoutEntries{s.store})})
+	s.eventually("control is claimed", func() bool { return s.assignment().Controller.Address == late.peers.address })
+	assert.Assert(t, !late.gateway.Ready())
+	assert.DeepEqual(t, s.assignment().Ranges, before.Ranges)
+}
+
 // Guards against a first assignment of the few servers that register first: those that come
 // later would have to be given keys of theirs, each by a move.
 func TestFirstAssignmentWaitsForTheServers(t *testing.T) {
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -114,6 +114,13 @@
 	return s.controller
 }
 
+// hostsNamed returns how many hosts an assignment names; 0 if none does.
+func (s *sources) hostsNamed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hosts
+}
+
 // known reports whether there is anybody to ask.
 func (s *sources) known() bool { return s.current() != "" }
 
