--- a/keyspace/first.go
+++ b/keyspace/first.go
@@ -13,6 +13,7 @@
 		return false
 	}
 	next := m.record.Clone()
+	m.nameRelays(next) // hosts that start again learn from the record whom to ask
 	next.Unassigned = false
 	forgotten := next.LastToken > 0
 	next.assign(servers)
--- a/keyspace/fuzz_test.go
+++ b/keyspace/fuzz_test.go
@@ -34,11 +34,13 @@
 		w := newUnassignedWorld(t)
 		w.hosts[0].cut = true
 		w.claim(w.hosts[1], w.stored)
+		w.hosts[1].machine.Advertise([]string{"relay"}, 3)
 		for range 40 {
 			w.calmTick()
 		}
 		w.complete(t, "after a succession")
 		assert.Assert(t, !w.stored.Unassigned && len(w.stored.Ranges) > 0)
+		assert.DeepEqual(t, w.stored.Controller.Relays, []string{"relay"})
 	})
 }
 
