--- a/gateway/control.go
+++ b/gateway/control.go
@@ -74,6 +74,7 @@
 // control is what a host does as, or towards, the controllers of keys.
 type control struct {
 	listed   atomic.Bool // the assignments have been read once
+	refused  atomic.Bool // the store has turned a call away that asked for them
 	services map[string]*controller
 	events   *ring.Ring[event]
 }
--- a/gateway/evacuations.go
+++ b/gateway/evacuations.go
@@ -9,7 +9,7 @@
 // followEvacuations follows the operators' requests that a failure domain's servers
 // get nothing.
 func (g *Gateway) followEvacuations(ctx context.Context) {
-	g.follow(ctx, follower{kind: g.registry.Evacuations(), replace: g.replaceEvacuations, change: g.changeEvacuations, away: func() {}})
+	g.follow(ctx, follower{kind: g.registry.Evacuations(), replace: g.replaceEvacuations, change: g.changeEvacuations, away: func(error) {}})
 }
 
 // replaceEvacuations takes all that are asked for.
--- a/gateway/firstservers.go
+++ b/gateway/firstservers.go
@@ -19,8 +19,8 @@
 	// read them if all hosts were lost.
 	hostsWait = 3 * time.Second
 	// assignmentsWait is how long a host that starts waits until it has read the assignments,
-	// which name the relays.
-	assignmentsWait = 400 * time.Millisecond
+	// which name the relays, or could not.
+	assignmentsWait = 5 * time.Second
 	// storeSpread is over how long hosts that get no answer of others spread their reads of the
 	// store, for each host.
 	storeSpread = 5 * time.Millisecond
@@ -69,7 +69,8 @@
 	if g.identity.FirstStart {
 		return true
 	}
-	for until := g.now() + assignmentsWait; !g.control.listed.Load() && g.now() < until && ctx.Err() == nil; {
+	until := g.now() + assignmentsWait
+	for !g.control.listed.Load() && !g.control.refused.Load() && g.now() < until && ctx.Err() == nil {
 		clock.Sleep(ctx, sourceLook)
 	}
 	return g.sources.asksHosts()
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -44,8 +44,8 @@
 	// replace takes a complete listing, change takes later changes.
 	replace func(objects.Listing)
 	change  func(objects.Listing)
-	// away is told each time a call fails.
-	away func()
+	// away is told each time a call fails, and why.
+	away func(error)
 }
 
 // follow runs until the context ends.
@@ -209,7 +209,7 @@
 	compacted := errors.Is(err, objects.ErrCompacted)
 	g.log.Warn("store not followed", "kind", f.kind, "error", err.Error(), "list-again", compacted || !connected)
 	if !compacted {
-		f.away()
+		f.away(err)
 	}
 	if f.prober && !compacted {
 		g.reach.lost()
@@ -245,7 +245,15 @@
 		g.control.listed.Store(true)
 		g.nudge()
 	}
-	g.follow(ctx, follower{kind: Assignments, replace: take, change: take, away: func() {}})
+	g.follow(ctx, follower{kind: Assignments, replace: take, change: take, away: g.noteAssignmentsAway})
+}
+
+// noteAssignmentsAway notes that the store turns this host away. One that is only slow to answer
+// may be busy with the lists of hundreds of hosts.
+func (g *Gateway) noteAssignmentsAway(err error) {
+	if errors.Is(err, objects.ErrRefused) {
+		g.control.refused.Store(true)
+	}
 }
 
 func (g *Gateway) takeAssignment(object objects.Object) {
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -42,7 +42,7 @@
 // registryAway notes that entries which are missing now may only not have been
 // renewed. It is told by the prober as well, which goes on asking while the
 // store is away.
-func (g *Gateway) registryAway() {
+func (g *Gateway) registryAway(error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.directory.Away(g.now())
