--- a/tools/mutants/scale.go
+++ b/tools/mutants/scale.go
@@ -23,7 +23,7 @@
 		host("members.go", "name relays once a second only", " && len(m.hosts) < 2*m.chosenOf", ""),
 		host("control.go", "report to a new controller at once", "	return spread * time.Duration(hashOf(g.identity.Host+c.service.name)%1000) / 1000\n}\n\n// claimDelay", "	return 0 * spread\n}\n\n// claimDelay"),
 		host("retries.go", "give each host the reserve of a small fleet", "	most := min(max(each/2, leastRetryReserve), mostRetryReserve)", "	most := float64(mostRetryReserve)"),
-		host("firstservers.go", "read the entries in the store", "	until := g.now() + hostsWait\n", "	until := g.now()\n"),
+		host("firstservers.go", "read the entries in the store", "	until := g.now() + hostsWait + g.storeTurn()\n", "	until := g.now()\n"),
 		host("control.go", "assign keys to the servers that come first", "	if now-c.countedAt < firstWait && now-c.led < longest {", "	if false {"),
 		host("readahead.go", "hold whatever callers do not read", "		case a.held+readAheadChunk <= mostReadAhead && a.quota.take(readAheadChunk):", "		case true:"),
 		host("readahead.go", "keep what a caller that left held", "	a.give(a.held)\n", ""),
