--- a/gateway/scale_test.go
+++ b/gateway/scale_test.go
@@ -47,6 +47,23 @@
 	assert.Assert(t, many <= few+2, "%v allocations with 100 servers, %v with 10,000", few, many)
 }
 
+// Guards against a service that goes on using a server which has become one of another service.
+func TestServerOfAnotherServiceIsGone(t *testing.T) {
+	g := New(Identity{Domain: "d"}, Platform{}, logs.Discard())
+	g.services["s"], g.services["t"] = g.newService("s", true), g.newService("t", false)
+	put := func(service string, revision uint64) {
+		g.directory.Put(0, fleet.Version{Server: fleet.Server{ID: "i", Service: service, Domain: "d", Slots: 4}, Revision: revision})
+		g.distribute()
+	}
+	put("s", 1)
+	assert.Equal(t, len(g.services["s"].serverStates()), 1)
+	assert.Equal(t, len(g.services["t"].serverStates()), 0)
+	put("t", 2)
+	assert.Equal(t, len(g.services["s"].serverStates()), 0)
+	assert.Equal(t, len(g.services["s"].view.present), 0)
+	assert.Equal(t, len(g.services["t"].serverStates()), 1)
+}
+
 func entryOf(i int) objects.Object {
 	return objects.Object{Kind: "servers", Name: fmt.Sprintf("i-%06d", i), Revision: uint64(i + 1),
 		Spec: fmt.Appendf(nil, `{"service":"s","address":"10.0.%d.%d:8080","zone":"a","version":"v1","slots":4,"state":"ready","cold-remaining":"0ms","seq":1}`, i/250, i%250)}
--- a/keyspace/calls_test.go
+++ b/keyspace/calls_test.go
@@ -8,6 +8,40 @@
 	"gotest.tools/v3/assert"
 )
 
+// Guards against servers that are never granted keys because others are called again and again.
+func TestSlowAnswersKeepNoServerFromItsTurn(t *testing.T) {
+	const n = 3000
+	var servers []Server
+	for i := range n {
+		servers = append(servers, Server{ID: fmt.Sprintf("s%04d", i), Slots: 1, Speed: 1})
+	}
+	m := New(First(Controller{Host: "one", Incarnation: 1}, 0, servers), 0, 0)
+	called := map[string]bool{}
+	var under []Call
+	for now := time.Duration(0); now < 10*time.Second; now += time.Second {
+		m.Confirm(now)
+		for _, call := range under {
+			m.Answered(call, CallUnanswered, "", now-time.Second, now)
+		}
+		under = m.Step(now, servers)
+		for _, call := range under {
+			called[call.Server] = true
+		}
+	}
+	assert.Equal(t, len(called), n)
+}
+
+// Guards against a first assignment by a controller that may have been replaced.
+func TestFirstAssignmentNeedsAuthority(t *testing.T) {
+	servers := []Server{{ID: "a", Slots: 1, Speed: 1}}
+	m := New(FirstUnassigned(Controller{Host: "one", Incarnation: 1}, 0), 0, 0)
+	assert.Assert(t, !m.AssignFirst(AuthorityBound, servers))
+	m.Confirm(AuthorityBound)
+	assert.Assert(t, !m.AssignFirst(AuthorityBound, nil), "there is no server")
+	assert.Assert(t, m.AssignFirst(AuthorityBound, servers))
+	assert.Assert(t, !m.AssignFirst(AuthorityBound, servers), "it is being written")
+}
+
 // Guards against a burst of calls to all servers at each renewal, and at the first grants: as
 // many wait in vain for their answers as the host can't send in the meantime.
 func TestCallsToThousandsOfServersAreSpread(t *testing.T) {
--- a/tools/mutants/scale.go
+++ b/tools/mutants/scale.go
@@ -3,8 +3,8 @@
 // scaleMutants break the rules that keep a host's costs from growing with the fleet.
 func scaleMutants() []mutant {
 	choice := breaking("balance", "Choice|LastServer|Roster")
-	host := breaking("gateway", "CostOfAChange|FarBehind|RelayTellsDeletions|ListsPass|FollowersGrow|NamedAnew|FirstReports|Reserves|OneHostReads|FirstAssignment|EarlierHosts|SlowCallers|ReadAhead|ThoughItsCaller")
-	keys := breaking("keyspace", "FirstClaim|FirstAssignment|CallsToThousands|RecordsAre|ColumnsThat")
+	host := breaking("gateway", "CostOfAChange|ServerOfAnother|FarBehind|RelayTellsDeletions|ListsPass|FollowersGrow|NamedAnew|FirstReports|Reserves|OneHostReads|FirstAssignment|EarlierHosts|SlowCallers|ReadAhead|ThoughItsCaller")
+	keys := breaking("keyspace", "FirstClaim|FirstAssignment|CallsToThousands|SlowAnswers|RecordsAre|ColumnsThat")
 	entries := breaking("fleet", "Changes|Entries|Texts")
 	return []mutant{
 		choice("roster.go", "look at all servers", "	if len(r.order) <= allLooked {\n		return r.order, true\n	}\n	r.drawn", "	if len(r.order) > 0 {\n		return r.order, true\n	}\n	r.drawn"),
@@ -17,18 +17,18 @@
 		host("relay.go", "keep all deletions", "	forget := k.gone - mostGone", "	forget := 0"),
 		host("relay.go", "forget deletions without saying so", "			k.floor = max(k.floor, step.listed)\n", ""),
 		host("relay.go", "tell all changes in one answer", "		if i >= mostTold && step", "		if false && step"),
-		host("relay.go", "begin each page anew", "	if found {\n		from++\n	}\n", "	from = 0\n"),
+		host("relay.go", "tell the last of a page twice", "	if found {\n		from++\n	}\n", "	_ = found\n"),
 		host("relay.go", "tell earlier hosts what they can't read", "	if !ok || !request.Columns {", "	if !ok {"),
 		host("members.go", "name two relays a domain", "	return max(relaysPerDomain, int", "	return min(relaysPerDomain, int"),
 		host("members.go", "name relays once a second only", " && len(m.hosts) < 2*m.chosenOf", ""),
 		host("control.go", "report to a new controller at once", "	return spread * time.Duration(hashOf(g.identity.Host+c.service.name)%1000) / 1000\n}\n\n// claimDelay", "	return 0 * spread\n}\n\n// claimDelay"),
 		host("retries.go", "give each host the reserve of a small fleet", "	most := min(max(each/2, leastRetryReserve), mostRetryReserve)", "	most := float64(mostRetryReserve)"),
 		host("firstservers.go", "read the entries in the store", "	until := g.now() + hostsWait + g.storeTurn()\n", "	until := g.now()\n"),
-		host("control.go", "assign keys to the servers that come first", "	if now-c.countedAt < firstWait && now-c.led < longest {", "	if false {"),
+		host("control.go", "assign keys to the servers that come first", "	if now-c.countedAt < firstWait && now-c.led < longest {", "	if now-c.countedAt < 0 && now-c.led < longest {"),
 		host("readahead.go", "hold whatever callers do not read", "		case a.held+readAheadChunk <= mostReadAhead && a.quota.take(readAheadChunk):", "		case true:"),
 		host("readahead.go", "keep what a caller that left held", "	a.give(a.held)\n", ""),
 		keys("first.go", "assign keys without authority", " || !m.Authority(now) {", " {"),
-		keys("first.go", "assign keys that others may hold", "	if forgotten {", "	if false {"),
+		keys("first.go", "assign keys that others may hold", "	if forgotten {", "	if forgotten && false {"),
 		keys("machine.go", "call all servers at once", "		if m.underWay+len(calls) >= mostCalls {", "		if false {"),
 		keys("machine.go", "call the first servers again and again", "			m.turn = (m.turn + i) % len(ranges)\n", ""),
 		keys("answers.go", "renew all ranges together", "			l.next = began + firstRenewal(server)\n", ""),
