--- a/gateway/firststart_test.go
+++ b/gateway/firststart_test.go
@@ -87,6 +87,7 @@
 	s.serve("owned-00", "owned", true)
 	h := s.start(hostSetup{name: "h", store: s.address, firstStart: true})
 	s.eventually("control is claimed", func() bool { _, claimed := s.record(); return claimed })
+	s.eventually("the controller knows the first server", h.gateway.Ready)
 	for i := 1; i < servers; i++ {
 		s.serve(fmt.Sprintf("owned-%02d", i), "owned", true)
 	}
