One function tells a host's turn within a time

Claims of control, first reports and late reads of the store each worked the same share of a hash out for themselves. No change of behaviour.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -252,14 +252,20 @@
 		hosts = max(hosts, hostsAtFirst)
 	}
 	spread := min(time.Duration(hosts)*reportSpread, mostReportSpread)
-	return spread * time.Duration(hashOf(g.identity.Host+c.service.name)%1000) / 1000
+	return turnWithin(spread, g.identity.Host+c.service.name)
+}
+
+// turnWithin returns when within a time it is a name's turn: the same for each call, and as good
+// as drawn by chance for different names.
+func turnWithin(spread time.Duration, name string) time.Duration {
+	const steps = 1000
+	return spread * time.Duration(hashOf(name)%steps) / steps
 }
 
 // claimDelay spreads the claims of hosts over claimSpread, those of small hosts
 // over as long again after it.
 func (g *Gateway) claimDelay(c *controller, term uint64) time.Duration {
-	hash := hashOf(g.identity.Host + c.service.name + strconv.FormatUint(term, 10))
-	delay := claimSpread * time.Duration(hash%1000) / 1000
+	delay := turnWithin(claimSpread, g.identity.Host+c.service.name+strconv.FormatUint(term, 10))
 	if g.identity.Small {
 		delay += claimSpread
 	}
--- a/gateway/firstservers.go
+++ b/gateway/firstservers.go
@@ -59,8 +59,7 @@
 // storeTurn is how much later this host asks the store than the first one does that gets no
 // answer of others.
 func (g *Gateway) storeTurn() time.Duration {
-	spread := time.Duration(g.sources.hostsNamed()) * storeSpread
-	return spread * time.Duration(hashOf(g.identity.Host)%1000) / 1000
+	return turnWithin(time.Duration(g.sources.hostsNamed())*storeSpread, g.identity.Host)
 }
 
 // asksHosts reports whether other hosts are to be asked for the servers. While the whole
