What only tests list is listed in test files

Since services take the servers that change, nothing but tests lists the whole directory or hands a pool all servers at once. No change of behaviour, no assertion changed.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -70,21 +70,6 @@
 // Servers returns the servers in order of their IDs.
 func (p *Pool) Servers() []*Server { return p.servers.order }
 
-// SetServers takes all of the service's servers.
-func (p *Pool) SetServers(now time.Duration, servers []fleet.Server) {
-	listed := make(map[string]bool, len(servers))
-	for i := range servers {
-		listed[servers[i].ID] = true
-	}
-	var gone []string
-	for _, server := range p.servers.order {
-		if !listed[server.ID] {
-			gone = append(gone, server.ID)
-		}
-	}
-	p.ChangeServers(now, servers, gone)
-}
-
 // ChangeServers takes servers that have come or changed, and the IDs of those that are gone,
 // which may never have been the service's.
 func (p *Pool) ChangeServers(now time.Duration, changed []fleet.Server, gone []string) {
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -17,6 +17,21 @@
 	return p
 }
 
+// SetServers takes all of the service's servers.
+func (p *Pool) SetServers(now time.Duration, servers []fleet.Server) {
+	listed := make(map[string]bool, len(servers))
+	for i := range servers {
+		listed[servers[i].ID] = true
+	}
+	var gone []string
+	for _, server := range p.servers.order {
+		if !listed[server.ID] {
+			gone = append(gone, server.ID)
+		}
+	}
+	p.ChangeServers(now, servers, gone)
+}
+
 func enter(p *Pool, now time.Duration, w Waiter) *Waiter {
 	w.Ready = make(chan struct{})
 	w.Arrived = now
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -313,14 +313,3 @@
 	}
 	return found
 }
-
-// Snapshot returns the servers in order of their IDs.
-func (d *Directory) Snapshot() []Server {
-	servers := make([]Server, 0, len(d.entries))
-	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
-		if server, listed := d.Get(id); listed {
-			servers = append(servers, server)
-		}
-	}
-	return servers
-}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -193,3 +195,14 @@
 	assert.Assert(t, d.Lists(changed[0].Incarnation()))
 	assert.Assert(t, !d.Lists(Incarnation{ID: "a1", Start: 9}))
 }
+
+// Snapshot returns the servers in order of their IDs.
+func (d *Directory) Snapshot() []Server {
+	servers := make([]Server, 0, len(d.entries))
+	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
+		if server, listed := d.Get(id); listed {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
