platformtest: links between a host and the servers that can be cut

The stand-in network could not cut one host's links to the servers: tests dialled servers directly, and the soak has one proxy a server for all hosts. Requests and calls about keys now dial through an interface, and platformtest.Links implements it with links that drop packets (both ways or one way), reset connections, or refuse new ones while open ones live on.

No change of behaviour: without a dialer the system's is used, with the same time-outs. gateway, platform, link, router: tests pass.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -22,6 +23,7 @@
 	"cicadarouter/contract/objects"
 	"cicadarouter/fleet"
 	"cicadarouter/host/clock"
+	"cicadarouter/link/backendlink"
 	"cicadarouter/poison"
 	"cicadarouter/routing"
 )
@@ -65,6 +67,9 @@
 	Registry adapter.Registry
 	Codec    adapter.Codec
 	Keys     adapter.Keys
+	// ServerDialer opens the connections that carry requests to backend servers; nil selects
+	// the system's.
+	ServerDialer backendlink.Dialer
 }
 
 // Gateway is the daemon of one host. It is safe for concurrent use.
@@ -74,6 +79,7 @@
 	registry  adapter.Registry
 	store     objects.Store
 	keys      adapter.Keys
+	dialer    backendlink.Dialer // to backend servers
 	clock     clock.Clock
 	bootClock clock.Clock
 	log       *log.Logger
@@ -126,6 +132,10 @@
 		directory: fleet.NewDirectory(), services: map[string]*service{},
 		stop: newShutdown(), control: newControl(), freshness: newFreshness(identity.ApplyWithin), sources: newSources(identity), deltas: newDeltaCache(identity), peerClient: newPeerClient(), wake: make(chan struct{}, 1),
 	}
+	g.dialer = platform.ServerDialer
+	if g.dialer == nil {
+		g.dialer = &net.Dialer{}
+	}
 	g.unreadBytes.limit = cmp.Or(identity.ReadAheadLimit, defaultReadAheadTotalBytes)
 	g.metrics.set.NewGauge("cicada_unread_answer_bytes", func() float64 { return float64(g.unreadBytes.used.Load()) })
 	g.evacuationsListed.Store(identity.EvacuateWithin == 0) // without evacuations there is nothing to read
@@ -173,6 +183,7 @@
 // The next distribution passes its servers to it. g.mu must be held.
 func (g *Gateway) newService(name string, keyed bool) *service {
 	s := newService(name, g.identity, keyed, g.now)
+	s.dialer = g.dialer
 	s.requestReservations = g.requestReservations
 	g.directory.MarkAllChanged()
 	return s
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -28,9 +29,10 @@
 // service holds this host's state of one service: its servers, waiting requests and
 // connections.
 type service struct {
-	name string
-	now  func() time.Duration
-	view *keyView // nil for a service that is not sharded by key
+	name   string
+	now    func() time.Duration
+	view   *keyView // nil for a service that is not sharded by key
+	dialer backendlink.Dialer
 
 	mu          sync.Mutex
 	pool        *balance.Pool
@@ -48,7 +50,7 @@
 
 func newService(name string, identity Identity, keyed bool, now func() time.Duration) *service {
 	retryRatio := usedRetryFraction * cmp.Or(identity.RetryRatio, defaultRetryRatio)
-	s := &service{name: name, now: now, conns: map[string]*serverConns{},
+	s := &service{name: name, now: now, dialer: &net.Dialer{}, conns: map[string]*serverConns{},
 		retryBudget: dispatch.NewRetryBudget(retryRatio, 0), keyDemand: map[uint16]time.Duration{}, paces: map[fleet.Incarnation]balance.ServiceTimes{}}
 	reserve := retryReserveFor(identity.RetryReserve, 0)
 	s.retryBudget.SetReserve(reserve.capacity, reserve.initial)
@@ -151,7 +153,7 @@
 	}
 	link := s.conns[server.ID]
 	if link == nil {
-		link = &serverConns{incarnation: server.Incarnation(), pool: backendlink.NewPool(server.Address, maxIdleConnsPerServer, maxWholeResponseBytes)}
+		link = &serverConns{incarnation: server.Incarnation(), pool: backendlink.NewPoolWithDialer(server.Address, maxIdleConnsPerServer, maxWholeResponseBytes, s.dialer)}
 		s.conns[server.ID] = link
 	}
 	return link.pool
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -44,6 +44,7 @@
 	gateway *gateway.Gateway
 	callers *httptest.Server
 	peers   *peerAddress
+	links   *platformtest.Links // to the servers
 	cancel  context.CancelFunc
 	done    func()
 }
@@ -197,13 +198,13 @@
 
 func (s *site) start(setup hostOptions) *hostUnderTest {
 	s.t.Helper()
-	h := &hostUnderTest{peers: setup.peers}
+	h := &hostUnderTest{peers: setup.peers, links: platformtest.NewLinks()}
 	if h.peers == nil {
 		h.peers = s.newPeerAddress()
 	}
 	store := platform.NewStore(setup.store)
 	identity := gateway.Identity{Host: setup.name, Domain: "a", PeerAddress: h.peers.address, Seeds: setup.seeds, FirstStart: setup.firstStart, EvacuateWithin: 5 * time.Second, Incarnation: uint64(len(s.hosts) + 1)}
-	h.gateway = gateway.New(identity, gateway.Platform{Store: store, Registry: platform.Registry{}, Codec: platform.Codec{}, Keys: platform.NewKeys()}, logs.Discard())
+	h.gateway = gateway.New(identity, gateway.Platform{Store: store, Registry: platform.Registry{}, Codec: platform.Codec{}, Keys: platform.NewKeysWithDialer(h.links), ServerDialer: h.links}, logs.Discard())
 	h.peers.process.Store(h.gateway)
 	h.callers = httptest.NewServer(h.gateway)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -52,10 +52,16 @@
 // answers fit, and hundreds of connections use little memory.
 const readBufferBytes = 2048
 
+// Dialer opens connections to servers. *net.Dialer implements it.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Pool holds the idle connections to one server. It is safe for concurrent use.
 // Its callers limit the number of connections in use.
 type Pool struct {
 	address   string
+	dialer    Dialer
 	maxIdle   int
 	maxAnswer int64
 
@@ -78,7 +84,12 @@
 // NewPool returns a pool for the server at an IP address and port. Do fails for
 // answers with more than maxAnswer bytes of body.
 func NewPool(address string, maxIdle int, maxAnswer int64) *Pool {
-	return &Pool{address: address, maxIdle: maxIdle, maxAnswer: maxAnswer}
+	return NewPoolWithDialer(address, maxIdle, maxAnswer, &net.Dialer{})
+}
+
+// NewPoolWithDialer is NewPool with a dialer.
+func NewPoolWithDialer(address string, maxIdle int, maxAnswer int64, dialer Dialer) *Pool {
+	return &Pool{address: address, dialer: dialer, maxIdle: maxIdle, maxAnswer: maxAnswer}
 }
 
 // Address returns the server's IP address and port.
@@ -176,8 +187,9 @@
 }
 
 func (p *Pool) openConn(ctx context.Context) (*conn, error) {
-	dialer := net.Dialer{Timeout: connectTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", p.address)
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	raw, err := p.dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
