gateway: tell a host that reaches no server from one that met several dead ones

Logs and metrics spoke of servers only: a host whose links are cut writes the same lines as one that met four dead servers.

connectivity.Tracker (pure) collects what speaks against the host's own links: servers that accept no connection with no success in between, and several servers that owe answers while none answers. Then a probe opens connections to four servers, half of them of the own failure domain, and keeps them for requests. None accepts: the links are lost; probes go on every 0.2 s until half of them succeed. Only a state, a metric and log lines so far: no request is handled in another way.

A probe costs at most four connections, one second apart at least.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -83,7 +83,9 @@
 		g.metrics.limitedSends.Inc()
 	}
 	stop := context.AfterFunc(ctx, exchange.Abort)
+	g.noteSent(server)
 	result, response := g.sendRequest(ctx, req, server, exchange)
+	g.noteExchangeEnded(server, response != nil)
 	result.serverID, result.sent = server.ID, true
 	if response == nil {
 		stop()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"context"
 	"maps"
 	"net"
 	"net/http"
@@ -101,7 +102,11 @@
 	directory *fleet.Directory
 	services  map[string]*service
 
-	stop              shutdown
+	stop shutdown
+	// background ends with the gateway's background goroutines.
+	background        context.Context
+	endBackground     context.CancelFunc
+	links             *serverLinks
 	control           control
 	freshness         freshness
 	sources           *sources
@@ -130,11 +135,12 @@
 		identity: identity, codec: platform.Codec, registry: platform.Registry, keys: platform.Keys,
 		clock: clock.System(), bootClock: clock.Boot(), log: logger, metrics: newHostMetrics(),
 		directory: fleet.NewDirectory(), services: map[string]*service{},
-		stop: newShutdown(), control: newControl(), freshness: newFreshness(identity.ApplyWithin), sources: newSources(identity), deltas: newDeltaCache(identity), peerClient: newPeerClient(), wake: make(chan struct{}, 1),
+		stop: newShutdown(), links: newServerLinks(), control: newControl(), freshness: newFreshness(identity.ApplyWithin), sources: newSources(identity), deltas: newDeltaCache(identity), peerClient: newPeerClient(), wake: make(chan struct{}, 1),
 	}
-	g.dialer = platform.ServerDialer
-	if g.dialer == nil {
-		g.dialer = &net.Dialer{}
+	g.background, g.endBackground = context.WithCancel(context.Background())
+	g.dialer = trackingDialer{Dialer: platform.ServerDialer, gateway: g}
+	if platform.ServerDialer == nil {
+		g.dialer = trackingDialer{Dialer: &net.Dialer{}, gateway: g}
 	}
 	g.unreadBytes.limit = cmp.Or(identity.ReadAheadLimit, defaultReadAheadTotalBytes)
 	g.metrics.set.NewGauge("cicada_unread_answer_bytes", func() float64 { return float64(g.unreadBytes.used.Load()) })
@@ -145,6 +151,7 @@
 	g.metrics.set.NewGauge("cicada_limited_servers", g.serverLimits.count)
 	g.metrics.set.NewGauge("cicada_leaving_servers", g.leavingServers.count)
 	g.metrics.set.NewGauge("cicada_resting_servers", g.serversInBackoff)
+	g.metrics.set.NewGauge("cicada_links_lost", g.linksLostGauge)
 	g.metrics.set.NewGauge("cicada_store_era", func() float64 { return float64(g.era.Load()) })
 	for _, verdict := range []poison.Verdict{poison.Suspected, poison.Quarantined} {
 		g.metrics.set.NewGauge(`cicada_judged_requests{verdict="`+verdict.String()+`"}`, g.verdictGauge(verdict))
@@ -249,6 +256,16 @@
 	for s, changes := range g.takeServerChanges() {
 		s.updateServers(changes.changed, changes.removed)
 	}
+	g.links.setServers(g.serverCount())
+}
+
+// serverCount returns the number of servers of all services.
+func (g *Gateway) serverCount() int {
+	count := 0
+	for _, s := range g.allServices() {
+		count += s.serverCount()
+	}
+	return count
 }
 
 // serverChanges are the server changes that concern one service.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -25,6 +25,7 @@
 	hostCallsRejected        *metrics.Counter // calls of hosts rejected because the control loop's queue was full
 	requestsAtCrashedServers *metrics.Counter // requests in progress at a server when it crashed
 	quarantinedRequests      *metrics.Counter
+	linkProbes               *metrics.Counter // probes of the links to the servers
 	requestSeconds           *metrics.Histogram
 }
 
@@ -41,6 +42,7 @@
 		limitedSends:             set.NewCounter("cicada_limited_sends_total"),
 		quarantinedRequests:      set.NewCounter("cicada_quarantined_requests_total"),
 		requestsAtCrashedServers: set.NewCounter("cicada_requests_at_servers_that_ended_total"),
+		linkProbes:               set.NewCounter("cicada_link_probes_total"),
 		requestSeconds:           set.NewHistogram("cicada_request_seconds"),
 	}
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -275,6 +275,12 @@
 	s.reserveForWaiting()
 }
 
+func (s *service) serverCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.pool.Servers())
+}
+
 // inFlight returns the number of requests that occupy a slot at one of the servers.
 func (s *service) inFlight() int {
 	s.mu.Lock()
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -35,6 +37,8 @@
 	// addresses are the servers' registered addresses.
 	addresses map[string]string
 	hosts     []*hostUnderTest
+	// runOnce holds the IDs of requests that may run only once.
+	runOnce sync.Map
 	// owners checks the grants of all servers with keys for overlaps.
 	owners platformtest.Owners
 }
@@ -260,16 +264,24 @@
 // call sends a request as a caller would.
 func (s *site) call(h *hostUnderTest, method, path, key, body string) answer {
 	s.t.Helper()
+	return s.callWithin(h, method, path, key, body, 4*time.Second)
+}
+
+// callWithin sends a request as a caller would that waits for a given time.
+func (s *site) callWithin(h *hostUnderTest, method, path, key, body string, timeout time.Duration) answer {
 	id := platformtest.RequestID(h.callers.URL[len("http://"):], time.Now(), requests.Add(1))
 	request, err := http.NewRequest(method, h.callers.URL+path, strings.NewReader(body))
 	assert.NilError(s.t, err)
 	request.Host = "site.example"
 	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Deadline-Ms", "4000")
+	if strings.HasPrefix(path, "/once/") {
+		s.runOnce.Store(id, true)
+	}
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 	if key != "" {
 		request.Header.Set("X-Shard-Key", key)
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	client := &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := client.Do(request)
 	if err != nil {
 		return answer{err: err}
@@ -292,6 +304,43 @@
 	return ok && slices.ContainsFunc(record.Ranges, func(r keyspace.Range) bool { return r.Server == id })
 }
 
+// controller returns the host that the store names as the controller, and another one.
+func (s *site) controller() (controller, other *hostUnderTest) {
+	s.t.Helper()
+	record, ok := s.record()
+	assert.Assert(s.t, ok)
+	for _, h := range s.hosts {
+		if h.peers.address == record.Controller.Address {
+			controller = h
+		} else {
+			other = h
+		}
+	}
+	return controller, other
+}
+
+// noRequestRanTwice checks that each request that may run only once did.
+func (s *site) noRequestRanTwice() {
+	s.t.Helper()
+	counts := map[string]int{}
+	for _, server := range s.servers {
+		for _, run := range server.Runs() {
+			counts[run.RequestID]++
+		}
+	}
+	for id, runs := range counts {
+		_, once := s.runOnce.Load(id)
+		assert.Assert(s.t, runs == 1 || !once, "request %s ran %d times", id, runs)
+	}
+}
+
+// linksLost reports whether the host believes that it has lost its links to all servers.
+func (h *hostUnderTest) linksLost() bool {
+	var page strings.Builder
+	h.gateway.WriteMetrics(&page)
+	return strings.Contains(page.String(), "cicada_links_lost 1\n")
+}
+
 // killController kills the host that the store names as the controller, and removes it from the
 // hosts.
 func (s *site) killController() {
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -8,6 +8,7 @@
 // Start starts the gateway's background goroutines. They end when the context is canceled.
 func (g *Gateway) Start(ctx context.Context) *sync.WaitGroup {
 	var tasks sync.WaitGroup
+	context.AfterFunc(ctx, g.endBackground)
 	tasks.Go(func() { g.followServers(ctx) })
 	tasks.Go(func() { g.followConfiguration(ctx) })
 	if g.identity.EvacuateWithin > 0 {
