--- /dev/null
+++ b/gateway/links_test.go
@@ -0,0 +1,144 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/platform/platformtest"
+)
+
+// linkFaults are the ways in which a host loses its links to the servers.
+var linkFaults = map[string]platformtest.LinkFault{
+	"silent": platformtest.LinksSilent, "one way": platformtest.LinksOneWay,
+	"reset": platformtest.LinksReset, "new connections refused": platformtest.LinksRefuse,
+	"reset and refused": platformtest.LinksResetRefuse,
+}
+
+// contactTime is how long after the loss of its links a host must serve its callers like other
+// hosts.
+const contactTime = 3 * time.Second
+
+// newSiteOfHosts returns a site with six servers of each service, and hosts that are ready.
+func newSiteOfHosts(t *testing.T, hosts int) *site {
+	s := newSite(t)
+	for i := range 6 {
+		s.startServer(fmt.Sprintf("f%d", i), "free", false)
+		s.startServer(fmt.Sprintf("k%d", i), "owned", true)
+	}
+	s.configure(3, "")
+	for i := range hosts {
+		s.startUnready(fmt.Sprintf("h%d", i))
+	}
+	for _, h := range s.hosts {
+		s.eventually("the host is ready", h.gateway.Ready)
+		s.eventually("all keys are served", func() bool {
+			return s.call(h, http.MethodGet, "/keyed/x", "1", "").status == http.StatusOK &&
+				s.call(h, http.MethodGet, "/keyed/x", "60000", "").status == http.StatusOK
+		})
+	}
+	return s
+}
+
+// servedCount counts requests by whether they were served.
+type servedCount struct{ sent, served int }
+
+// callConcurrently sends batches of concurrent requests to a host for a time, as callers do that
+// wait for their answers: idempotent ones, ones that may run once, and ones with keys.
+func (s *site) callConcurrently(h *hostUnderTest, duration time.Duration) servedCount {
+	const (
+		callers = 12
+		pause   = 10 * time.Millisecond
+	)
+	kinds := []struct{ method, path, key string }{{http.MethodGet, "/free/x", ""}, {http.MethodPost, "/once/x", ""}, {http.MethodGet, "/keyed/x", "1"}, {http.MethodGet, "/keyed/x", "60000"}}
+	var mu sync.Mutex
+	var total servedCount
+	var done sync.WaitGroup
+	end := time.Now().Add(duration)
+	for i := range callers {
+		done.Go(func() {
+			for n := i; time.Now().Before(end); n++ {
+				kind := kinds[n%len(kinds)]
+				got := s.callWithin(h, kind.method, kind.path, kind.key, "body", time.Second)
+				mu.Lock()
+				total.sent++
+				if got.err == nil && got.status == http.StatusOK {
+					total.served++
+				}
+				mu.Unlock()
+				time.Sleep(pause)
+			}
+		})
+	}
+	done.Wait()
+	return total
+}
+
+// Guards against callers being refused or left waiting at a host that has lost its links to all
+// servers while other hosts reach them.
+func TestCallersOfHostWithoutLinksToServersAreServed(t *testing.T) {
+	for name, fault := range linkFaults {
+		t.Run(name, func(t *testing.T) {
+			s := newSiteOfHosts(t, 3)
+			cut := s.hosts[0]
+			s.callConcurrently(cut, 200*time.Millisecond)
+			cut.links.SetFault(fault)
+			s.callConcurrently(cut, contactTime)
+			got := s.callConcurrently(cut, time.Second)
+			assert.Assert(t, got.sent-got.served <= 10+got.sent/50, "%d of %d requests were served", got.served, got.sent)
+			s.noRequestRanTwice()
+			cut.links.SetFault(platformtest.LinksUp)
+			s.eventually("the host uses its links again", func() bool { return !cut.linksLost() })
+			got = s.callConcurrently(cut, 500*time.Millisecond)
+			assert.Assert(t, got.sent-got.served <= 10+got.sent/50, "%d of %d requests were served after the links were restored", got.served, got.sent)
+		})
+	}
+}
+
+// Guards against the leases of all keys running out because their controller has lost its links to
+// the servers: the store and the hosts still reach it, so that no other host takes over.
+func TestKeysOutlastControllerWithoutLinksToServers(t *testing.T) {
+	for name, fault := range linkFaults {
+		t.Run(name, func(t *testing.T) {
+			s := newSiteOfHosts(t, 3)
+			controller, other := s.controller()
+			controller.links.SetFault(fault)
+			const leases = 6 * time.Second
+			served := s.callConcurrently(other, leases)
+			assert.Assert(t, served.sent-served.served <= 10+served.sent/50, "%d of %d requests were served at a host with links", served.served, served.sent)
+			for _, server := range s.servers {
+				if server.Keyed {
+					assert.Assert(t, server.HoldsAny(0, 65535), "server %s holds no keys", server.ID)
+				}
+			}
+		})
+	}
+}
+
+// Guards against taking servers for terminated, and requests for their cause at all hosts, because
+// the host's own broken links reset connections and refuse new ones.
+func TestLostLinksBlameNoRequest(t *testing.T) {
+	s := newSite(t)
+	const work = 300 * time.Millisecond
+	for i := range 4 {
+		s.startServer(fmt.Sprintf("f%d", i), "free", false).Work = work
+	}
+	s.configureKeyless(3)
+	cut := s.startHost("h0")
+	for range 3 {
+		cut.links.SetFault(platformtest.LinksUp)
+		s.eventually("the host uses its links", func() bool { return !cut.linksLost() })
+		var done sync.WaitGroup
+		for i := range 4 {
+			done.Go(func() { s.callWithin(cut, http.MethodGet, fmt.Sprintf("/free/%d", i), "", "", time.Second) })
+		}
+		time.AfterFunc(work/2, func() { cut.links.SetFault(platformtest.LinksResetRefuse) })
+		done.Wait()
+	}
+	assert.Equal(t, cut.metric("cicada_requests_at_servers_that_ended_total"), "0")
+	assert.Equal(t, cut.metric(`cicada_judged_requests{verdict="suspected"}`), "0")
+}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -334,13 +334,21 @@
 	}
 }
 
-// linksLost reports whether the host believes that it has lost its links to all servers.
-func (h *hostUnderTest) linksLost() bool {
+// metric returns the value of a metric; empty if the host has none of this name.
+func (h *hostUnderTest) metric(name string) string {
 	var page strings.Builder
 	h.gateway.WriteMetrics(&page)
-	return strings.Contains(page.String(), "cicada_links_lost 1\n")
+	for line := range strings.Lines(page.String()) {
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			return strings.TrimSpace(value)
+		}
+	}
+	return ""
 }
 
+// linksLost reports whether the host believes that it has lost its links to all servers.
+func (h *hostUnderTest) linksLost() bool { return h.metric("cicada_links_lost") == "1" }
+
 // killController kills the host that the store names as the controller, and removes it from the
 // hosts.
 func (s *site) killController() {
