gateway: a host that has lost its links to all servers forwards its callers' requests

Cause: a host had no way to a server but its own links, and took each failure for the server's. A request went from one unreachable server to the next, 300 ms each, or waited for its deadline on a silent connection.

Change: while the links to all servers are lost, requests are forwarded to other hosts, peers, which handle them like those of their own callers, with the same deadline, the attempts that are left, and the same version of the configuration. A peer never forwards on. It declines if it shuts down, has lost its links too, or has another configuration; a declined request has not run and is offered to the next of at most four peers. One that a peer received and did not answer may have run: 502, not forwarded again. If no peer takes it the caller is told at once, with the time until one may. Requests that waited for a server, and idempotent ones on silent connections, are forwarded when the loss is found.

Controllers name the peers with their answers to reports: hosts that report themselves available, of the own failure domain first, at most 12, chosen so that the list of a host rarely changes; a list travels only if the host does not have it. At shutdown a host waits for forwarded requests like for its own.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -55,16 +55,21 @@
 const maxStrayResponses = 2
 
 // attempt sends the request to one server and reads the response. The server's slot is
-// released when the response has been read to its end.
-func (g *Gateway) attempt(ctx context.Context, req *request, server *balance.Server, link *backendlink.Pool) attemptResult {
+// released when the response has been read to its end. links ends if the links to all servers
+// are lost: the connection may then stay silent, so an idempotent request is aborted.
+func (g *Gateway) attempt(ctx, links context.Context, req *request, server *balance.Server, link *backendlink.Pool) attemptResult {
 	startedAt := g.now()
 	req.triedServers = append(req.triedServers, server.ID)
-	exchange, err := link.Begin(ctx)
+	exchange, err := beginExchange(ctx, req, link)
 	if err != nil {
 		result := g.connectFailure(ctx, err)
 		result.serverID = server.ID
 		g.noteConnectError(server, err)
-		g.checkForRestart(ctx, req, server)
+		if links.Err() == nil && !req.openConnsOnly {
+			g.checkForRestart(ctx, req, server)
+		} else {
+			result.outcome = balance.Abandoned // the link is at fault, not the server
+		}
 		req.service.releaseServer(server, result.poolResult(req, 0))
 		return result
 	}
@@ -83,10 +88,19 @@
 		g.metrics.limitedSends.Inc()
 	}
 	stop := context.AfterFunc(ctx, exchange.Abort)
+	stopOnLoss := func() bool { return false }
+	if req.route.Idempotent {
+		stopOnLoss = context.AfterFunc(links, exchange.Abort)
+	}
 	g.noteSent(server)
 	result, response := g.sendRequest(ctx, req, server, exchange)
+	stopOnLoss()
 	g.noteExchangeEnded(server, response != nil)
 	result.serverID, result.sent = server.ID, true
+	if response == nil && links.Err() != nil && ctx.Err() == nil {
+		// The host's own links are at fault, not the server.
+		result.outcome, result.unanswered = balance.Abandoned, false
+	}
 	if response == nil {
 		stop()
 		exchange.Abort()
@@ -116,6 +130,14 @@
 	return result
 }
 
+// beginExchange takes an open connection to a server, or opens one unless the request must not.
+func beginExchange(ctx context.Context, req *request, link *backendlink.Pool) (*backendlink.Exchange, error) {
+	if req.openConnsOnly {
+		return link.BeginIdle()
+	}
+	return link.Begin(ctx)
+}
+
 // connectFailure returns the result if no connection could be opened: nothing was sent.
 func (g *Gateway) connectFailure(ctx context.Context, err error) attemptResult {
 	if ctx.Err() != nil {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -391,6 +391,7 @@
 	}
 	g.logAuthority(c, now)
 	c.members.selectRelays(now)
+	g.updateForwardPeers(c, now)
 	if now-c.controllerSince >= memberTimeout { // all live hosts have reported
 		g.updateHostCount(len(c.members.hosts) + 1)
 	}
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -155,6 +155,9 @@
 	case <-stopCtx.Done():
 	}
 	err := callers.Shutdown(stopCtx)
+	if err == nil {
+		err = d.gateway.AwaitForwarded(stopCtx)
+	}
 	if err == nil {
 		return nil
 	}
@@ -162,7 +165,7 @@
 	d.gateway.AbortRequests()
 	abortCtx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 	defer cancel()
-	if err := callers.Shutdown(abortCtx); err != nil {
+	if err := errors.Join(callers.Shutdown(abortCtx), d.gateway.AwaitForwarded(abortCtx)); err != nil {
 		d.log.Warn("aborted requests were not answered before the process ended", "error", err.Error())
 	}
 	return nil
--- /dev/null
+++ b/gateway/forwardpeers.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"cicadarouter/link/backendlink"
+)
+
+// peerList lists hosts that handle forwarded requests. Addresses of the receiving host's own
+// failure domain come first; Local is their number.
+type peerList struct {
+	Addresses []string `json:"addresses"`
+	Local     int      `json:"local"`
+}
+
+// checksum identifies the list's content; it is 0 for an empty list.
+func (l peerList) checksum() uint64 {
+	if len(l.Addresses) == 0 {
+		return 0
+	}
+	hash := fnv.New64a()
+	for _, address := range l.Addresses {
+		_, _ = hash.Write([]byte(address + ",")) // never fails
+	}
+	_, _ = hash.Write([]byte{byte(l.Local)})
+	return hash.Sum64()
+}
+
+const (
+	// crossDomainForwards is how many more forwarded requests a peer of the host's own failure
+	// domain takes before one of another domain is preferred: bytes between domains are billed.
+	crossDomainForwards = 3
+	// failedPeerPause is how long a peer that can't be reached, or is shutting down, gets no
+	// requests; declinedPeerPause how long one that has lost its links too.
+	failedPeerPause   = time.Second
+	declinedPeerPause = 400 * time.Millisecond
+	// maxIdleConnsPerPeer bounds the idle connections for forwarded requests to one peer.
+	maxIdleConnsPerPeer = 16
+)
+
+// forwardPeers are the hosts to which this one forwards requests.
+type forwardPeers struct {
+	mu    sync.Mutex
+	list  peerList
+	peers map[string]*forwardPeer
+}
+
+// forwardPeer is the state of one host.
+type forwardPeer struct {
+	conns      *backendlink.Pool
+	inFlight   int
+	avoidUntil time.Duration
+}
+
+func newForwardPeers() *forwardPeers { return &forwardPeers{peers: map[string]*forwardPeer{}} }
+
+// update replaces the list, and closes the idle connections to hosts that it no longer names.
+func (p *forwardPeers) update(list peerList) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = list
+	for address, peer := range p.peers {
+		if peer.inFlight == 0 && !slices.Contains(list.Addresses, address) {
+			peer.conns.Close()
+			delete(p.peers, address)
+		}
+	}
+}
+
+// checksum returns the checksum of the list.
+func (p *forwardPeers) checksum() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list.checksum()
+}
+
+// acquire returns the address and the connections of the peer with the fewest requests of this
+// host, and counts one more. fallback holds the hosts to use while no list is known. If there is no
+// peer, wait is the time until one may be used again, 0 if unknown.
+func (p *forwardPeers) acquire(now time.Duration, fallback, excluded []string) (address string, conns *backendlink.Pool, wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	candidates, local := p.list.Addresses, p.list.Local
+	if len(candidates) == 0 {
+		candidates, local = fallback, len(fallback)
+	}
+	var best *forwardPeer
+	minCost := 0
+	for i, each := range candidates {
+		if slices.Contains(excluded, each) {
+			continue
+		}
+		peer := p.peer(each)
+		if left := peer.avoidUntil - now; left > 0 {
+			if wait == 0 || left < wait {
+				wait = left
+			}
+			continue
+		}
+		cost := peer.inFlight
+		if i >= local {
+			cost += crossDomainForwards
+		}
+		if best == nil || cost < minCost {
+			best, minCost, address = peer, cost, each
+		}
+	}
+	if best == nil {
+		return "", nil, wait
+	}
+	best.inFlight++
+	return address, best.conns, 0
+}
+
+func (p *forwardPeers) peer(address string) *forwardPeer {
+	peer := p.peers[address]
+	if peer == nil {
+		peer = &forwardPeer{conns: backendlink.NewPool(address, maxIdleConnsPerPeer, maxWholeResponseBytes)}
+		p.peers[address] = peer
+	}
+	return peer
+}
+
+// release ends a request at a peer. The peer gets no more requests for the given time.
+func (p *forwardPeers) release(now time.Duration, address string, pause time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer := p.peers[address]
+	if peer == nil {
+		return
+	}
+	peer.inFlight--
+	if pause > 0 {
+		peer.avoidUntil = now + pause
+	}
+}
--- /dev/null
+++ b/gateway/forwardpeers_test.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cicadarouter/host/logs"
+	"cicadarouter/routing"
+)
+
+// A host declines forwarded requests that another one can handle better.
+func TestForwardedRequestIsDeclined(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		prepare  func(*Gateway)
+		declined string
+	}{
+		{"not configured", func(*Gateway) {}, "no-configuration"},
+		{"older configuration", func(g *Gateway) { g.configuration.Update(&routing.Configuration{Version: 6}) }, outcomeConfigurationDiffers},
+		{"newer configuration", func(g *Gateway) { g.configuration.Update(&routing.Configuration{Version: 8}) }, outcomeConfigurationDiffers},
+		{"links lost", func(g *Gateway) {
+			g.configuration.Update(&routing.Configuration{Version: 7})
+			g.links.probed(0, 0, 4)
+		}, outcomeLinksLost},
+		{"shutting down", func(g *Gateway) {
+			g.configuration.Update(&routing.Configuration{Version: 7})
+			g.Stop(time.Second)
+		}, outcomeStopping},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := New(Identity{Host: "h"}, Platform{}, logs.Discard())
+			c.prepare(g)
+			request := httptest.NewRequest(http.MethodGet, "/x", nil)
+			request.Header.Set(headerForward, `{"host":"other","configuration":7}`)
+			recorded := httptest.NewRecorder()
+			g.PeerHandler().ServeHTTP(recorded, request)
+			assert.Equal(t, recorded.Code, http.StatusServiceUnavailable)
+			assert.Equal(t, recorded.Header().Get(headerForwardResult), fmt.Sprintf(`{"outcome":%q,"declined":true}`, c.declined))
+		})
+	}
+}
+
+func TestForwardedRequestWithInvalidHeader(t *testing.T) {
+	g := New(Identity{Host: "h"}, Platform{}, logs.Discard())
+	request := httptest.NewRequest(http.MethodGet, "/x", nil)
+	request.Header.Set(headerForward, "none")
+	recorded := httptest.NewRecorder()
+	g.PeerHandler().ServeHTTP(recorded, request)
+	assert.Equal(t, recorded.Code, http.StatusBadRequest)
+}
+
+func ringOf(domains, hostsPerDomain int) *forwardRing {
+	ring := newForwardRing()
+	for domain := range domains {
+		for host := range hostsPerDomain {
+			ring.add(fmt.Sprint("d", domain), fmt.Sprintf("d%d-h%d", domain, host))
+		}
+	}
+	ring.build()
+	return &ring
+}
+
+// Each host gets a bounded number of peers, of its own domain first, and all hosts get about
+// equally many others to serve.
+func TestForwardRingSpreadsHosts(t *testing.T) {
+	const domains, perDomain = 3, 100
+	ring := ringOf(domains, perDomain)
+	served := map[string]int{}
+	for domain := range domains {
+		for host := range perDomain {
+			self := fmt.Sprintf("d%d-h%d", domain, host)
+			list := ring.peersFor(self, fmt.Sprint("d", domain))
+			assert.Equal(t, len(list.Addresses), maxForwardPeers)
+			assert.Equal(t, list.Local, maxLocalForwardPeers)
+			assert.Assert(t, !slices.Contains(list.Addresses, self))
+			for i, address := range list.Addresses {
+				assert.Equal(t, strings.HasPrefix(address, fmt.Sprint("d", domain, "-")), i < list.Local)
+				served[address]++
+			}
+		}
+	}
+	for address, count := range served {
+		assert.Assert(t, count <= 4*maxForwardPeers, "%s serves %d hosts", address, count)
+	}
+}
+
+// Guards against sending new lists to all hosts of a large fleet whenever one host comes or goes.
+func TestForwardRingChangesFewLists(t *testing.T) {
+	const perDomain = 100
+	before, after := ringOf(3, perDomain), ringOf(3, perDomain+1)
+	changed := 0
+	for host := range perDomain {
+		self := fmt.Sprintf("d0-h%d", host)
+		if before.peersFor(self, "d0").checksum() != after.peersFor(self, "d0").checksum() {
+			changed++
+		}
+	}
+	assert.Assert(t, changed <= 3*maxForwardPeers, "%d of %d lists changed", changed, perDomain)
+}
+
+func TestForwardRingOfFewHosts(t *testing.T) {
+	ring := ringOf(2, 1)
+	assert.DeepEqual(t, ring.peersFor("d0-h0", "d0"), peerList{Addresses: []string{"d1-h0"}})
+	assert.Equal(t, len(ring.peersFor("d9-h0", "d9").Addresses), 2)
+	empty := newForwardRing()
+	assert.Equal(t, empty.peersFor("x", "d").checksum(), uint64(0))
+}
+
+// The peer with the fewest requests is used, of the own domain unless it has several more, and not
+// soon after it has failed.
+func TestForwardPeerIsChosen(t *testing.T) {
+	peers := newForwardPeers()
+	peers.update(peerList{Addresses: []string{"near", "far"}, Local: 1})
+	var order []string
+	for range 2 * crossDomainForwards {
+		address, _, _ := peers.acquire(0, nil, nil)
+		order = append(order, address)
+	}
+	assert.DeepEqual(t, order, []string{"near", "near", "near", "near", "far", "near"})
+	address, _, _ := peers.acquire(0, nil, []string{"near"})
+	assert.Equal(t, address, "far")
+	peers.release(0, "near", failedPeerPause)
+	_, conns, wait := peers.acquire(failedPeerPause/4, nil, []string{"far"})
+	assert.Assert(t, conns == nil)
+	assert.Equal(t, wait, 3*failedPeerPause/4)
+	address, _, _ = peers.acquire(failedPeerPause, nil, []string{"far"})
+	assert.Equal(t, address, "near")
+	address, _, _ = newForwardPeers().acquire(0, []string{"seed"}, nil)
+	assert.Equal(t, address, "seed")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,16 +104,19 @@
 
 	stop shutdown
 	// background ends with the gateway's background goroutines.
-	background        context.Context
-	endBackground     context.CancelFunc
-	links             *serverLinks
-	control           control
-	freshness         freshness
-	sources           *sources
-	storeAvailability storeAvailability
-	terminations      terminationTracker
-	serverLimits      noticeLedger[float64] // in requests per second
-	leavingServers    noticeLedger[bool]
+	background    context.Context
+	endBackground context.CancelFunc
+	links         *serverLinks
+	peers         *forwardPeers
+	// forwardedInProgress counts requests that other hosts have forwarded to this one.
+	forwardedInProgress forwardedCount
+	control             control
+	freshness           freshness
+	sources             *sources
+	storeAvailability   storeAvailability
+	terminations        terminationTracker
+	serverLimits        noticeLedger[float64] // in requests per second
+	leavingServers      noticeLedger[bool]
 	// applyLimitsMu ensures that services receive limits in the order in which they changed.
 	applyLimitsMu sync.Mutex
 	// leavingProbedAt is when servers that had announced their shutdown were last probed; used by
@@ -135,7 +138,7 @@
 		identity: identity, codec: platform.Codec, registry: platform.Registry, keys: platform.Keys,
 		clock: clock.System(), bootClock: clock.Boot(), log: logger, metrics: newHostMetrics(),
 		directory: fleet.NewDirectory(), services: map[string]*service{},
-		stop: newShutdown(), links: newServerLinks(), control: newControl(), freshness: newFreshness(identity.ApplyWithin), sources: newSources(identity), deltas: newDeltaCache(identity), peerClient: newPeerClient(), wake: make(chan struct{}, 1),
+		stop: newShutdown(), links: newServerLinks(), peers: newForwardPeers(), control: newControl(), freshness: newFreshness(identity.ApplyWithin), sources: newSources(identity), deltas: newDeltaCache(identity), peerClient: newPeerClient(), wake: make(chan struct{}, 1),
 	}
 	g.background, g.endBackground = context.WithCancel(context.Background())
 	g.dialer = trackingDialer{Dialer: platform.ServerDialer, gateway: g}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -23,16 +23,25 @@
 	// servers is the number of known servers.
 	servers int
 	probing bool
-	// lost is closed while the links to all servers are lost, restored while they are not.
-	lost, restored chan struct{}
+	// lost is done while the links to all servers are lost.
+	lost    context.Context
+	setLost context.CancelFunc
 }
 
 func newServerLinks() *serverLinks {
-	l := &serverLinks{tracker: connectivity.NewTracker(), lost: make(chan struct{}), restored: make(chan struct{})}
-	close(l.restored)
+	l := &serverLinks{tracker: connectivity.NewTracker()}
+	l.lost, l.setLost = context.WithCancel(context.Background())
 	return l
 }
 
+// lostContext returns a context that is done once the links to all servers are lost, or if they
+// are lost already.
+func (l *serverLinks) lostContext() context.Context {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
+
 // areLost reports whether the links to all servers are lost.
 func (l *serverLinks) areLost() bool {
 	l.mu.Lock()
@@ -61,11 +70,9 @@
 	changed = l.tracker.Probed(now, accepted, failed)
 	lost, _ = l.tracker.Lost()
 	if changed && lost {
-		l.restored = make(chan struct{})
-		close(l.lost)
+		l.setLost()
 	} else if changed {
-		l.lost = make(chan struct{})
-		close(l.restored)
+		l.lost, l.setLost = context.WithCancel(context.Background())
 	}
 	return lost, changed
 }
@@ -164,6 +171,9 @@
 		g.metrics.linkProbes.Inc()
 		now := g.now()
 		lost, changed := g.links.probed(now, accepted, failed)
+		if changed {
+			g.wakeControl() // the controller has to know at once
+		}
 		switch {
 		case changed && lost:
 			g.log.Warn("links to all servers are lost", "refused-connections", evidence.FailedServers, "silent-servers", evidence.SilentServers,
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -53,6 +53,11 @@
 	return c.set.GetOrCreateCounter(`cicada_unreadable_notices_total{field="` + field + `"}`)
 }
 
+// forwarded returns the counter of requests that were offered to a peer, by the result.
+func (c *hostMetrics) forwarded(result string) *metrics.Counter {
+	return c.set.GetOrCreateCounter(`cicada_forwarded_requests_total{result="` + result + `"}`)
+}
+
 // inFlight returns the number of requests that occupy a slot at a server.
 func (g *Gateway) inFlight() float64 {
 	total := 0
@@ -68,8 +73,13 @@
 	metrics.WriteProcessMetrics(out)
 }
 
-// countRequest counts a request by its outcome and records its latency.
+// countRequest counts a request by its outcome and records its latency. Requests that another host
+// has forwarded are counted apart, because that host counts them too.
 func (g *Gateway) countRequest(req *request, answer *reply) {
+	if req.forwarded != nil {
+		g.metrics.set.GetOrCreateCounter(`cicada_requests_of_peers_total{outcome="` + answer.outcome + `"}`).Inc()
+		return
+	}
 	g.metrics.set.GetOrCreateCounter(`cicada_requests_total{outcome="` + answer.outcome + `"}`).Inc()
 	g.metrics.requestSeconds.Update((g.now() - req.arrivedAt).Seconds())
 }
@@ -147,6 +157,12 @@
 		fields = append(fields, "fingerprint", req.fingerprint().String(), "servers-ended", answer.judgement.Terminations,
 			"last-end-age-ms", (g.now() - answer.judgement.LastTermination).Milliseconds())
 	}
+	if req.forwarded != nil {
+		fields = append(fields, "forwarded-by", req.forwarded.Host)
+	}
+	if req.forwardedTo != "" {
+		fields = append(fields, "forwarded-to", req.forwardedTo)
+	}
 	if answer.cause != nil {
 		fields = append(fields, "error", answer.cause.Error())
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -34,6 +34,8 @@
 	address, domain string
 	small           bool
 	lastSeen        time.Duration
+	// unavailable is set if the host has lost its links to the servers or is shutting down.
+	unavailable bool
 	// resting are the servers that have asked the host for a long back-off.
 	resting []fleet.Incarnation
 }
@@ -51,12 +53,21 @@
 	// allRelays holds the relays of all domains, interleaved: the first of each domain before the
 	// second of any.
 	allRelays []string
+	ring      forwardRing
+	// ringOutdated is set if a host has become available or unavailable since the ring was built.
+	ringOutdated bool
+	ringBuiltAt  time.Duration
+	ringHasSelf  bool
 }
 
-func newMembers() members { return members{hosts: map[string]member{}} }
+func newMembers() members {
+	return members{hosts: map[string]member{}, ring: newForwardRing(), ringOutdated: true}
+}
 
 // add records a report.
 func (m *members) add(host string, reporting member) {
+	before, known := m.hosts[host]
+	m.ringOutdated = m.ringOutdated || !known || before.unavailable != reporting.unavailable || before.address != reporting.address
 	m.hosts[host] = reporting
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -69,6 +69,10 @@
 	KnownLeaving uint64                    `json:"knownLeaving,omitempty"`
 	// Resting are the service's servers that have asked the host for a long back-off.
 	Resting []fleet.Incarnation `json:"resting,omitempty"`
+	// Unavailable is set if the host handles no forwarded requests.
+	Unavailable bool `json:"unavailable,omitempty"`
+	// KnownPeers is the checksum of the peers that the host knows.
+	KnownPeers uint64 `json:"knownPeers,omitempty"`
 }
 
 // loadAnswer answers a loadReport. It shows the host that the controller is alive.
@@ -102,6 +106,8 @@
 	// Leaving lists which servers have announced their shutdown, up to the change LeavingUpTo.
 	Leaving     []notice.PeerUpdate[bool] `json:"leaving,omitempty"`
 	LeavingUpTo uint64                    `json:"leavingUpTo,omitempty"`
+	// Peers are the hosts to which the host may forward requests, if it does not know them.
+	Peers *peerList `json:"peers,omitempty"`
 }
 
 // yieldRequest asks a controller to step down in favor of a successor with the given term.
@@ -173,7 +179,9 @@
 	load := c.service.takeLoad()
 	report := loadReport{Service: c.service.name, Host: g.identity.Host, Address: g.identity.PeerAddress, Domain: g.identity.Domain,
 		Small: g.identity.Small, Asked: map[uint16]int64{},
-		WorkMicros: load.meanSlotTime.Microseconds(), Paces: load.paces, Resting: c.service.longBackoffs()}
+		WorkMicros: load.meanSlotTime.Microseconds(), Paces: load.paces, Resting: c.service.longBackoffs(),
+		Unavailable: g.unavailable(), KnownPeers: g.peers.checksum()}
+	c.exchanges.reportedUnavailable = report.Unavailable
 	for key, asked := range load.demand {
 		report.Asked[key] = asked.Microseconds()
 	}
@@ -210,6 +218,9 @@
 		g.storeAvailability.markAvailable() // what this host can't read from the store, it gets from the controller
 		g.sources.updateFromController(e.answer.Relays, e.answer.FollowRelays)
 		c.service.setKeyShares(e.answer.Shares)
+		if e.answer.Peers != nil {
+			g.peers.update(*e.answer.Peers)
+		}
 		if e.to.Incarnation == c.answeredBy { // a newer controller gets everything again
 			g.mergeReportedCases(c, e)
 			g.applyReportedLimits(c, e)
@@ -291,7 +302,9 @@
 	}
 	c.machine.Loads().Add(now, asked, time.Duration(report.WorkMicros)*time.Microsecond)
 	c.service.mergePaces(report.Paces)
-	c.members.add(report.Host, member{address: report.Address, domain: report.Domain, small: report.Small, lastSeen: now, resting: report.Resting})
+	c.members.add(report.Host, member{address: report.Address, domain: report.Domain, small: report.Small, lastSeen: now, resting: report.Resting, unavailable: report.Unavailable})
+	g.updateForwardPeers(c, now)
+	answer.Peers = c.members.peersForReport(report)
 	g.mergeCases(report.Cases, report.Host)
 	answer.Cases, answer.CasesUpTo = g.casesFor(report.KnownCases)
 	g.applyLimitNotices(report.Limits, report.Host)
@@ -348,7 +361,13 @@
 	mux.HandleFunc("POST "+pathWatch, g.handleWatch)
 	mux.HandleFunc("POST "+pathList, g.handleList)
 	mux.HandleFunc("POST "+pathSource, g.handleSource)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerForward) != "" {
+			g.serveForwarded(w, r) // on any path, since the path is the caller's
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (g *Gateway) decodePeerRequest(w http.ResponseWriter, r *http.Request, into any) bool {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -96,6 +96,7 @@
 type exchanges struct {
 	cases, limits, leaving exchange
 	reportInFlight         bool // a report has been sent and not answered yet
+	reportedUnavailable    bool // what the last report said
 }
 
 // hasUrgentChanges reports whether this host has changes that the controller needs at once.
@@ -105,6 +106,9 @@
 	if c.exchanges.reportInFlight || now-c.reportedAt < earlyReportInterval {
 		return false
 	}
+	if g.unavailable() != c.exchanges.reportedUnavailable {
+		return true
+	}
 	if g.serverLimits.changeCount() > c.exchanges.limits.sent || g.leavingServers.changeCount() > c.exchanges.leaving.sent {
 		return true
 	}
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -31,6 +31,9 @@
 	awaitedServer string
 	awaitedLimit  float64 // in requests a second
 	cause         error
+	// declined is set in the reply to a forwarded request that this host can't handle although
+	// another one might.
+	declined bool
 }
 
 // Outcomes of requests in logs and metrics.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -53,6 +54,10 @@
 	sendCount         int
 	mayHaveRun        bool                // at least one attempt is not proven not to have run
 	cachedFingerprint *poison.Fingerprint // computed on first use
+	openConnsOnly     bool                // only connections that are open already are used
+	counted           bool                // the request is counted in this service's load and retry budget
+	forwarded         *forwardInfo        // set if another host has forwarded the request
+	forwardedTo       string              // address of the peer that handled the request, or empty
 	// cancel cancels all work for the request; nil before there is any. It is called
 	// after the response has been written, because the rest of a long response is
 	// read from the server until then.
@@ -139,7 +144,6 @@
 	if rejected := g.quarantined(req); rejected != nil {
 		return rejected
 	}
-	req.service.recordRequest(req.key())
 	return g.forward(ctx, req).withPossibleRun(req)
 }
 
@@ -201,12 +205,29 @@
 	return err
 }
 
-// forward sends the request to servers until it has a final reply.
+// forward sends the request to servers until it has a final reply, or to a peer while this host
+// has lost its links to the servers.
 func (g *Gateway) forward(ctx context.Context, req *request) *reply {
 	for {
+		links := g.links.lostContext()
+		if links.Err() != nil {
+			if answer := g.replyWithoutLinks(ctx, req); answer != nil {
+				return answer
+			}
+			links, req.openConnsOnly = context.Background(), true
+		} else {
+			req.openConnsOnly = false
+		}
+		if !req.counted {
+			req.counted = true
+			req.service.recordRequest(req.key())
+		}
 		waiter := &balance.Waiter{Keyed: req.service.view != nil, Key: req.Key, Priority: req.route.Priority,
 			Arrived: req.arrivedAt, Deadline: req.deadline, Objective: req.route.TargetLatency, Timeout: req.Timeout, Tried: req.triedServers, Ready: make(chan struct{})}
-		server, link, err := req.service.acquireServer(ctx, waiter)
+		server, link, err := req.service.acquireServer(ctx, links.Done(), waiter)
+		if errors.Is(err, errLinksLost) {
+			continue
+		}
 		if err != nil {
 			return g.replyWithoutServer(req, err)
 		}
@@ -215,8 +236,14 @@
 			req.service.releaseServer(server, balance.AttemptResult{Outcome: balance.Abandoned})
 			return rejected
 		}
-		result := g.attempt(ctx, req, server, link)
+		result := g.attempt(ctx, links, req, server, link)
 		req.mayHaveRun = req.mayHaveRun || result.sent && !result.notRun
+		if !result.sent && result.notRun && links.Err() != nil {
+			continue // the links were lost while the connection was being opened
+		}
+		if !result.sent && result.notRun && req.openConnsOnly {
+			return rejection(outcomeLinksLost, defaultRetryAfter)
+		}
 		if result.reply != nil && !g.shouldRetry(ctx, req, result) {
 			return result.reply
 		}
@@ -230,6 +257,33 @@
 	}
 }
 
+// replyWithoutLinks returns the reply to a request while this host has lost its links to the
+// servers. It returns nil if the host has to try its own connections: no peer takes the request,
+// but open connections still work.
+func (g *Gateway) replyWithoutLinks(ctx context.Context, req *request) *reply {
+	if req.forwarded != nil {
+		if req.sendCount > req.forwarded.Sends {
+			return rejection(outcomeLinksLost, defaultRetryAfter)
+		}
+		return declined(outcomeLinksLost)
+	}
+	if req.mayHaveRun && (req.sendCount >= req.route.MaxAttempts || req.remainingBody != nil) {
+		return rejection(outcomeLinksLost, defaultRetryAfter)
+	}
+	answer, retryAfter := g.forwardToPeers(ctx, req)
+	if answer != nil {
+		return answer
+	}
+	if g.now()-g.links.lastAnswer() < openConnsTrustedFor {
+		return nil
+	}
+	return rejection(outcomeLinksLost, cmp.Or(retryAfter, defaultRetryAfter))
+}
+
+// openConnsTrustedFor is how long after the last answer of a server open connections are used
+// although new ones can't be opened.
+const openConnsTrustedFor = time.Second
+
 // replyWithoutServer returns the reply to a request that no server was found for.
 func (g *Gateway) replyWithoutServer(req *request, err error) *reply {
 	var rejected *balance.RejectedError
@@ -308,6 +362,14 @@
 
 // newBackendRequest builds the request that is sent to a server.
 func (g *Gateway) newBackendRequest(req *request, server *balance.Server) *http.Request {
+	out := newOutgoingRequest(req)
+	g.codec.WriteDispatch(out.Header, adapter.Dispatch{Server: server.ID, Timeout: req.deadline - g.now()})
+	return out
+}
+
+// newOutgoingRequest builds a request with the method, path, end-to-end headers and body of the
+// caller's.
+func newOutgoingRequest(req *request) *http.Request {
 	in := req.httpRequest
 	out := &http.Request{Method: in.Method, URL: in.URL, Host: in.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: endToEndHeaders(in.Header), ContentLength: in.ContentLength}
@@ -323,7 +385,6 @@
 	default:
 		out.ContentLength = 0
 	}
-	g.codec.WriteDispatch(out.Header, adapter.Dispatch{Server: server.ID, Timeout: req.deadline - g.now()})
 	return out
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -198,9 +199,12 @@
 	return s.retryBudget.TakeRetry()
 }
 
+// errLinksLost reports that the links to the servers were lost while a request waited for one.
+var errLinksLost = errors.New("the links to all servers were lost")
+
 // acquireServer waits for a server and occupies one of its slots. The error is a
-// *balance.RejectedError or the context's error.
-func (s *service) acquireServer(ctx context.Context, waiter *balance.Waiter) (*balance.Server, *backendlink.Pool, error) {
+// *balance.RejectedError, the context's error, or errLinksLost if the channel is closed first.
+func (s *service) acquireServer(ctx context.Context, linksLost <-chan struct{}, waiter *balance.Waiter) (*balance.Server, *backendlink.Pool, error) {
 	s.mu.Lock()
 	s.pool.Enqueue(s.now(), waiter)
 	s.reserveForWaiting()
@@ -209,13 +213,11 @@
 	select {
 	case <-waiter.Ready:
 	case <-ctx.Done():
-		s.mu.Lock()
-		assigned := s.pool.Cancel(waiter)
-		if assigned != nil {
-			s.pool.Done(s.now(), assigned, balance.AttemptResult{Outcome: balance.Abandoned})
-		}
-		s.mu.Unlock()
+		s.cancelWaiter(waiter)
 		return nil, nil, ctx.Err()
+	case <-linksLost:
+		s.cancelWaiter(waiter)
+		return nil, nil, errLinksLost
 	}
 	if waiter.Rejected != nil {
 		return nil, nil, waiter.Rejected
@@ -230,6 +232,16 @@
 	return waiter.Server, link, nil
 }
 
+// cancelWaiter removes a request from the queue, and releases the server that it may have been assigned
+// meanwhile.
+func (s *service) cancelWaiter(waiter *balance.Waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if assigned := s.pool.Cancel(waiter); assigned != nil {
+		s.pool.Done(s.now(), assigned, balance.AttemptResult{Outcome: balance.Abandoned})
+	}
+}
+
 // mayHaveEndedAsPlanned reports whether a server that did not respond may have ended as planned, for
 // which no request is to blame. That is so if the server is leaving, or if the connection broke
 // after its registry entry was removed, as happens when a server leaves without announcing it.
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -60,8 +60,57 @@
 	address string
 	// process handles the calls; nil while none runs.
 	process atomic.Pointer[gateway.Gateway]
-	// reports counts the reports received from other hosts.
-	reports atomic.Int64
+	// reports counts the reports received from other hosts, forwards the forwarded requests.
+	reports, forwards atomic.Int64
+	// fault is the peerFault that applies to forwarded requests.
+	fault atomic.Int32
+}
+
+// peerFault is a fault of a host that handles forwarded requests.
+type peerFault int
+
+// Faults of peers.
+const (
+	peerWorks peerFault = iota
+	// peerDropsRequest ends before it handles the request, peerDropsResponse after.
+	peerDropsRequest
+	peerDropsResponse
+	// peerTruncatesResponse ends in the middle of its response.
+	peerTruncatesResponse
+	// peerIsForeign answers like a program that knows no forwarded requests.
+	peerIsForeign
+	// peerDeclines behaves like a host that is shutting down.
+	peerDeclines
+	peerFaults
+)
+
+// serveForwarded handles a forwarded request with the host's fault.
+func (p *peerAddress) serveForwarded(w http.ResponseWriter, r *http.Request, handler http.Handler) {
+	p.forwards.Add(1)
+	switch peerFault(p.fault.Load()) {
+	case peerDropsRequest:
+		panic(http.ErrAbortHandler)
+	case peerDropsResponse:
+		handler.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	case peerTruncatesResponse:
+		whole := httptest.NewRecorder()
+		handler.ServeHTTP(whole, r)
+		for name, values := range whole.Header() {
+			w.Header()[name] = values
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(whole.Body.Len()+1))
+		w.WriteHeader(whole.Code)
+		_, _ = w.Write(whole.Body.Bytes()) // the host may have disconnected
+		panic(http.ErrAbortHandler)
+	case peerIsForeign:
+		http.NotFound(w, r)
+	case peerDeclines:
+		w.Header().Set("Cicada-Forward-Result", `{"outcome":"host-stopping","declined":true}`)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		handler.ServeHTTP(w, r)
+	}
 }
 
 func (s *site) newPeerAddress() *peerAddress {
@@ -84,6 +133,10 @@
 	if r.URL.Path == "/keys/load" {
 		p.reports.Add(1)
 	}
+	if r.Header.Get("Cicada-Forward") != "" {
+		p.serveForwarded(w, r, process.PeerHandler())
+		return
+	}
 	process.PeerHandler().ServeHTTP(w, r)
 }
 
@@ -269,7 +322,13 @@
 
 // callWithin sends a request as a caller would that waits for a given time.
 func (s *site) callWithin(h *hostUnderTest, method, path, key, body string, timeout time.Duration) answer {
-	id := platformtest.RequestID(h.callers.URL[len("http://"):], time.Now(), requests.Add(1))
+	got, _ := s.callTraced(h, method, path, key, body, timeout)
+	return got
+}
+
+// callTraced is callWithin that also returns the request's ID.
+func (s *site) callTraced(h *hostUnderTest, method, path, key, body string, timeout time.Duration) (got answer, id string) {
+	id = platformtest.RequestID(h.callers.URL[len("http://"):], time.Now(), requests.Add(1))
 	request, err := http.NewRequest(method, h.callers.URL+path, strings.NewReader(body))
 	assert.NilError(s.t, err)
 	request.Host = "site.example"
@@ -284,11 +343,11 @@
 	client := &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := client.Do(request)
 	if err != nil {
-		return answer{err: err}
+		return answer{err: err}, id
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+	return answer{status: response.StatusCode, header: response.Header, body: string(data), err: err}, id
 }
 
 // record returns the assignment of the service with keys that the store holds, if any.
@@ -322,16 +381,21 @@
 // noRequestRanTwice checks that each request that may run only once did.
 func (s *site) noRequestRanTwice() {
 	s.t.Helper()
+	for id, runs := range s.runsByID() {
+		_, once := s.runOnce.Load(id)
+		assert.Assert(s.t, runs == 1 || !once, "request %s ran %d times", id, runs)
+	}
+}
+
+// runsByID returns how often each request ran.
+func (s *site) runsByID() map[string]int {
 	counts := map[string]int{}
 	for _, server := range s.servers {
 		for _, run := range server.Runs() {
 			counts[run.RequestID]++
 		}
 	}
-	for id, runs := range counts {
-		_, once := s.runOnce.Load(id)
-		assert.Assert(s.t, runs == 1 || !once, "request %s ran %d times", id, runs)
-	}
+	return counts
 }
 
 // metric returns the value of a metric; empty if the host has none of this name.
--- a/link/backendlink/exchange.go
+++ b/link/backendlink/exchange.go
@@ -51,6 +51,18 @@
 	return &Exchange{pool: p, conn: c, Reused: c.used, AfterLoss: lost}, nil
 }
 
+// ErrNoIdleConn reports that there is no idle connection that can be used.
+var ErrNoIdleConn = errors.New("no idle connection")
+
+// BeginIdle takes an idle connection and opens none. If it fails, nothing was sent.
+func (p *Pool) BeginIdle() (*Exchange, error) {
+	c, _ := p.takeIdle()
+	if c == nil {
+		return nil, &SendError{Cause: ErrNoIdleConn}
+	}
+	return &Exchange{pool: p, conn: c, Reused: c.used}, nil
+}
+
 // Age returns how long ago the connection was opened. The process that answers on it
 // has been running at least since then.
 func (e *Exchange) Age() time.Duration { return time.Since(e.conn.opened) }
--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -159,15 +159,25 @@
 // takeConn returns an idle connection that is still open, or opens one. lost is set if no idle
 // connection was usable and the server had closed at least one before its timeout.
 func (p *Pool) takeConn(ctx context.Context) (taken *conn, lost bool, err error) {
+	c, lost := p.takeIdle()
+	if c != nil {
+		return c, false, nil
+	}
+	taken, err = p.openConn(ctx)
+	return taken, lost, err
+}
+
+// takeIdle returns an idle connection that is still open, or nil. lost is set if the server had
+// closed at least one before its timeout.
+func (p *Pool) takeIdle() (taken *conn, lost bool) {
 	for {
 		c := p.popIdle()
 		if c == nil {
-			taken, err = p.openConn(ctx)
-			return taken, lost, err
+			return nil, lost
 		}
 		expired := !c.reuseUntil.IsZero() && time.Now().After(c.reuseUntil)
 		if !expired && alive(c.Conn) {
-			return c, false, nil
+			return c, lost
 		}
 		lost = lost || !expired
 		_ = c.Close()
