gateway: a controller that has lost its links to the servers resigns

Callers saw: from 4.3 s after the cut on, requests for keys were refused at all hosts, also at those that reached the servers; 27 of 27 that arrived in second 10 were turned away by servers without leases.

Cause: control passes on when the controller leaves reports unanswered or has no word of the store. This one had both, and no link to a server: its grants failed from 0.6 s after the cut on (218 calls of it in the logs), and the leases of all keys ran out.

Change: a controller whose links to all servers have been lost for 0.7 s, so that all hosts have reported about theirs, resigns like one that shuts down, if any host has reported that it is available. A host without links claims control 2 s later than others.

Why it is safe: this is the resignation of a planned stop, with the same confirmation by the store first; grants that are under way end within 0.6 s and count as before.

New: TestControllerKeepsRoleWhileNoHostHasLinks.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -47,6 +47,9 @@
 	// unreadyClaimDelay is the additional delay before a claim by a host that has not read the
 	// list of servers yet: it could not renew leases.
 	unreadyClaimDelay = 2 * claimSpread
+	// linksLostClaimDelay is the additional delay before a claim by a host that has lost its links
+	// to the servers: it could not renew leases either.
+	linksLostClaimDelay = 2 * time.Second
 	// registrationQuietTime is how long the number of servers must stay unchanged before the
 	// first assignment is made. Servers that start together register over several seconds, and
 	// keys that are reassigned later meet cold caches or have to wait.
@@ -124,7 +127,7 @@
 	exchanges           exchanges
 	schedules           map[fleet.Incarnation]*ratelimit.Schedule // of rate-limited servers, while this process is the controller
 	quarantine          storedQuarantine
-	resigning           bool // this process has been shutting down since resigningSince
+	resigning           bool // this process has been about to resign since resigningSince
 	resigningSince      time.Duration
 }
 
@@ -298,6 +301,9 @@
 	if !g.Ready() {
 		delay += unreadyClaimDelay
 	}
+	if g.links.areLost() {
+		delay += linksLostClaimDelay
+	}
 	if now-c.claimDueSince < delay || !g.mayClaim() {
 		return
 	}
@@ -317,7 +323,11 @@
 // yet: servers take seconds to register, and if thousands of hosts each read all entries
 // meanwhile, they would saturate the store's network link for longer than that.
 func (g *Gateway) claimInitial(ctx context.Context, c *serviceControl, now time.Duration) {
-	if now-c.firstSeen < g.claimDelay(c, 0) || g.storeAvailability.isUnavailable() || !g.mayClaim() {
+	delay := g.claimDelay(c, 0)
+	if g.links.areLost() {
+		delay += linksLostClaimDelay
+	}
+	if now-c.firstSeen < delay || g.storeAvailability.isUnavailable() || !g.mayClaim() {
 		return
 	}
 	record := keyspace.NewUnassignedRecord(g.asController(), g.era.Load())
@@ -372,8 +382,29 @@
 	return holders
 }
 
-// stepAsController runs one step as the controller of a service.
+// stepAsController runs one step as the controller of a service, or resigns if another host can
+// reach the servers and this one can't.
 func (g *Gateway) stepAsController(ctx context.Context, c *serviceControl) {
+	if g.shouldResign(c) {
+		g.resign(ctx, c, "links to all servers are lost")
+		return
+	}
+	c.resigning = false
+	g.runAssignment(ctx, c)
+}
+
+// resignAfterLinksLost is how long the links must have been lost before a controller resigns. By
+// then every host has reported whether its own links are lost.
+const resignAfterLinksLost = reportInterval + 200*time.Millisecond
+
+// shouldResign reports whether this controller can't renew leases but another host could. The store
+// and the hosts still reach it, so nobody would take over.
+func (g *Gateway) shouldResign(c *serviceControl) bool {
+	return !c.machine.Record().Keyless && g.links.lostFor(g.now()) >= resignAfterLinksLost && c.members.anyAvailable(g.bootClock.Now())
+}
+
+// runAssignment runs one step of the assignment of a service's keys.
+func (g *Gateway) runAssignment(ctx context.Context, c *serviceControl) {
 	now := g.bootClock.Now()
 	record, revision := c.service.view.latest()
 	if record != nil && revision > c.revision && !g.isOwnRecord(record) {
@@ -463,7 +494,7 @@
 
 func (g *Gateway) stepDown(c *serviceControl, why, successor string) {
 	g.log.Info("control given up", "service", c.service.name, "why", why, "successor", successor)
-	c.machine, c.writeInFlight, c.confirmInFlight, c.authorityLost = nil, false, false, false
+	c.machine, c.writeInFlight, c.confirmInFlight, c.authorityLost, c.resigning = nil, false, false, false, false
 	c.members, c.schedules = newMembers(), nil
 	c.answeredAt = g.bootClock.Now()
 }
@@ -487,22 +518,26 @@
 // before it writes its resignation, and must not resume if that write fails, since it may still
 // take effect. Therefore the store has to confirm the controller once more first.
 func (g *Gateway) resignAll(ctx context.Context) {
-	now := g.bootClock.Now()
 	for _, c := range g.control.services {
-		if c.machine == nil {
-			continue
-		}
-		if !c.resigning {
-			c.resigning, c.resigningSince, c.confirmStarted = true, now, 0
-		}
-		if c.machine.ConfirmedAge(now) > now-c.resigningSince {
-			g.stepAsController(ctx, c)
-			continue
+		if c.machine != nil {
+			g.resign(ctx, c, "this process stops")
 		}
-		record := c.machine.Record().Clone()
-		record.Controller.Resigned = true
-		revision := c.revision
-		g.stepDown(c, "this process stops", "")
-		g.startResign(ctx, c, record, revision)
 	}
 }
+
+// resign stops this process as the controller of a service once the store has confirmed it again.
+func (g *Gateway) resign(ctx context.Context, c *serviceControl, why string) {
+	now := g.bootClock.Now()
+	if !c.resigning {
+		c.resigning, c.resigningSince, c.confirmStarted = true, now, 0
+	}
+	if c.machine.ConfirmedAge(now) > now-c.resigningSince {
+		g.runAssignment(ctx, c)
+		return
+	}
+	record := c.machine.Record().Clone()
+	record.Controller.Resigned = true
+	revision := c.revision
+	g.stepDown(c, why, "")
+	g.startResign(ctx, c, record, revision)
+}
--- a/gateway/forwardring.go
+++ b/gateway/forwardring.go
@@ -109,6 +109,16 @@
 	m.ring.build()
 }
 
+// anyAvailable reports whether a host has recently reported that it handles forwarded requests.
+func (m *members) anyAvailable(now time.Duration) bool {
+	for _, each := range m.hosts {
+		if !each.unavailable && now-each.lastSeen <= memberTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // unavailable reports whether this host handles no forwarded requests.
 func (g *Gateway) unavailable() bool { return g.stop.stopping() || g.links.areLost() }
 
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -50,6 +50,16 @@
 	return lost
 }
 
+// lostFor returns how long the links to all servers have been lost; 0 if they are not.
+func (l *serverLinks) lostFor(now time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if lost, since := l.tracker.Lost(); lost {
+		return now - since
+	}
+	return 0
+}
+
 // startProbe reports whether a probe is due that no other caller has started.
 func (l *serverLinks) startProbe(now time.Duration) (connectivity.Evidence, bool) {
 	l.mu.Lock()
--- a/gateway/links_test.go
+++ b/gateway/links_test.go
@@ -119,6 +119,26 @@
 	}
 }
 
+// Guards against control changing hands again and again while no host reaches the servers.
+func TestControllerKeepsRoleWhileNoHostHasLinks(t *testing.T) {
+	s := newSiteOfHosts(t, 3)
+	for _, h := range s.hosts {
+		s.loseLinks(h)
+	}
+	before, _ := s.record()
+	s.callConcurrently(s.hosts[0], 4*time.Second)
+	after, _ := s.record()
+	assert.Assert(t, after.Term <= before.Term+1, "the term went from %d to %d", before.Term, after.Term)
+	for _, h := range s.hosts {
+		h.links.SetFault(platformtest.LinksUp)
+	}
+	for _, h := range s.hosts {
+		s.eventually("all keys are served again", func() bool {
+			return s.call(h, http.MethodGet, "/keyed/x", "1", "").status == http.StatusOK
+		})
+	}
+}
+
 // Guards against taking servers for terminated, and requests for their cause at all hosts, because
 // the host's own broken links reset connections and refuse new ones.
 func TestLostLinksBlameNoRequest(t *testing.T) {
