gateway: a refused connection proves no termination while no other server is reached

A host took a connection that was reset during a request, and a new one that was refused, for the end of the server's process, and told all hosts that the request was there at the time. A cut link does both.

With one server in all nothing can be compared, and a refusal counts as before.

A cut of the paths to some servers only is not told from their end; answers of a server still clear the requests that were held against it.

Two mutants follow the code that they break.

--- a/gateway/links.go
+++ b/gateway/links.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -232,6 +233,27 @@
 	return accepted, failed
 }
 
+// reachesAnotherServer reports whether any of a few servers other than the one at the address accepts
+// a connection. It returns true if no other server is known.
+func (g *Gateway) reachesAnotherServer(address string) bool {
+	if g.links.areLost() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(g.background, connectCheckTimeout)
+	defer cancel()
+	sample := slices.DeleteFunc(g.sampleServers(), func(pool *backendlink.Pool) bool { return pool.Address() == address })
+	results := make(chan error, len(sample))
+	for _, pool := range sample {
+		go func() { results <- pool.Connect(ctx) }()
+	}
+	for range sample {
+		if <-results == nil {
+			return true
+		}
+	}
+	return len(sample) == 0
+}
+
 // probeTimeout bounds a probe; connections take about 1 ms.
 const probeTimeout = 400 * time.Millisecond
 
--- a/gateway/links_test.go
+++ b/gateway/links_test.go
@@ -159,6 +159,6 @@
 		time.AfterFunc(work/2, func() { cut.links.SetFault(platformtest.LinksResetRefuse) })
 		done.Wait()
 	}
-	assert.Equal(t, cut.metric("cicada_requests_at_servers_that_ended_total"), "0")
-	assert.Equal(t, cut.metric(`cicada_judged_requests{verdict="suspected"}`), "0")
+	assert.Equal(t, metric(cut, "cicada_requests_at_servers_that_ended_total"), "0")
+	assert.Equal(t, metric(cut, `cicada_judged_requests{verdict="suspected"}`), "0")
 }
--- a/gateway/serverends.go
+++ b/gateway/serverends.go
@@ -66,11 +66,30 @@
 }
 
 // noteConnectError records the result of opening a connection. A refused connection proves that
-// no process listens there any more; any other failure may be due to the network.
+// no process listens there any more, unless it was this host's link that refused it: then other
+// servers can't be reached either. Any other failure may be due to the network.
 func (g *Gateway) noteConnectError(server *balance.Server, err error) {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		g.noteTerminated(server.Incarnation(), "connection refused")
+	if !errors.Is(err, syscall.ECONNREFUSED) || !g.terminations.awaitsProof(server.Incarnation()) {
+		return
+	}
+	if !g.reachesAnotherServer(server.Address) {
+		if g.failureLogLimit.allow() {
+			g.log.Info("refused connection proves nothing: this host reaches no other server either", "server", server.Incarnation().String())
+		}
+		return
+	}
+	g.noteTerminated(server.Incarnation(), "connection refused")
+}
+
+// awaitsProof reports whether the termination of a server would matter: it left a request unanswered
+// and is not known to have terminated.
+func (e *terminationTracker) awaitsProof(server fleet.Incarnation) bool {
+	if !e.tracking.Load() {
+		return false
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.unanswered.AwaitsProof(server)
 }
 
 // aliveSpan returns the time span during which a server's process must have been running, given
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -398,20 +398,8 @@
 	return counts
 }
 
-// metric returns the value of a metric; empty if the host has none of this name.
-func (h *hostUnderTest) metric(name string) string {
-	var page strings.Builder
-	h.gateway.WriteMetrics(&page)
-	for line := range strings.Lines(page.String()) {
-		if value, found := strings.CutPrefix(line, name+" "); found {
-			return strings.TrimSpace(value)
-		}
-	}
-	return ""
-}
-
 // linksLost reports whether the host believes that it has lost its links to all servers.
-func (h *hostUnderTest) linksLost() bool { return h.metric("cicada_links_lost") == "1" }
+func (h *hostUnderTest) linksLost() bool { return metric(h, "cicada_links_lost") == "1" }
 
 // killController kills the host that the store names as the controller, and removes it from the
 // hosts.
--- a/poison/witness.go
+++ b/poison/witness.go
@@ -119,6 +119,12 @@
 	return blamed
 }
 
+// AwaitsProof reports whether a server has been observed and is not known to have terminated.
+func (t *UnansweredTracker) AwaitsProof(server fleet.Incarnation) bool {
+	state := t.servers[server]
+	return state != nil && !state.terminated
+}
+
 // UnansweredServers returns the IDs and addresses of the servers that have unanswered requests and
 // are not known to have terminated.
 func (t *UnansweredTracker) UnansweredServers() (ids, addresses map[string]bool) {
--- a/tools/mutants/poison.go
+++ b/tools/mutants/poison.go
@@ -41,7 +41,7 @@
 
 		host("quarantine.go", "reject no quarantined request", "	if judged.Verdict != poison.Quarantined {", "	if true {"),
 		host("request.go", "send quarantined requests that waited", "		if rejected := g.quarantined(req); rejected != nil {\n			req.service.releaseServer", "		if rejected := g.quarantined(req); false {\n			req.service.releaseServer"),
-		host("request.go", "queue requests before rejecting them", "	if rejected := g.quarantined(req); rejected != nil {\n		return rejected\n	}\n	req.service.recordRequest", "	req.service.recordRequest"),
+		host("request.go", "queue requests before rejecting them", "	if rejected := g.quarantined(req); rejected != nil {\n		return rejected\n	}\n	return g.forward(", "	return g.forward("),
 		host("request.go", "retry suspected requests", "	if result.unanswered && g.judge(req).Verdict >= poison.Suspected {", "	if false {"),
 		host("request.go", "forget an attempt that may have run", "		req.mayHaveRun = req.mayHaveRun || result.sent && !result.notRun\n", ""),
 		host("quarantine.go", "send no cases to the controller", "	report.Cases, upTo = g.terminations.ledger.ChangesSince(", "	_, upTo = g.terminations.ledger.ChangesSince("),
@@ -50,7 +50,7 @@
 		host("serverends.go", "blame recently answered requests", "	if g.terminations.answered.Contains(g.now(), blame.Request) {", "	if false {"),
 		host("service.go", "blame requests for planned shutdowns", "return server.Leaving() || brokeOff &&", "return brokeOff &&"),
 		host("service.go", "blame requests for terminations after the entry was removed", "return server.Leaving() || brokeOff &&", "return server.Leaving() || false &&"),
-		host("serverends.go", "ignore refused connections", "	if errors.Is(err, syscall.ECONNREFUSED) {", "	if errors.Is(err, syscall.ECONNREFUSED) && false {"),
+		host("serverends.go", "ignore refused connections", "	if !errors.Is(err, syscall.ECONNREFUSED) || ", "	if true || "),
 		host("control.go", "write nothing to the store", "	g.syncQuarantine(ctx, c, now)\n", ""),
 		host("quarantinestore.go", "ignore requests released by an operator", "	for _, released := range content.Released {", "	for _, released := range content.Released[:0] {"),
 		host("quarantinestore.go", "read nothing back from the store", "	g.mergeCases(content.cases(wall), \"the store\")\n", ""),
