gateway: what a cut link said of servers ends with the cut

Found by reading, no harm to callers was measured: attempts over a cut link count as failures of the servers, which are then avoided for up to 3 s, get one request at a time and are charged a failure rate. When the links are restored, servers whose last attempt could not reach them are as before. The test fails without it: the second request waits.

Rates of servers that answered, service times and loads are kept: they come from answers only.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -429,6 +429,15 @@
 	}
 }
 
+// ForgetUnreachable withdraws what failed connections have said about the servers, because the host's
+// own links were at fault.
+func (p *Pool) ForgetUnreachable(now time.Duration) {
+	for _, server := range p.servers.sorted {
+		server.forgetUnreachable()
+	}
+	p.Dispatch(now)
+}
+
 // findServer returns the server with this incarnation, or nil if it is not the current one.
 func (p *Pool) findServer(incarnation fleet.Incarnation) *Server {
 	server := p.servers.byID[incarnation.ID]
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -476,3 +476,21 @@
 		assert.Equal(t, w.Rejected.RetryAfter, want)
 	}
 }
+
+// Guards against avoiding servers after the host's own links, which were at fault, work again.
+func TestServersAreUsedAgainAfterLinksAreRestored(t *testing.T) {
+	p := newTestPool(fleet.Server{ID: "a", Domain: "home", Slots: 2})
+	now := time.Duration(0)
+	for range 6 {
+		w := enqueue(p, now, Waiter{Deadline: now + time.Second})
+		assert.Assert(t, w.isReady())
+		p.Done(now, w.Server, AttemptResult{Outcome: Unreachable})
+		now += 20 * ms
+	}
+	p.ForgetUnreachable(now)
+	for range 2 {
+		w := enqueue(p, now, Waiter{Deadline: now + time.Second})
+		assert.Assert(t, w.isReady(), "the server takes one request at a time")
+	}
+	assert.Assert(t, p.Servers()[0].reachable(now))
+}
--- a/balance/server.go
+++ b/balance/server.go
@@ -289,6 +289,14 @@
 	s.unreached++
 }
 
+// forgetUnreachable withdraws what failed connections have said about the server.
+func (s *Server) forgetUnreachable() {
+	if s.unreached == 0 {
+		return
+	}
+	s.unreached, s.suspectUntil, s.failureRate = 0, 0, 0
+}
+
 // addServiceTimes merges samples of the server's service time.
 func (s *Server) addServiceTimes(samples ServiceTimes) {
 	weight := 1 - math.Pow(1-serviceTimeWeight, float64(samples.Count))
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -190,6 +190,9 @@
 			g.log.Warn("links to all servers are lost", "refused-connections", evidence.FailedServers, "silent-servers", evidence.SilentServers,
 				"probed", failed, "last-answer-age-ms", (now - g.links.lastAnswer()).Milliseconds())
 		case changed:
+			for _, s := range g.allServices() {
+				s.forgetUnreachable()
+			}
 			g.log.Info("links to servers are restored", "accepted", accepted, "failed", failed, "lost-ms", (now - lostAt).Milliseconds())
 		case !lost:
 			if g.failureLogLimit.allow() {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -279,6 +279,13 @@
 	})
 }
 
+// forgetUnreachable withdraws what failed connections have said about the servers.
+func (s *service) forgetUnreachable() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.ForgetUnreachable(s.now())
+}
+
 // dispatchWaiting dispatches waiting requests after the owners of keys have changed.
 func (s *service) dispatchWaiting() {
 	s.mu.Lock()
