--- a/connectivity/tracker.go
+++ b/connectivity/tracker.go
@@ -1,4 +1,5 @@
-// Package connectivity decides whether a host has lost its own links to the backend servers.
+// Package connectivity decides whether a host has lost its own links to the backend servers of a
+// service.
 //
 // A failed connection alone does not tell whether the server or the host's link is at fault.
 // The tracker therefore collects evidence over all servers, and asks for a probe of several
@@ -36,6 +37,7 @@
 	failed map[string]time.Duration
 	// waiting holds the servers that owe answers.
 	waiting      map[string]*pendingAnswers
+	unconfirmed  bool // the last probe failed and is to be confirmed by another one
 	nextProbe    time.Duration
 	refutedPause time.Duration
 }
@@ -127,28 +129,51 @@
 	return evidence
 }
 
-// Probed records the result of a probe, and reports whether the state of the links changed.
-// The links are lost if no server accepted a connection, and restored if half of them did: on a
-// lossy link some connections succeed by chance.
-func (t *Tracker) Probed(now time.Duration, accepted, failed int) (changed bool) {
+// Result is the result of a probe.
+type Result int
+
+// Results of probes.
+const (
+	// StillUp and StillLost: the state of the links has not changed.
+	StillUp Result = iota
+	StillLost
+	BecameLost
+	BecameRestored
+	// Inconclusive: another probe must be made at once.
+	Inconclusive
+)
+
+// Probed records the result of a probe. The links are lost if no server accepted a connection, and
+// restored if half of them did: on a lossy link some connections succeed by chance. While servers
+// still answer on open connections, two probes in a row must fail, because the first one may have
+// met dead servers only.
+func (t *Tracker) Probed(now time.Duration, accepted, failed int) Result {
+	unconfirmed := t.unconfirmed
+	t.unconfirmed = false
 	switch {
+	case accepted+failed == 0 && t.lost:
+		return StillLost
 	case accepted+failed == 0:
-		return false
+		return StillUp
 	case t.lost && accepted >= failed:
 		t.lost = false
 		t.nextProbe, t.refutedPause = now+minRefutedPause, minRefutedPause
 		clear(t.failed)
-		return true
-	case !t.lost && accepted == 0:
+		return BecameRestored
+	case t.lost:
+		return StillLost
+	case accepted == 0 && !unconfirmed && now-t.lastAnswer < silenceThreshold:
+		t.unconfirmed = true
+		return Inconclusive
+	case accepted == 0:
 		t.lost, t.lostSince = true, now
-		return true
-	case !t.lost:
-		if now-t.nextProbe > maxRefutedPause {
-			t.refutedPause = minRefutedPause
-		}
-		t.nextProbe = now + t.refutedPause
-		t.refutedPause = min(2*t.refutedPause, maxRefutedPause)
-		clear(t.failed)
+		return BecameLost
+	}
+	if now-t.nextProbe > maxRefutedPause {
+		t.refutedPause = minRefutedPause
 	}
-	return false
+	t.nextProbe = now + t.refutedPause
+	t.refutedPause = min(2*t.refutedPause, maxRefutedPause)
+	clear(t.failed)
+	return StillUp
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -92,10 +92,10 @@
 	if req.route.Idempotent {
 		stopOnLoss = context.AfterFunc(links, exchange.Abort)
 	}
-	g.noteSent(server)
+	g.noteSent(req.service, server)
 	result, response := g.sendRequest(ctx, req, server, exchange)
 	stopOnLoss()
-	g.noteExchangeEnded(server, response != nil)
+	g.noteExchangeEnded(req.service, server, response != nil)
 	result.serverID, result.sent = server.ID, true
 	if response == nil && links.Err() != nil && ctx.Err() == nil {
 		// The host's own links are at fault, not the server.
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -81,7 +81,7 @@
 			heard.Notice, heard.healthy = health.Notice, health.Healthy
 		}
 		result.ended = g.bootClock.Now()
-		g.noteCallEnded(ctx, server, result)
+		g.noteCallEnded(ctx, c.service, server, result)
 		g.handleNotices(heard)
 		g.postEvent(ctx, result)
 	}()
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -301,7 +301,7 @@
 	if !g.Ready() {
 		delay += unreadyClaimDelay
 	}
-	if g.links.areLost() {
+	if c.service.links.areLost() {
 		delay += linksLostClaimDelay
 	}
 	if now-c.claimDueSince < delay || !g.mayClaim() {
@@ -324,7 +324,7 @@
 // meanwhile, they would saturate the store's network link for longer than that.
 func (g *Gateway) claimInitial(ctx context.Context, c *serviceControl, now time.Duration) {
 	delay := g.claimDelay(c, 0)
-	if g.links.areLost() {
+	if c.service.links.areLost() {
 		delay += linksLostClaimDelay
 	}
 	if now-c.firstSeen < delay || g.storeAvailability.isUnavailable() || !g.mayClaim() {
@@ -400,7 +400,7 @@
 // shouldResign reports whether this controller can't renew leases but another host could. The store
 // and the hosts still reach it, so nobody would take over.
 func (g *Gateway) shouldResign(c *serviceControl) bool {
-	return !c.machine.Record().Keyless && g.links.lostFor(g.now()) >= resignAfterLinksLost && c.members.anyAvailable(g.bootClock.Now())
+	return !c.machine.Record().Keyless && c.service.links.lostFor(g.now()) >= resignAfterLinksLost && c.members.anyWithLinks(c.service.name, g.bootClock.Now())
 }
 
 // runAssignment runs one step of the assignment of a service's keys.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -12,8 +12,8 @@
 	"cicadarouter/link/backendlink"
 )
 
-// A host that has lost its links to all servers forwards its callers' requests to other hosts, its
-// peers. A peer handles a forwarded request like one of its own callers, with the deadline and the
+// A host that has lost its links to all servers of a service forwards its callers' requests for it to
+// other hosts, its peers. A peer handles a forwarded request like one of its own callers, with the deadline and the
 // remaining attempts of the host that forwarded it, and never forwards it further. A request that
 // a peer has declined has not run and may be forwarded to another one. A request that was sent
 // to a peer and got no answer may have run, and is not forwarded again.
@@ -89,7 +89,7 @@
 	var tried []string
 	differs := false
 	for ctx.Err() == nil {
-		address, conns, wait := g.peers.acquire(g.now(), g.sources.all(), tried)
+		address, conns, wait := g.peers.acquire(g.now(), req.serviceName, g.sources.all(), tried)
 		if conns == nil || len(tried) >= maxForwardTries {
 			if conns != nil {
 				g.peers.release(g.now(), address, 0)
@@ -105,7 +105,11 @@
 		tried = append(tried, address)
 		result := g.forwardTo(ctx, req, address, conns)
 		g.logForward(req, address, result)
-		if result.reply == nil || result.reply.releaseServer == nil {
+		switch {
+		case result.reply != nil && result.reply.releaseServer != nil:
+		case result.declined == outcomeLinksLost:
+			g.peers.releaseForService(g.now(), address, req.serviceName, declinedPeerPause)
+		default:
 			g.peers.release(g.now(), address, result.pause())
 		}
 		if result.reply != nil {
--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -88,8 +88,6 @@
 		return declined("no-configuration")
 	case current.Version != req.forwarded.Configuration:
 		return declined(outcomeConfigurationDiffers)
-	case g.links.areLost():
-		return declined(outcomeLinksLost)
 	}
 	return nil
 }
--- a/gateway/forwardpeers.go
+++ b/gateway/forwardpeers.go
@@ -53,6 +53,8 @@
 	conns      *backendlink.Pool
 	inFlight   int
 	avoidUntil time.Duration
+	// withoutLinksUntil is, by service, until when the peer is assumed to have no links either.
+	withoutLinksUntil map[string]time.Duration
 }
 
 func newForwardPeers() *forwardPeers { return &forwardPeers{peers: map[string]*forwardPeer{}} }
@@ -77,10 +79,10 @@
 	return p.list.checksum()
 }
 
-// acquire returns the address and the connections of the peer with the fewest requests of this
-// host, and counts one more. fallback holds the hosts to use while no list is known. If there is no
+// acquire returns the address and the connections of the peer for a service's request with the fewest
+// requests of this host, and counts one more. fallback holds the hosts to use while no list is known. If there is no
 // peer, wait is the time until one may be used again, 0 if unknown.
-func (p *forwardPeers) acquire(now time.Duration, fallback, excluded []string) (address string, conns *backendlink.Pool, wait time.Duration) {
+func (p *forwardPeers) acquire(now time.Duration, service string, fallback, excluded []string) (address string, conns *backendlink.Pool, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	candidates, local := p.list.Addresses, p.list.Local
@@ -94,7 +96,7 @@
 			continue
 		}
 		peer := p.peer(each)
-		if left := peer.avoidUntil - now; left > 0 {
+		if left := max(peer.avoidUntil, peer.withoutLinksUntil[service]) - now; left > 0 {
 			if wait == 0 || left < wait {
 				wait = left
 			}
@@ -118,7 +120,7 @@
 func (p *forwardPeers) peer(address string) *forwardPeer {
 	peer := p.peers[address]
 	if peer == nil {
-		peer = &forwardPeer{conns: backendlink.NewPool(address, maxIdleConnsPerPeer, maxWholeResponseBytes)}
+		peer = &forwardPeer{conns: backendlink.NewPool(address, maxIdleConnsPerPeer, maxWholeResponseBytes), withoutLinksUntil: map[string]time.Duration{}}
 		p.peers[address] = peer
 	}
 	return peer
@@ -126,6 +128,12 @@
 
 // release ends a request at a peer. The peer gets no more requests for the given time.
 func (p *forwardPeers) release(now time.Duration, address string, pause time.Duration) {
+	p.releaseForService(now, address, "", pause)
+}
+
+// releaseForService ends a request at a peer, which gets no more of the service's requests for the
+// given time; an empty name stands for all services.
+func (p *forwardPeers) releaseForService(now time.Duration, address, service string, pause time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	peer := p.peers[address]
@@ -133,7 +141,11 @@
 		return
 	}
 	peer.inFlight--
-	if pause > 0 {
+	switch {
+	case pause <= 0:
+	case service == "":
 		peer.avoidUntil = now + pause
+	default:
+		peer.withoutLinksUntil[service] = now + pause
 	}
 }
--- a/gateway/forwardring.go
+++ b/gateway/forwardring.go
@@ -109,18 +109,19 @@
 	m.ring.build()
 }
 
-// anyAvailable reports whether a host has recently reported that it handles forwarded requests.
-func (m *members) anyAvailable(now time.Duration) bool {
+// anyWithLinks reports whether a host has recently reported that it is available and reaches servers
+// of a service.
+func (m *members) anyWithLinks(service string, now time.Duration) bool {
 	for _, each := range m.hosts {
-		if !each.unavailable && now-each.lastSeen <= memberTimeout {
+		if !each.unavailable && now-each.lastSeen <= memberTimeout && !slices.Contains(each.withoutLinks, service) {
 			return true
 		}
 	}
 	return false
 }
 
-// unavailable reports whether this host handles no forwarded requests.
-func (g *Gateway) unavailable() bool { return g.stop.stopping() || g.links.areLost() }
+// unavailable reports whether this host handles no forwarded requests at all.
+func (g *Gateway) unavailable() bool { return g.stop.stopping() || g.allLinksLost() }
 
 // updateForwardPeers updates, as the controller of a service, the peers of all hosts and of this one.
 func (g *Gateway) updateForwardPeers(c *serviceControl, now time.Duration) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,7 +106,6 @@
 	// background ends with the gateway's background goroutines.
 	background    context.Context
 	endBackground context.CancelFunc
-	links         *serverLinks
 	peers         *forwardPeers
 	// forwardedInProgress counts requests that other hosts have forwarded to this one.
 	forwardedInProgress forwardedCount
@@ -138,12 +137,12 @@
 		identity: identity, codec: platform.Codec, registry: platform.Registry, keys: platform.Keys,
 		clock: clock.System(), bootClock: clock.Boot(), log: logger, metrics: newHostMetrics(),
 		directory: fleet.NewDirectory(), services: map[string]*service{},
-		stop: newShutdown(), links: newServerLinks(), peers: newForwardPeers(), control: newControl(), freshness: newFreshness(identity.ApplyWithin), sources: newSources(identity), deltas: newDeltaCache(identity), peerClient: newPeerClient(), wake: make(chan struct{}, 1),
+		stop: newShutdown(), peers: newForwardPeers(), control: newControl(), freshness: newFreshness(identity.ApplyWithin), sources: newSources(identity), deltas: newDeltaCache(identity), peerClient: newPeerClient(), wake: make(chan struct{}, 1),
 	}
 	g.background, g.endBackground = context.WithCancel(context.Background())
-	g.dialer = trackingDialer{Dialer: platform.ServerDialer, gateway: g}
-	if platform.ServerDialer == nil {
-		g.dialer = trackingDialer{Dialer: &net.Dialer{}, gateway: g}
+	g.dialer = platform.ServerDialer
+	if g.dialer == nil {
+		g.dialer = &net.Dialer{}
 	}
 	g.unreadBytes.limit = cmp.Or(identity.ReadAheadLimit, defaultReadAheadTotalBytes)
 	g.metrics.set.NewGauge("cicada_unread_answer_bytes", func() float64 { return float64(g.unreadBytes.used.Load()) })
@@ -193,7 +192,7 @@
 // The next distribution passes its servers to it. g.mu must be held.
 func (g *Gateway) newService(name string, keyed bool) *service {
 	s := newService(name, g.identity, keyed, g.now)
-	s.dialer = g.dialer
+	s.dialer = trackingDialer{Dialer: g.dialer, gateway: g, service: s}
 	s.requestReservations = g.requestReservations
 	g.directory.MarkAllChanged()
 	return s
@@ -259,16 +258,6 @@
 	for s, changes := range g.takeServerChanges() {
 		s.updateServers(changes.changed, changes.removed)
 	}
-	g.links.setServers(g.serverCount())
-}
-
-// serverCount returns the number of servers of all services.
-func (g *Gateway) serverCount() int {
-	count := 0
-	for _, s := range g.allServices() {
-		count += s.serverCount()
-	}
-	return count
 }
 
 // serverChanges are the server changes that concern one service.
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -17,7 +17,7 @@
 	"cicadarouter/link/backendlink"
 )
 
-// serverLinks is what this host knows of its links to the backend servers.
+// serverLinks is what this host knows of its links to the servers of one service.
 type serverLinks struct {
 	mu      sync.Mutex
 	tracker *connectivity.Tracker
@@ -61,34 +61,44 @@
 	return 0
 }
 
-// startProbe reports whether a probe is due that no other caller has started.
-func (l *serverLinks) startProbe(now time.Duration) (connectivity.Evidence, bool) {
+// answeredWithin reports whether a server has answered within the given time.
+func (l *serverLinks) answeredWithin(now, within time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.probing {
+	return now-l.tracker.LastAnswer() < within
+}
+
+// startProbe reports whether a probe is due that no other caller has started. If forced, it is due
+// without evidence.
+func (l *serverLinks) startProbe(now time.Duration, forced bool) (connectivity.Evidence, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.probing || l.servers == 0 {
 		return connectivity.Evidence{}, false
 	}
 	evidence, due := l.tracker.ProbeDue(now, l.servers)
-	l.probing = due
-	return evidence, due
+	l.probing = due || forced
+	return evidence, l.probing
 }
 
-// probed records the result of a probe, and reports whether the links are lost now and whether
-// that has changed.
-func (l *serverLinks) probed(now time.Duration, accepted, failed int) (lost, changed bool) {
+// probed records the result of a probe. The probe is over unless the result is Inconclusive or the
+// links are lost.
+func (l *serverLinks) probed(now time.Duration, accepted, failed int) connectivity.Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	changed = l.tracker.Probed(now, accepted, failed)
-	lost, _ = l.tracker.Lost()
-	if changed && lost {
+	result := l.tracker.Probed(now, accepted, failed)
+	switch result {
+	case connectivity.BecameLost:
 		l.setLost()
-	} else if changed {
+	case connectivity.BecameRestored:
 		l.lost, l.setLost = context.WithCancel(context.Background())
 	}
-	return lost, changed
+	l.probing = result == connectivity.Inconclusive || result == connectivity.BecameLost || result == connectivity.StillLost
+	return result
 }
 
-func (l *serverLinks) endProbe() {
+// stopProbe ends a probe without a result.
+func (l *serverLinks) stopProbe() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.probing = false
@@ -101,10 +111,11 @@
 	l.servers = count
 }
 
-// trackingDialer reports to the gateway whether servers accept connections.
+// trackingDialer records whether the servers of a service accept connections.
 type trackingDialer struct {
 	backendlink.Dialer
 	gateway *Gateway
+	service *service
 }
 
 // minTimeoutEvidence is how long a connection must have been pending for its timeout to count as
@@ -118,10 +129,10 @@
 	now := d.gateway.now()
 	switch {
 	case err == nil:
-		d.gateway.links.noteConnected()
+		d.service.links.noteConnected()
 	case errors.Is(err, context.Canceled), ctx.Err() != nil && now-began < minTimeoutEvidence:
 	default:
-		d.gateway.noteConnectFailed(now, address)
+		d.gateway.noteConnectFailed(now, d.service, address)
 	}
 	return conn, err
 }
@@ -133,101 +144,129 @@
 }
 
 // noteConnectFailed records that a connection to a server's address could not be opened.
-func (g *Gateway) noteConnectFailed(now time.Duration, address string) {
-	g.links.mu.Lock()
-	g.links.tracker.ConnectFailed(now, address)
-	g.links.mu.Unlock()
-	g.checkLinks(now)
+func (g *Gateway) noteConnectFailed(now time.Duration, s *service, address string) {
+	s.links.mu.Lock()
+	s.links.tracker.ConnectFailed(now, address)
+	s.links.mu.Unlock()
+	g.checkLinks(now, s)
 }
 
 // noteCallEnded records that a server left a call about keys unanswered. Such a server is not
 // necessarily out of reach, but a probe of the links will tell.
-func (g *Gateway) noteCallEnded(ctx context.Context, server fleet.Server, result *callResult) {
+func (g *Gateway) noteCallEnded(ctx context.Context, s *service, server fleet.Server, result *callResult) {
 	var stale *adapter.StaleTokenError
 	var other *adapter.WrongServerError
 	if result.err != nil && ctx.Err() == nil && !errors.As(result.err, &stale) && !errors.As(result.err, &other) {
-		g.noteConnectFailed(g.now(), server.Address)
+		g.noteConnectFailed(g.now(), s, server.Address)
 	}
 }
 
 // noteSent records that a request was sent to a server.
-func (g *Gateway) noteSent(server *balance.Server) {
+func (g *Gateway) noteSent(s *service, server *balance.Server) {
 	now := g.now()
-	g.links.mu.Lock()
-	g.links.tracker.Sent(now, server.Address)
-	g.links.mu.Unlock()
-	g.checkLinks(now)
+	s.links.mu.Lock()
+	s.links.tracker.Sent(now, server.Address)
+	s.links.mu.Unlock()
+	g.checkLinks(now, s)
 }
 
 // noteExchangeEnded records the end of a request that was sent to a server.
-func (g *Gateway) noteExchangeEnded(server *balance.Server, answered bool) {
-	g.links.mu.Lock()
-	defer g.links.mu.Unlock()
-	g.links.tracker.Ended(g.now(), server.Address, answered)
+func (g *Gateway) noteExchangeEnded(s *service, server *balance.Server, answered bool) {
+	s.links.mu.Lock()
+	defer s.links.mu.Unlock()
+	s.links.tracker.Ended(g.now(), server.Address, answered)
 }
 
-// checkLinks starts a probe of the links if one is due.
-func (g *Gateway) checkLinks(now time.Duration) {
-	if evidence, due := g.links.startProbe(now); due {
-		go g.probeLinks(evidence)
+// checkLinks starts a probe of a service's links if one is due.
+func (g *Gateway) checkLinks(now time.Duration, s *service) {
+	if evidence, due := s.links.startProbe(now, false); due {
+		go g.probeLinks(s, evidence)
 	}
 }
 
-// probeLinks probes servers until the links are found to work.
-func (g *Gateway) probeLinks(evidence connectivity.Evidence) {
-	defer g.links.endProbe()
+// probeLinks probes servers of a service until its links are found to work.
+func (g *Gateway) probeLinks(s *service, evidence connectivity.Evidence) {
 	lostAt := g.now()
 	for g.background.Err() == nil {
-		accepted, failed := g.connectToSample()
+		accepted, failed := g.connectToSample(s)
 		g.metrics.linkProbes.Inc()
 		now := g.now()
-		lost, changed := g.links.probed(now, accepted, failed)
-		if changed {
+		switch s.links.probed(now, accepted, failed) {
+		case connectivity.Inconclusive:
+			continue
+		case connectivity.BecameLost:
+			g.log.Warn("links to all servers of a service are lost", "service", s.name, "refused-connections", evidence.FailedServers,
+				"silent-servers", evidence.SilentServers, "probed", failed)
 			g.wakeControl() // the controller has to know at once
-		}
-		switch {
-		case changed && lost:
-			g.log.Warn("links to all servers are lost", "refused-connections", evidence.FailedServers, "silent-servers", evidence.SilentServers,
-				"probed", failed, "last-answer-age-ms", (now - g.links.lastAnswer()).Milliseconds())
-		case changed:
-			for _, s := range g.allServices() {
-				s.forgetUnreachable()
-			}
-			g.log.Info("links to servers are restored", "accepted", accepted, "failed", failed, "lost-ms", (now - lostAt).Milliseconds())
-		case !lost:
+			g.probeOtherServices(now, s)
+		case connectivity.BecameRestored:
+			s.forgetUnreachable()
+			g.log.Info("links to servers of a service are restored", "service", s.name, "accepted", accepted, "failed", failed, "lost-ms", (now - lostAt).Milliseconds())
+			g.wakeControl()
+			return
+		case connectivity.StillUp:
 			if g.failureLogLimit.allow() {
-				g.log.Info("links to servers work", "refused-connections", evidence.FailedServers, "silent-servers", evidence.SilentServers,
-					"accepted", accepted, "failed", failed)
+				g.log.Info("links to servers of a service work", "service", s.name, "refused-connections", evidence.FailedServers,
+					"silent-servers", evidence.SilentServers, "accepted", accepted, "failed", failed)
 			}
-		}
-		if !lost {
 			return
 		}
 		clock.Sleep(g.background, connectivity.LostProbeInterval)
 	}
+	s.links.stopProbe()
 }
 
-func (l *serverLinks) lastAnswer() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.tracker.LastAnswer()
+// probeOtherServices probes the links to the servers of all other services, because a host often loses
+// all of its links at once.
+func (g *Gateway) probeOtherServices(now time.Duration, lost *service) {
+	for _, s := range g.allServices() {
+		if s == lost || s.links.areLost() {
+			continue
+		}
+		if evidence, started := s.links.startProbe(now, true); started {
+			go g.probeLinks(s, evidence)
+		}
+	}
+}
+
+// allLinksLost reports whether the links to the servers of all services that have any are lost.
+func (g *Gateway) allLinksLost() bool {
+	lost := false
+	for _, s := range g.allServices() {
+		if s.links.areLost() {
+			lost = true
+		} else if s.serverCount() > 0 {
+			return false
+		}
+	}
+	return lost
+}
+
+// servicesWithoutLinks returns the names of the services whose links are lost.
+func (g *Gateway) servicesWithoutLinks() []string {
+	var names []string
+	for _, s := range g.allServices() {
+		if s.links.areLost() {
+			names = append(names, s.name)
+		}
+	}
+	slices.Sort(names)
+	return names
 }
 
 // probedServers is the number of servers that a probe connects to.
 const probedServers = 4
 
-// connectToSample opens connections to a few servers, and returns how many were accepted. The
-// connections are kept for later requests.
-func (g *Gateway) connectToSample() (accepted, failed int) {
+// probeTimeout bounds a probe; connections take about 1 ms.
+const probeTimeout = 400 * time.Millisecond
+
+// connectToSample opens connections to a few servers of a service, and returns how many were accepted.
+// The connections are kept for later requests.
+func (g *Gateway) connectToSample(s *service) (accepted, failed int) {
 	ctx, cancel := context.WithTimeout(g.background, probeTimeout)
 	defer cancel()
-	sample := g.sampleServers()
-	results := make(chan error, len(sample))
-	for _, pool := range sample {
-		go func() { results <- pool.Connect(ctx) }()
-	}
-	for range sample {
-		if <-results == nil {
+	for err := range connectAll(ctx, s.sampleConns(probedServers)) {
+		if err == nil {
 			accepted++
 		} else {
 			failed++
@@ -236,58 +275,55 @@
 	return accepted, failed
 }
 
+// connectAll opens a connection in each pool and returns a channel of the results, which is closed
+// after the last one.
+func connectAll(ctx context.Context, pools []*backendlink.Pool) <-chan error {
+	results := make(chan error, len(pools))
+	var connecting sync.WaitGroup
+	for _, pool := range pools {
+		connecting.Go(func() { results <- pool.Connect(ctx) })
+	}
+	go func() {
+		connecting.Wait()
+		close(results)
+	}()
+	return results
+}
+
+// sampleConns returns the connection pools of up to n random servers: half of them in the host's own
+// failure domain, because the domain may be cut off from the others.
+func (s *service) sampleConns(n int) []*backendlink.Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	local, remote := s.pool.SampleByDomain(n)
+	fromLocal := min(len(local), max(n/2, n-len(remote)))
+	sample := append(local[:fromLocal], remote[:min(len(remote), n-fromLocal)]...)
+	var pools []*backendlink.Pool
+	for _, server := range sample {
+		pools = append(pools, s.connPool(server))
+	}
+	return pools
+}
+
 // reachesAnotherServer reports whether any of a few servers other than the one at the address accepts
 // a connection. It returns true if no other server is known.
 func (g *Gateway) reachesAnotherServer(address string) bool {
-	if g.links.areLost() {
-		return false
-	}
 	ctx, cancel := context.WithTimeout(g.background, connectCheckTimeout)
 	defer cancel()
-	sample := slices.DeleteFunc(g.sampleServers(), func(pool *backendlink.Pool) bool { return pool.Address() == address })
-	results := make(chan error, len(sample))
-	for _, pool := range sample {
-		go func() { results <- pool.Connect(ctx) }()
+	var others []*backendlink.Pool
+	for _, s := range g.allServices() {
+		others = append(others, s.sampleConns(probedServers)...)
 	}
-	for range sample {
-		if <-results == nil {
+	others = slices.DeleteFunc(others, func(pool *backendlink.Pool) bool { return pool.Address() == address })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), probedServers)]
+	for err := range connectAll(ctx, others) {
+		if err == nil {
 			return true
 		}
 	}
-	return len(sample) == 0
+	return len(others) == 0
 }
 
-// probeTimeout bounds a probe; connections take about 1 ms.
-const probeTimeout = 400 * time.Millisecond
-
-// sampleServers returns the connection pools of a few random servers: half of them in the host's
-// own failure domain, because the domain may be cut off from the others.
-func (g *Gateway) sampleServers() []*backendlink.Pool {
-	var local, remote []*backendlink.Pool
-	for _, s := range g.allServices() {
-		s.mu.Lock()
-		sampledLocal, sampledRemote := s.pool.SampleByDomain(probedServers)
-		for _, server := range sampledLocal {
-			local = append(local, s.connPool(server))
-		}
-		for _, server := range sampledRemote {
-			remote = append(remote, s.connPool(server))
-		}
-		s.mu.Unlock()
-	}
-	shuffle := func(pools []*backendlink.Pool) {
-		rand.Shuffle(len(pools), func(i, j int) { pools[i], pools[j] = pools[j], pools[i] })
-	}
-	shuffle(local)
-	shuffle(remote)
-	fromLocal := min(len(local), max(probedServers/2, probedServers-len(remote)))
-	return append(local[:fromLocal], remote[:min(len(remote), probedServers-fromLocal)]...)
-}
-
-// linksLostGauge returns 1 while the links to all servers are lost.
-func (g *Gateway) linksLostGauge() float64 {
-	if g.links.areLost() {
-		return 1
-	}
-	return 0
-}
+// linksLostGauge returns the number of services whose links are lost.
+func (g *Gateway) linksLostGauge() float64 { return float64(len(g.servicesWithoutLinks())) }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -34,8 +34,10 @@
 	address, domain string
 	small           bool
 	lastSeen        time.Duration
-	// unavailable is set if the host has lost its links to the servers or is shutting down.
+	// unavailable is set if the host has lost its links to all servers or is shutting down.
 	unavailable bool
+	// withoutLinks are the services to whose servers the host has lost its links.
+	withoutLinks []string
 	// resting are the servers that have asked the host for a long back-off.
 	resting []fleet.Incarnation
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"cicadarouter/poison"
@@ -97,6 +98,7 @@
 	cases, limits, leaving exchange
 	reportInFlight         bool // a report has been sent and not answered yet
 	reportedUnavailable    bool // what the last report said
+	reportedWithoutLinks   []string
 }
 
 // hasUrgentChanges reports whether this host has changes that the controller needs at once.
@@ -106,7 +108,7 @@
 	if c.exchanges.reportInFlight || now-c.reportedAt < earlyReportInterval {
 		return false
 	}
-	if g.unavailable() != c.exchanges.reportedUnavailable {
+	if g.unavailable() != c.exchanges.reportedUnavailable || !slices.Equal(g.servicesWithoutLinks(), c.exchanges.reportedWithoutLinks) {
 		return true
 	}
 	if g.serverLimits.changeCount() > c.exchanges.limits.sent || g.leavingServers.changeCount() > c.exchanges.leaving.sent {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -206,10 +206,10 @@
 }
 
 // forward sends the request to servers until it has a final reply, or to a peer while this host
-// has lost its links to the servers.
+// has lost its links to the servers of the service.
 func (g *Gateway) forward(ctx context.Context, req *request) *reply {
 	for {
-		links := g.links.lostContext()
+		links := req.service.links.lostContext()
 		if links.Err() != nil {
 			if answer := g.replyWithoutLinks(ctx, req); answer != nil {
 				return answer
@@ -274,7 +274,7 @@
 	if answer != nil {
 		return answer
 	}
-	if g.now()-g.links.lastAnswer() < openConnsTrustedFor {
+	if req.service.links.answeredWithin(g.now(), openConnsTrustedFor) {
 		return nil
 	}
 	return rejection(outcomeLinksLost, cmp.Or(retryAfter, defaultRetryAfter))
