--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -206,64 +207,98 @@
 	}
 }
 
-// Promises hold whatever happens to links and peers: a request that may run once does, one that was
-// answered with 503 has not run, a successful answer is the right one, and no request reaches more
-// servers than its route allows.
+// linkSeeds is the number of seeds of TestPromisesWhileLinksAndPeersFail, by hand 50 or more.
+var linkSeeds = flag.Uint64("links.seeds", 3, "number of seeds of the test of failing links and peers")
+
+// Promises hold whatever happens to links, peers and processes: a request that may run once does, one
+// that was answered with 503 has not run and does not later, a successful answer is the right one, no
+// request runs more often than its route allows, and no key has two holders.
 func TestPromisesWhileLinksAndPeersFail(t *testing.T) {
-	for seed := range uint64(3) {
+	for seed := range *linkSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := newSiteOfHosts(t, 3)
-			random := rand.New(rand.NewPCG(seed, 47))
-			var mu sync.Mutex
-			var refused []string
 			ctx, end := context.WithTimeout(t.Context(), 6*time.Second)
 			defer end()
-			var callers sync.WaitGroup
+			callers := &mixedCallers{site: s}
 			for i := range 9 {
-				callers.Go(func() {
-					for n := i; ctx.Err() == nil; n++ {
-						path, key, method := "/once/", "", http.MethodPost
-						if n%3 == 1 {
-							path, method = "/free/", http.MethodGet
-						} else if n%3 == 2 {
-							path, key = "/keyed/", fmt.Sprint(n*977%65536)
-						}
-						body := fmt.Sprint(i, "-", n)
-						got, id := s.callTraced(s.hosts[n/3%len(s.hosts)], method, path+"x", key, body, time.Second)
-						mu.Lock()
-						if got.err == nil && got.status == http.StatusServiceUnavailable {
-							refused = append(refused, id)
-						}
-						mu.Unlock()
-						if got.err == nil && got.status == http.StatusOK && !strings.HasSuffix(got.body, " "+body) {
-							t.Errorf("the answer to %q is %q", body, got.body)
-						}
-						time.Sleep(2 * time.Millisecond)
-					}
-				})
-			}
-			for ctx.Err() == nil {
-				h := s.hosts[random.IntN(len(s.hosts))]
-				if random.IntN(3) == 0 {
-					h.peers.fault.Store(int32(peerFault(random.IntN(int(peerFaults)))))
-				} else {
-					h.links.SetFault(platformtest.LinkFault(random.IntN(int(platformtest.LinksResetRefuse) + 1)))
-				}
-				time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+				callers.running.Go(func() { callers.run(ctx, i) })
 			}
-			callers.Wait()
+			s.failLinksAndPeers(ctx, rand.New(rand.NewPCG(seed, 47)))
+			callers.running.Wait()
 			for _, h := range s.hosts {
+				h.peers.fault.Store(int32(peerWorks))
 				h.links.SetFault(platformtest.LinksUp) // delivers what silent links have held
 			}
-			s.noRequestRanTwice()
-			assert.Equal(t, len(s.owners.Violations()), 0, "%v", s.owners.Violations())
-			runs := s.runsByID()
-			for _, id := range refused {
-				assert.Equal(t, runs[id], 0, "request %s was refused and ran", id)
-			}
-			for id, n := range runs {
-				assert.Assert(t, n <= 2, "request %s ran %d times", id, n)
+			for _, h := range s.hosts {
+				s.eventually("all keys are served again", func() bool {
+					return s.call(h, http.MethodGet, "/keyed/x", "1", "").status == http.StatusOK && s.call(h, http.MethodGet, "/keyed/x", "60000", "").status == http.StatusOK
+				})
 			}
+			callers.check()
 		})
 	}
 }
+
+// failLinksAndPeers starts and ends faults of links and peers, restarts hosts and changes the
+// configuration until the context ends.
+func (s *site) failLinksAndPeers(ctx context.Context, random *rand.Rand) {
+	for version := 4; ctx.Err() == nil; version++ {
+		n := random.IntN(len(s.hosts))
+		h := s.hosts[n]
+		switch random.IntN(8) {
+		case 0, 1:
+			h.peers.fault.Store(int32(random.IntN(int(peerFaults))))
+		case 2:
+			s.configure(version, "")
+		case 3:
+			s.restart(n)
+		default:
+			h.links.SetFault(platformtest.LinkFault(random.IntN(int(platformtest.LinksResetRefuse) + 1)))
+		}
+		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+	}
+}
+
+// mixedCallers send requests of all kinds to all hosts in turn, and check the answers.
+type mixedCallers struct {
+	site    *site
+	running sync.WaitGroup
+
+	mu      sync.Mutex
+	refused []string // IDs of requests that were answered with 503
+}
+
+func (c *mixedCallers) run(ctx context.Context, caller int) {
+	for n := caller; ctx.Err() == nil; n++ {
+		path, key, method := "/once/x", "", http.MethodPost
+		if n%3 == 1 {
+			path, method = "/free/x", http.MethodGet
+		} else if n%3 == 2 {
+			path, key = "/keyed/x", fmt.Sprint(n*977%65536)
+		}
+		body := fmt.Sprint(caller, "-", n)
+		got, id := c.site.callTraced(c.site.hostAt(n/3), method, path, key, body, time.Second)
+		if got.err == nil && got.status == http.StatusServiceUnavailable {
+			c.mu.Lock()
+			c.refused = append(c.refused, id)
+			c.mu.Unlock()
+		}
+		if got.err == nil && got.status == http.StatusOK && !strings.HasSuffix(got.body, " "+body) {
+			c.site.t.Errorf("the answer to %q is %q", body, got.body)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func (c *mixedCallers) check() {
+	t := c.site.t
+	c.site.noRequestRanTwice()
+	assert.Equal(t, len(c.site.owners.Violations()), 0, "%v", c.site.owners.Violations())
+	runs := c.site.runsByID()
+	for _, id := range c.refused {
+		assert.Equal(t, runs[id], 0, "request %s was refused and ran", id)
+	}
+	for id, n := range runs {
+		assert.Assert(t, n <= 2, "request %s ran %d times", id, n)
+	}
+}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -36,7 +36,11 @@
 	servers map[string]*platformtest.Server
 	// addresses are the servers' registered addresses.
 	addresses map[string]string
-	hosts     []*hostUnderTest
+	// hostsMu guards hosts while callers run and hosts are restarted.
+	hostsMu sync.Mutex
+	// starts counts the processes of hosts.
+	starts atomic.Uint64
+	hosts  []*hostUnderTest
 	// runOnce holds the IDs of requests that may run only once.
 	runOnce sync.Map
 	// owners checks the grants of all servers with keys for overlaps.
@@ -260,7 +264,7 @@
 		h.peers = s.newPeerAddress()
 	}
 	store := platform.NewStore(setup.store)
-	identity := gateway.Identity{Host: setup.name, Domain: "a", PeerAddress: h.peers.address, Seeds: setup.seeds, FirstStart: setup.firstStart, EvacuateWithin: 5 * time.Second, Incarnation: uint64(len(s.hosts) + 1)}
+	identity := gateway.Identity{Host: setup.name, Domain: "a", PeerAddress: h.peers.address, Seeds: setup.seeds, FirstStart: setup.firstStart, EvacuateWithin: 5 * time.Second, Incarnation: s.starts.Add(1)}
 	h.gateway = gateway.New(identity, gateway.Platform{Store: store, Registry: platform.Registry{}, Codec: platform.Codec{}, Keys: platform.NewKeysWithDialer(h.links), ServerDialer: h.links}, logs.Discard())
 	h.peers.process.Store(h.gateway)
 	h.callers = httptest.NewServer(h.gateway)
@@ -279,10 +283,31 @@
 			h.done()
 		}
 	})
+	s.hostsMu.Lock()
+	defer s.hostsMu.Unlock()
 	s.hosts = append(s.hosts, h)
 	return h
 }
 
+// hostAt returns the host with an index, modulo the number of hosts.
+func (s *site) hostAt(n int) *hostUnderTest {
+	s.hostsMu.Lock()
+	defer s.hostsMu.Unlock()
+	return s.hosts[n%len(s.hosts)]
+}
+
+// restart kills the host with an index and starts it again with the same address for other hosts.
+func (s *site) restart(n int) {
+	s.t.Helper()
+	old := s.hosts[n]
+	old.kill()
+	h := s.start(hostOptions{name: fmt.Sprintf("h%d", n), store: s.address, peers: old.peers})
+	s.hostsMu.Lock()
+	defer s.hostsMu.Unlock()
+	s.hosts = s.hosts[:len(s.hosts)-1] // start has appended it
+	s.hosts[n] = h
+}
+
 // kill stops a host abruptly, without a graceful shutdown.
 func (h *hostUnderTest) kill() {
 	h.done()
