gateway: lists of peers are complete, and name no host that knows no forwarding

Found by reading before anything was landed: - A new controller named the first few hosts that had reported as the peers of all others. They answer forwarded requests with 404, which would be 502 for callers. A report says now that a host is available. - Requests of a host whose configuration stays behind were offered to peers again and again until their deadlines; now eight times, 40 ms apart. - Hosts without links reported to a new controller at once, past the spread of first reports.

The relays and the controller are no longer used before the first list.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -63,8 +63,10 @@
 	// maxForwardTries bounds the peers that a request is offered to.
 	maxForwardTries = 4
 	// configurationWait is the pause before a request is offered again to peers that had another
-	// configuration: a new version reaches all hosts within some 0.2 s.
-	configurationWait = 40 * time.Millisecond
+	// configuration, and maxConfigurationWaits the number of pauses: a new version reaches all
+	// hosts within some 0.2 s.
+	configurationWait     = 40 * time.Millisecond
+	maxConfigurationWaits = 8
 	// maxDeclinedBodyBytes is the most that is read of the response to a declined request.
 	maxDeclinedBodyBytes = 4 << 10
 )
@@ -87,21 +89,21 @@
 // is then the time until one may.
 func (g *Gateway) forwardToPeers(ctx context.Context, req *request) (answer *reply, retryAfter time.Duration) {
 	var tried []string
-	differs := false
+	differs, waits := false, 0
 	for ctx.Err() == nil {
-		address, conns, wait := g.peers.acquire(g.now(), req.serviceName, g.sources.all(), tried)
-		if conns == nil || len(tried) >= maxForwardTries {
-			if conns != nil {
-				g.peers.release(g.now(), address, 0)
-			}
-			if !differs {
-				g.metrics.forwarded("no-peer").Inc()
-				return nil, wait
-			}
+		address, conns, wait := "", (*backendlink.Pool)(nil), time.Duration(0)
+		if len(tried) < maxForwardTries {
+			address, conns, wait = g.peers.acquire(g.now(), req.serviceName, tried)
+		}
+		if conns == nil && differs && waits < maxConfigurationWaits {
 			clock.Sleep(ctx, configurationWait)
-			tried, differs = nil, false
+			tried, differs, waits = nil, false, waits+1
 			continue
 		}
+		if conns == nil {
+			g.metrics.forwarded("no-peer").Inc()
+			return nil, wait
+		}
 		tried = append(tried, address)
 		result := g.forwardTo(ctx, req, address, conns)
 		g.logForward(req, address, result)
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -170,6 +170,7 @@
 	s.startHost("h1")
 	for _, h := range s.hosts {
 		s.eventually("requests are served", func() bool { return s.call(h, http.MethodGet, "/free/x", "", "").status == http.StatusOK })
+		s.eventually("the host knows its peer", func() bool { return metric(h, "cicada_peers") == "1" })
 	}
 	s.loseLinks(cut)
 	for _, id := range []string{"f0", "f1"} {
@@ -196,9 +197,14 @@
 			if response, err := http.DefaultClient.Do(request); err == nil {
 				_ = response.Body.Close()
 			}
+			time.Sleep(5 * time.Millisecond)
 		}
 	}()
-	<-running
+	select {
+	case <-running:
+	case <-time.After(waitTimeout):
+		t.Fatal("the request does not reach the server")
+	}
 	leave()
 	select {
 	case <-stopped:
--- a/gateway/forwardpeers.go
+++ b/gateway/forwardpeers.go
@@ -72,6 +72,13 @@
 	}
 }
 
+// count returns the number of peers that the list names.
+func (p *forwardPeers) count() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return float64(len(p.list.Addresses))
+}
+
 // checksum returns the checksum of the list.
 func (p *forwardPeers) checksum() uint64 {
 	p.mu.Lock()
@@ -80,18 +87,14 @@
 }
 
 // acquire returns the address and the connections of the peer for a service's request with the fewest
-// requests of this host, and counts one more. fallback holds the hosts to use while no list is known. If there is no
-// peer, wait is the time until one may be used again, 0 if unknown.
-func (p *forwardPeers) acquire(now time.Duration, service string, fallback, excluded []string) (address string, conns *backendlink.Pool, wait time.Duration) {
+// requests of this host, and counts one more. If there is none, wait is the time until one may be
+// used again, 0 if unknown.
+func (p *forwardPeers) acquire(now time.Duration, service string, excluded []string) (address string, conns *backendlink.Pool, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	candidates, local := p.list.Addresses, p.list.Local
-	if len(candidates) == 0 {
-		candidates, local = fallback, len(fallback)
-	}
 	var best *forwardPeer
 	minCost := 0
-	for i, each := range candidates {
+	for i, each := range p.list.Addresses {
 		if slices.Contains(excluded, each) {
 			continue
 		}
@@ -103,7 +106,7 @@
 			continue
 		}
 		cost := peer.inFlight
-		if i >= local {
+		if i >= p.list.Local {
 			cost += crossDomainForwards
 		}
 		if best == nil || cost < minCost {
--- a/gateway/forwardpeers_test.go
+++ b/gateway/forwardpeers_test.go
@@ -116,23 +116,54 @@
 	peers.update(peerList{Addresses: []string{"near", "far"}, Local: 1})
 	var order []string
 	for range 2 * crossDomainForwards {
-		address, _, _ := peers.acquire(0, "s", nil, nil)
+		address, _, _ := peers.acquire(0, "s", nil)
 		order = append(order, address)
 	}
 	assert.DeepEqual(t, order, []string{"near", "near", "near", "near", "far", "near"})
-	address, _, _ := peers.acquire(0, "s", nil, []string{"near"})
+	address, _, _ := peers.acquire(0, "s", []string{"near"})
 	assert.Equal(t, address, "far")
 	peers.release(0, "near", failedPeerPause)
-	_, conns, wait := peers.acquire(failedPeerPause/4, "s", nil, []string{"far"})
+	_, conns, wait := peers.acquire(failedPeerPause/4, "s", []string{"far"})
 	assert.Assert(t, conns == nil)
 	assert.Equal(t, wait, 3*failedPeerPause/4)
-	address, _, _ = peers.acquire(failedPeerPause, "s", nil, []string{"far"})
+	address, _, _ = peers.acquire(failedPeerPause, "s", []string{"far"})
 	assert.Equal(t, address, "near")
 	peers.releaseForService(failedPeerPause, "near", "s", declinedPeerPause)
-	address, _, _ = peers.acquire(failedPeerPause, "s", nil, nil)
+	address, _, _ = peers.acquire(failedPeerPause, "s", nil)
 	assert.Equal(t, address, "far", "the near peer has lost its links to the servers of this service")
-	address, _, _ = peers.acquire(failedPeerPause, "another", nil, nil)
+	address, _, _ = peers.acquire(failedPeerPause, "another", nil)
 	assert.Equal(t, address, "near")
-	address, _, _ = newForwardPeers().acquire(0, "s", []string{"seed"}, nil)
-	assert.Equal(t, address, "seed")
+	_, conns, wait = newForwardPeers().acquire(0, "s", nil)
+	assert.Assert(t, conns == nil && wait == 0)
+}
+
+// Guards against requests that wait for their deadlines at a host whose configuration stays behind:
+// all peers decline them.
+func TestForwardingEndsWhilePeersHaveAnotherConfiguration(t *testing.T) {
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerForwardResult, `{"outcome":"configuration-differs","declined":true}`)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer peer.Close()
+	g := New(Identity{Host: "h"}, Platform{}, logs.Discard())
+	g.peers.update(peerList{Addresses: []string{peer.Listener.Addr().String()}})
+	req := &request{httpRequest: httptest.NewRequest(http.MethodGet, "/x", nil), configuration: &routing.Configuration{Version: 7}, deadline: time.Hour}
+	answer, _ := g.forwardToPeers(t.Context(), req)
+	assert.Assert(t, answer == nil)
+	assert.Assert(t, !req.mayHaveRun)
+}
+
+// Guards against forwarding requests to hosts of versions that know no forwarding: their reports do
+// not say that they are available.
+func TestHostsThatDoNotReportAsAvailableAreNoPeers(t *testing.T) {
+	members := newMembers()
+	members.add("new", member{address: "new", domain: "d", available: true, lastSeen: time.Second})
+	members.add("old", member{address: "old", domain: "d", lastSeen: time.Second})
+	members.add("gone", member{address: "gone", domain: "d", available: true})
+	now := time.Second + memberTimeout/2
+	members.updateForwardRing(now+memberTimeout/2, nil)
+	assert.DeepEqual(t, members.ring.peersFor("x", "d").Addresses, []string{"new"})
+	assert.Assert(t, members.anyWithLinks("s", now))
+	members.add("new", member{address: "new", domain: "d", available: true, lastSeen: time.Second, withoutLinks: []string{"s"}})
+	assert.Assert(t, !members.anyWithLinks("s", now+memberTimeout/2))
 }
--- a/gateway/forwardring.go
+++ b/gateway/forwardring.go
@@ -102,7 +102,7 @@
 		m.ring.add(self.domain, self.address)
 	}
 	for _, each := range m.hosts {
-		if !each.unavailable && now-each.lastSeen <= memberTimeout {
+		if each.available && now-each.lastSeen <= memberTimeout {
 			m.ring.add(each.domain, each.address)
 		}
 	}
@@ -113,24 +113,30 @@
 // of a service.
 func (m *members) anyWithLinks(service string, now time.Duration) bool {
 	for _, each := range m.hosts {
-		if !each.unavailable && now-each.lastSeen <= memberTimeout && !slices.Contains(each.withoutLinks, service) {
+		if each.available && now-each.lastSeen <= memberTimeout && !slices.Contains(each.withoutLinks, service) {
 			return true
 		}
 	}
 	return false
 }
 
-// unavailable reports whether this host handles no forwarded requests at all.
-func (g *Gateway) unavailable() bool { return g.stop.stopping() || g.allLinksLost() }
+// available reports whether this host handles forwarded requests.
+func (g *Gateway) available() bool { return !g.stop.stopping() && !g.allLinksLost() }
 
 // updateForwardPeers updates, as the controller of a service, the peers of all hosts and of this one.
-func (g *Gateway) updateForwardPeers(c *serviceControl, now time.Duration) {
+// It returns false until all hosts have had time to report: a list of the first few would send
+// all forwarded requests to them.
+func (g *Gateway) updateForwardPeers(c *serviceControl, now time.Duration) bool {
+	if now-c.controllerSince < memberTimeout {
+		return false
+	}
 	var self *member
-	if !g.unavailable() {
+	if g.available() {
 		self = &member{address: g.identity.PeerAddress, domain: g.identity.Domain}
 	}
 	c.members.updateForwardRing(now, self)
 	g.peers.update(c.members.ring.peersFor(g.identity.PeerAddress, g.identity.Domain))
+	return true
 }
 
 // peersForReport returns the peers of a host that reports, or nil if it knows them.
--- a/gateway/links_test.go
+++ b/gateway/links_test.go
@@ -41,6 +41,7 @@
 			return s.call(h, http.MethodGet, "/keyed/x", "1", "").status == http.StatusOK &&
 				s.call(h, http.MethodGet, "/keyed/x", "60000", "").status == http.StatusOK
 		})
+		s.eventually("the host knows its peers", func() bool { return metric(h, "cicada_peers") == fmt.Sprint(hosts-1) })
 	}
 	return s
 }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -34,8 +34,9 @@
 	address, domain string
 	small           bool
 	lastSeen        time.Duration
-	// unavailable is set if the host has lost its links to all servers or is shutting down.
-	unavailable bool
+	// available is set if the host handles forwarded requests: it has links to some servers and is
+	// not shutting down.
+	available bool
 	// withoutLinks are the services to whose servers the host has lost its links.
 	withoutLinks []string
 	// resting are the servers that have asked the host for a long back-off.
@@ -69,7 +70,7 @@
 // add records a report.
 func (m *members) add(host string, reporting member) {
 	before, known := m.hosts[host]
-	m.ringOutdated = m.ringOutdated || !known || before.unavailable != reporting.unavailable || before.address != reporting.address
+	m.ringOutdated = m.ringOutdated || !known || before.available != reporting.available || before.address != reporting.address
 	m.hosts[host] = reporting
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -69,8 +69,8 @@
 	KnownLeaving uint64                    `json:"knownLeaving,omitempty"`
 	// Resting are the service's servers that have asked the host for a long back-off.
 	Resting []fleet.Incarnation `json:"resting,omitempty"`
-	// Unavailable is set if the host handles no forwarded requests.
-	Unavailable bool `json:"unavailable,omitempty"`
+	// Available is set if the host handles forwarded requests.
+	Available bool `json:"available,omitempty"`
 	// WithoutLinks are the services to whose servers the host has lost its links.
 	WithoutLinks []string `json:"withoutLinks,omitempty"`
 	// KnownPeers is the checksum of the peers that the host knows.
@@ -182,8 +182,8 @@
 	report := loadReport{Service: c.service.name, Host: g.identity.Host, Address: g.identity.PeerAddress, Domain: g.identity.Domain,
 		Small: g.identity.Small, Asked: map[uint16]int64{},
 		WorkMicros: load.meanSlotTime.Microseconds(), Paces: load.paces, Resting: c.service.longBackoffs(),
-		Unavailable: g.unavailable(), WithoutLinks: g.servicesWithoutLinks(), KnownPeers: g.peers.checksum()}
-	c.exchanges.reportedUnavailable, c.exchanges.reportedWithoutLinks = report.Unavailable, report.WithoutLinks
+		Available: g.available(), WithoutLinks: g.servicesWithoutLinks(), KnownPeers: g.peers.checksum()}
+	c.exchanges.reported, c.exchanges.reportedAvailable, c.exchanges.reportedWithoutLinks = true, report.Available, report.WithoutLinks
 	for key, asked := range load.demand {
 		report.Asked[key] = asked.Microseconds()
 	}
@@ -304,9 +304,10 @@
 	}
 	c.machine.Loads().Add(now, asked, time.Duration(report.WorkMicros)*time.Microsecond)
 	c.service.mergePaces(report.Paces)
-	c.members.add(report.Host, member{address: report.Address, domain: report.Domain, small: report.Small, lastSeen: now, resting: report.Resting, unavailable: report.Unavailable, withoutLinks: report.WithoutLinks})
-	g.updateForwardPeers(c, now)
-	answer.Peers = c.members.peersForReport(report)
+	c.members.add(report.Host, member{address: report.Address, domain: report.Domain, small: report.Small, lastSeen: now, resting: report.Resting, available: report.Available, withoutLinks: report.WithoutLinks})
+	if g.updateForwardPeers(c, now) {
+		answer.Peers = c.members.peersForReport(report)
+	}
 	g.mergeCases(report.Cases, report.Host)
 	answer.Cases, answer.CasesUpTo = g.casesFor(report.KnownCases)
 	g.applyLimitNotices(report.Limits, report.Host)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -97,8 +97,10 @@
 type exchanges struct {
 	cases, limits, leaving exchange
 	reportInFlight         bool // a report has been sent and not answered yet
-	reportedUnavailable    bool // what the last report said
-	reportedWithoutLinks   []string
+	// reported is set once a report has been sent to this controller, reportedAvailable and
+	// reportedWithoutLinks are what the last one said of this host's links.
+	reported, reportedAvailable bool
+	reportedWithoutLinks        []string
 }
 
 // hasUrgentChanges reports whether this host has changes that the controller needs at once.
@@ -108,7 +110,7 @@
 	if c.exchanges.reportInFlight || now-c.reportedAt < earlyReportInterval {
 		return false
 	}
-	if g.unavailable() != c.exchanges.reportedUnavailable || !slices.Equal(g.servicesWithoutLinks(), c.exchanges.reportedWithoutLinks) {
+	if c.exchanges.reported && (g.available() != c.exchanges.reportedAvailable || !slices.Equal(g.servicesWithoutLinks(), c.exchanges.reportedWithoutLinks)) {
 		return true
 	}
 	if g.serverLimits.changeCount() > c.exchanges.limits.sent || g.leavingServers.changeCount() > c.exchanges.leaving.sent {
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -166,13 +166,6 @@
 	return slices.DeleteFunc(slices.Clone(candidates), func(address string) bool { return address == s.self || address == "" })
 }
 
-// all returns all hosts that may be asked.
-func (s *sources) all() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.candidates()
-}
-
 // noteMiss records that the current host could not help and moves on to the next. It reports
 // whether none of the candidates could.
 func (s *sources) noteMiss() (all bool) {
