--- a/gateway/forwardpeers_test.go
+++ b/gateway/forwardpeers_test.go
@@ -6,12 +6,14 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"cicadarouter/host/logs"
+	"cicadarouter/platform"
 	"cicadarouter/routing"
 )
 
@@ -167,3 +169,26 @@
 	members.add("new", member{address: "new", domain: "d", available: true, lastSeen: time.Second, withoutLinks: []string{"s"}})
 	assert.Assert(t, !members.anyWithLinks("s", now+memberTimeout/2))
 }
+
+// Guards against requests that go from host to host: a peer whose links are lost too declines, whatever
+// peers it has itself.
+func TestForwardedRequestIsNotForwardedOn(t *testing.T) {
+	var forwards atomic.Int32
+	next := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { forwards.Add(1) }))
+	defer next.Close()
+	g := New(Identity{Host: "h"}, Platform{Codec: platform.Codec{}}, logs.Discard())
+	g.services["s"] = g.newService("s", false)
+	g.services["s"].links.probed(time.Second, 0, 4)
+	g.peers.update(peerList{Addresses: []string{next.Listener.Addr().String()}})
+	route := routing.Route{Name: "r", Prefix: "/", Targets: []routing.Target{{Service: "s", Weight: 1}}, MaxAttempts: 2}
+	g.configuration.Update(&routing.Configuration{Version: 7, Hosts: map[string][]routing.Route{"site.example": {route}}, Services: map[string]routing.Service{"s": {Name: "s"}}})
+	request := httptest.NewRequest(http.MethodGet, "/x", nil)
+	request.Host = "site.example"
+	request.Header.Set("X-Request-Id", "1")
+	request.Header.Set(headerForward, `{"host":"other","configuration":7}`)
+	recorded := httptest.NewRecorder()
+	g.PeerHandler().ServeHTTP(recorded, request)
+	assert.Equal(t, recorded.Header().Get(headerForwardResult), `{"outcome":"links-lost","declined":true}`)
+	assert.Equal(t, recorded.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, forwards.Load(), int32(0))
+}
