gateway: requests on connections that work are not aborted, and a loss is found in more cases

Found by tests written for surviving mutants, each failing before: - Idempotent requests were aborted whenever the links were found lost, also where only new connections failed, as at overloaded servers: they ran twice, or got 502 when the budget had no retry. Now only if connections time out, no server has answered for 0.3 s and a retry was taken (TestRequestsOnWorkingConnectionsAreNotAborted). - A probe for silent servers delayed the next one for connections that fail by up to 2 s. Each kind of evidence has its own pause (TestSilenceDoesNotDelayProbeForFailures). - Successes of connections that were begun before a failure erased it. - Silence was looked at only when a request was sent; when all servers are silent nothing is sent any more. Now when a request arrives (TestRequestsOnSilentConnectionsAreForwarded). - A request whose four connections were refused at once was rejected before the probe that they had caused had a result. - A refused connection that could not be confirmed within 50 ms was dropped as a proof. It is confirmed by the next accepted connection within 1 s, and forgotten if the links are found lost.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -42,6 +42,7 @@
 	classes         map[time.Duration]*requestClass // by latency objective
 	keyShares       map[uint16]*keyShare            // by key
 	random          *rand.Rand
+	sampleRandom    *rand.Rand // for SampleByDomain, which must not affect the choice of servers
 	// typicalLoad is the smoothed load from other hosts, as a fraction of a server's slots.
 	typicalLoad float64
 	// startInterval is the smoothed time between two requests that were assigned a server while
@@ -61,7 +62,7 @@
 // for a service without keys. Hosts must pass different seeds, so that they make
 // different random choices.
 func NewPool(domain string, owner Owner, seed uint64) *Pool {
-	return &Pool{domain: domain, owner: owner, servers: serverSet{byID: map[string]*Server{}}, meanServiceTime: initialServiceTime, evacuationGrace: drainGrace, classes: map[time.Duration]*requestClass{}, keyShares: map[uint16]*keyShare{}, random: rand.New(rand.NewPCG(seed, 0))}
+	return &Pool{domain: domain, owner: owner, servers: serverSet{byID: map[string]*Server{}}, meanServiceTime: initialServiceTime, evacuationGrace: drainGrace, classes: map[time.Duration]*requestClass{}, keyShares: map[uint16]*keyShare{}, random: rand.New(rand.NewPCG(seed, 0)), sampleRandom: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // MeanServiceTime returns the smoothed time from sending a request to its answer, over all
--- a/balance/roster.go
+++ b/balance/roster.go
@@ -105,13 +105,13 @@
 // SampleByDomain returns up to n random servers of the host's failure domain and up to n of other
 // domains.
 func (p *Pool) SampleByDomain(n int) (local, remote []*Server) {
-	for _, i := range p.random.Perm(len(p.servers.local))[:min(n, len(p.servers.local))] {
+	for _, i := range p.sampleRandom.Perm(len(p.servers.local))[:min(n, len(p.servers.local))] {
 		local = append(local, p.servers.local[i])
 	}
 	// Looks at a few servers only: there may be thousands.
 	const attemptsPerServer = 8
 	for attempts := attemptsPerServer * n; attempts > 0 && len(remote) < n && len(p.servers.sorted) > len(p.servers.local); attempts-- {
-		server := p.servers.sorted[p.random.IntN(len(p.servers.sorted))]
+		server := p.servers.sorted[p.sampleRandom.IntN(len(p.servers.sorted))]
 		if !server.local && !slices.Contains(remote, server) {
 			remote = append(remote, server)
 		}
--- a/connectivity/tracker.go
+++ b/connectivity/tracker.go
@@ -14,16 +14,16 @@
 	// minFailedServers is the number of servers that must have failed to accept a connection,
 	// with no successful one in between, before a probe is made.
 	minFailedServers = 2
-	// silenceThreshold is how long no server must have answered, and minSilentServers the
+	// SilenceThreshold is how long no server must have answered, and minSilentServers the
 	// number of servers that must have owed an answer for silentServerAge, before a probe is
 	// made. A busy server may be silent for that long, but not several at once.
-	silenceThreshold = 300 * time.Millisecond
+	SilenceThreshold = 300 * time.Millisecond
 	silentServerAge  = 200 * time.Millisecond
 	minSilentServers = 3
 	// LostProbeInterval is the interval of probes while the links are lost.
 	LostProbeInterval = 200 * time.Millisecond
 	// minRefutedPause and maxRefutedPause bound the pause after a probe that reached a server
-	// although there was evidence against the links. It doubles from probe to probe.
+	// although there was evidence against the links.
 	minRefutedPause = time.Second
 	maxRefutedPause = 2 * time.Second
 )
@@ -36,10 +36,27 @@
 	// failed holds, by server, when a connection last failed since the last successful one.
 	failed map[string]time.Duration
 	// waiting holds the servers that owe answers.
-	waiting      map[string]*pendingAnswers
-	unconfirmed  bool // the last probe failed and is to be confirmed by another one
-	nextProbe    time.Duration
-	refutedPause time.Duration
+	waiting     map[string]*pendingAnswers
+	unconfirmed bool // the last probe failed and is to be confirmed by another one
+	// failures and silence are the pauses between probes for each kind of evidence: slow servers
+	// must not delay a probe for connections that fail.
+	failures, silence probePause
+	probed            *probePause // of the evidence for the current probe, or nil
+}
+
+// probePause is the pause between probes that reach servers although there is evidence against the
+// links. It doubles from probe to probe.
+type probePause struct {
+	until, length time.Duration
+}
+
+// extend begins the next pause.
+func (p *probePause) extend(now time.Duration) {
+	if now-p.until > maxRefutedPause {
+		p.length = minRefutedPause
+	}
+	p.until = now + p.length
+	p.length = min(2*p.length, maxRefutedPause)
 }
 
 // pendingAnswers are the requests to one server that have no answer.
@@ -50,7 +67,8 @@
 
 // NewTracker returns a tracker whose links are up.
 func NewTracker() *Tracker {
-	return &Tracker{failed: map[string]time.Duration{}, waiting: map[string]*pendingAnswers{}, refutedPause: minRefutedPause}
+	return &Tracker{failed: map[string]time.Duration{}, waiting: map[string]*pendingAnswers{},
+		failures: probePause{length: minRefutedPause}, silence: probePause{length: minRefutedPause}}
 }
 
 // Lost reports whether the links to all servers are lost, and since when.
@@ -66,8 +84,15 @@
 	FailedServers, SilentServers int
 }
 
-// Connected records that a server accepted a connection.
-func (t *Tracker) Connected() { clear(t.failed) }
+// Connected records that a server accepted a connection whose opening began at the given time. It
+// says nothing about connections that have failed since.
+func (t *Tracker) Connected(began time.Duration) {
+	for server, at := range t.failed {
+		if at <= began {
+			delete(t.failed, server)
+		}
+	}
+}
 
 // ConnectFailed records that a connection to a server could not be opened.
 func (t *Tracker) ConnectFailed(now time.Duration, server string) { t.failed[server] = now }
@@ -101,15 +126,19 @@
 // ProbeDue reports whether servers must be probed now, and on which evidence. servers is the
 // number of servers that are known. The caller probes and reports the result.
 func (t *Tracker) ProbeDue(now time.Duration, servers int) (Evidence, bool) {
-	silent := now-t.lastAnswer >= silenceThreshold
-	if t.lost || servers == 0 || now < t.nextProbe || len(t.failed) == 0 && !silent {
+	t.probed = nil
+	silent := now-t.lastAnswer >= SilenceThreshold
+	if t.lost || servers == 0 || len(t.failed) == 0 && !silent {
 		return Evidence{}, false
 	}
 	evidence := t.evidence(now)
-	if evidence.FailedServers >= min(minFailedServers, servers) {
-		return evidence, true
+	switch {
+	case evidence.FailedServers >= min(minFailedServers, servers) && now >= t.failures.until:
+		t.probed = &t.failures
+	case silent && evidence.SilentServers >= min(minSilentServers, servers) && now >= t.silence.until:
+		t.probed = &t.silence
 	}
-	return evidence, silent && evidence.SilentServers >= min(minSilentServers, servers)
+	return evidence, t.probed != nil
 }
 
 func (t *Tracker) evidence(now time.Duration) Evidence {
@@ -157,23 +186,18 @@
 		return StillUp
 	case t.lost && accepted >= failed:
 		t.lost = false
-		t.nextProbe, t.refutedPause = now+minRefutedPause, minRefutedPause
-		clear(t.failed)
 		return BecameRestored
 	case t.lost:
 		return StillLost
-	case accepted == 0 && !unconfirmed && now-t.lastAnswer < silenceThreshold:
+	case accepted == 0 && !unconfirmed && now-t.lastAnswer < SilenceThreshold:
 		t.unconfirmed = true
 		return Inconclusive
 	case accepted == 0:
 		t.lost, t.lostSince = true, now
 		return BecameLost
 	}
-	if now-t.nextProbe > maxRefutedPause {
-		t.refutedPause = minRefutedPause
+	if t.probed != nil {
+		t.probed.extend(now)
 	}
-	t.nextProbe = now + t.refutedPause
-	t.refutedPause = min(2*t.refutedPause, maxRefutedPause)
-	clear(t.failed)
 	return StillUp
 }
--- a/connectivity/tracker_test.go
+++ b/connectivity/tracker_test.go
@@ -32,10 +32,15 @@
 			tr.ConnectFailed(now, "b")
 		}, knownServers, true},
 		{"another server accepts one in between", func(tr *Tracker) {
-			tr.ConnectFailed(now, "a")
-			tr.Connected()
+			tr.ConnectFailed(now-2*time.Millisecond, "a")
+			tr.Connected(now - time.Millisecond)
 			tr.ConnectFailed(now, "b")
 		}, knownServers, false},
+		{"another server has accepted one that was begun before", func(tr *Tracker) {
+			tr.ConnectFailed(now, "a")
+			tr.ConnectFailed(now, "b")
+			tr.Connected(now - time.Millisecond)
+		}, knownServers, true},
 		{"the first failure is long ago", func(tr *Tracker) {
 			tr.ConnectFailed(now-2*failureWindow, "a")
 			tr.ConnectFailed(now, "b")
@@ -55,7 +60,7 @@
 			for _, server := range []string{"a", "b", "c", "d"} {
 				tr.Sent(now-silentServerAge, server)
 			}
-			tr.Ended(now-silenceThreshold/2, "d", true)
+			tr.Ended(now-SilenceThreshold/2, "d", true)
 		}, knownServers, false},
 		{"requests were sent only just now", func(tr *Tracker) {
 			for _, server := range []string{"a", "b", "c"} {
@@ -106,6 +111,24 @@
 	}
 }
 
+// Guards against finding lost links late because slow servers have led to a probe shortly before.
+func TestSilenceDoesNotDelayProbeForFailures(t *testing.T) {
+	tracker := NewTracker()
+	now := 10 * time.Second
+	for _, server := range []string{"a", "b", "c"} {
+		tracker.Sent(now-silentServerAge, server)
+	}
+	_, due := tracker.ProbeDue(now, knownServers)
+	assert.Assert(t, due)
+	assert.Equal(t, tracker.Probed(now, 4, 0), StillUp)
+	_, due = tracker.ProbeDue(now, knownServers)
+	assert.Assert(t, !due, "the servers are slow")
+	tracker.ConnectFailed(now, "a")
+	tracker.ConnectFailed(now, "b")
+	_, due = tracker.ProbeDue(now, knownServers)
+	assert.Assert(t, due)
+}
+
 // Guards against taking four dead servers for lost links while other servers answer.
 func TestProbeIsRepeatedWhileServersAnswer(t *testing.T) {
 	tracker := NewTracker()
@@ -157,7 +180,7 @@
 				tracker.Probed(now, accepted, failed)
 			}
 			if accepted > 0 {
-				tracker.Connected()
+				tracker.Connected(now)
 			}
 		}
 		attempt := func() {
@@ -169,7 +192,7 @@
 				tracker.Sent(now, serverName(n))
 				owed[n]++
 			default:
-				tracker.Connected()
+				tracker.Connected(now)
 				tracker.Sent(now, serverName(n))
 				tracker.Ended(now, serverName(n), true)
 			}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"cicadarouter/balance"
+	"cicadarouter/connectivity"
 	"cicadarouter/contract/adapter"
 	"cicadarouter/link/backendlink"
 )
@@ -26,6 +28,8 @@
 	// unanswered is set if the request was sent and the server did not respond to it:
 	// the server may have crashed.
 	unanswered bool
+	// retryTaken is set if the request was aborted and a retry has been taken from the budget for it.
+	retryTaken bool
 	// replaced is set if another server responded at the server's address.
 	replaced bool
 	outcome  balance.Outcome
@@ -56,7 +60,7 @@
 
 // attempt sends the request to one server and reads the response. The server's slot is
 // released when the response has been read to its end. links ends if the links to all servers
-// are lost: the connection may then stay silent, so an idempotent request is aborted.
+// are lost; a request on a silent connection is then aborted if it can be repeated.
 func (g *Gateway) attempt(ctx, links context.Context, req *request, server *balance.Server, link *backendlink.Pool) attemptResult {
 	startedAt := g.now()
 	req.triedServers = append(req.triedServers, server.ID)
@@ -64,7 +68,7 @@
 	if err != nil {
 		result := g.connectFailure(ctx, err)
 		result.serverID = server.ID
-		g.noteConnectError(server, err)
+		g.noteConnectError(req.service, server, err)
 		if links.Err() == nil && !req.openConnsOnly {
 			g.checkForRestart(ctx, req, server)
 		} else {
@@ -88,10 +92,13 @@
 		g.metrics.limitedSends.Inc()
 	}
 	stop := context.AfterFunc(ctx, exchange.Abort)
-	stopOnLoss := func() bool { return false }
-	if req.route.Idempotent {
-		stopOnLoss = context.AfterFunc(links, exchange.Abort)
-	}
+	var retryTaken atomic.Bool
+	stopOnLoss := context.AfterFunc(links, func() {
+		if g.takeRetryOnLoss(req) {
+			retryTaken.Store(true)
+			exchange.Abort()
+		}
+	})
 	g.noteSent(req.service, server)
 	result, response := g.sendRequest(ctx, req, server, exchange)
 	stopOnLoss()
@@ -99,7 +106,7 @@
 	result.serverID, result.sent = server.ID, true
 	if response == nil && links.Err() != nil && ctx.Err() == nil {
 		// The host's own links are at fault, not the server.
-		result.outcome, result.unanswered = balance.Abandoned, false
+		result.outcome, result.unanswered, result.retryTaken = balance.Abandoned, false, retryTaken.Load()
 	}
 	if response == nil {
 		stop()
@@ -130,6 +137,16 @@
 	return result
 }
 
+// takeRetryOnLoss takes a retry for a request that waits for an answer while the links to all servers
+// are lost, and reports whether to abort it: it may be repeated, and its connection is silent too.
+func (g *Gateway) takeRetryOnLoss(req *request) bool {
+	links := req.service.links
+	if !req.route.Idempotent || req.remainingBody != nil || req.sendCount >= req.route.MaxAttempts {
+		return false
+	}
+	return links.areSilent() && !links.answeredWithin(g.now(), connectivity.SilenceThreshold) && req.service.takeRetry()
+}
+
 // beginExchange takes an open connection to a server, or opens one unless the request must not.
 func beginExchange(ctx context.Context, req *request, link *backendlink.Pool) (*backendlink.Exchange, error) {
 	if req.openConnsOnly {
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -144,14 +145,34 @@
 		defer mu.Unlock()
 		return got.status == http.StatusOK && len(timeouts) > 0
 	})
-	mu.Lock()
-	defer mu.Unlock()
-	for _, text := range timeouts {
-		var left float64
-		_, err := fmt.Sscanf(text, "%g", &left)
-		assert.NilError(t, err)
-		assert.Assert(t, left > 0 && left <= 700, "a server was given %s ms", text)
+	timeoutsOf := func() (left []float64) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, text := range timeouts {
+			millis, err := strconv.ParseFloat(text, 64)
+			assert.NilError(t, err)
+			left = append(left, millis)
+		}
+		return left
 	}
+	for _, left := range timeoutsOf() {
+		assert.Assert(t, left > 0 && left <= 700, "a server was given %v ms", left)
+	}
+	// Time that has passed at the first host is not given again.
+	known := len(timeoutsOf())
+	s.eventually("the peer uses the server", func() bool {
+		direct, err := http.NewRequest(http.MethodGet, "http://"+s.hosts[1].peers.address+"/free/x", nil)
+		assert.NilError(t, err)
+		direct.Host = "site.example"
+		direct.Header.Set("X-Request-Id", "direct")
+		direct.Header.Set("X-Deadline-Ms", "700")
+		direct.Header.Set("Cicada-Forward", `{"host":"h0","elapsedMicros":500000,"configuration":3}`)
+		response, err := http.DefaultClient.Do(direct)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		return len(timeoutsOf()) > known
+	})
+	assert.Assert(t, timeoutsOf()[known] <= 200, "a server was given %v ms of 200", timeoutsOf()[known])
 	for _, key := range []string{"0", "30000", "65535"} {
 		assert.Equal(t, s.call(cut, http.MethodGet, "/keyed/x", key, "").status, http.StatusOK)
 	}
--- a/gateway/forwardpeers_test.go
+++ b/gateway/forwardpeers_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -178,7 +179,7 @@
 	defer next.Close()
 	g := New(Identity{Host: "h"}, Platform{Codec: platform.Codec{}}, logs.Discard())
 	g.services["s"] = g.newService("s", false)
-	g.services["s"].links.probed(time.Second, 0, 4)
+	g.services["s"].links.probed(time.Second, probeCounts{timedOut: 4})
 	g.peers.update(peerList{Addresses: []string{next.Listener.Addr().String()}})
 	route := routing.Route{Name: "r", Prefix: "/", Targets: []routing.Target{{Service: "s", Weight: 1}}, MaxAttempts: 2}
 	g.configuration.Update(&routing.Configuration{Version: 7, Hosts: map[string][]routing.Route{"site.example": {route}}, Services: map[string]routing.Service{"s": {Name: "s"}}})
@@ -192,3 +193,15 @@
 	assert.Equal(t, recorded.Code, http.StatusServiceUnavailable)
 	assert.Equal(t, forwards.Load(), int32(0))
 }
+
+// A forwarded request says how long it has been at this host.
+func TestForwardedRequestTellsElapsedTime(t *testing.T) {
+	g := New(Identity{Host: "h"}, Platform{}, logs.Discard())
+	req := &request{httpRequest: httptest.NewRequest(http.MethodGet, "/x", nil), configuration: &routing.Configuration{Version: 7}, arrivedAt: g.now() - time.Second, sendCount: 1, counted: true}
+	var info forwardInfo
+	assert.NilError(t, json.Unmarshal([]byte(g.newForwardedRequest(req).Header.Get(headerForward)), &info))
+	assert.Assert(t, info.ElapsedMicros >= time.Second.Microseconds())
+	assert.Equal(t, info.Sends, 1)
+	assert.Assert(t, info.Counted)
+	assert.Equal(t, info.Configuration, uint64(7))
+}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -24,13 +24,19 @@
 	// servers is the number of known servers.
 	servers int
 	probing bool
+	// silent is set while the links are lost if connections time out. If they are refused, open
+	// ones have been reset or may still work.
+	silent bool
+	// settled is closed once the current probe has a result, or if there is none.
+	settled chan struct{}
 	// lost is done while the links to all servers are lost.
 	lost    context.Context
 	setLost context.CancelFunc
 }
 
 func newServerLinks() *serverLinks {
-	l := &serverLinks{tracker: connectivity.NewTracker()}
+	l := &serverLinks{tracker: connectivity.NewTracker(), settled: make(chan struct{})}
+	close(l.settled)
 	l.lost, l.setLost = context.WithCancel(context.Background())
 	return l
 }
@@ -51,6 +57,14 @@
 	return lost
 }
 
+// areSilent reports whether the links to all servers are lost and connections time out.
+func (l *serverLinks) areSilent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lost, _ := l.tracker.Lost()
+	return lost && l.silent
+}
+
 // lostFor returns how long the links to all servers have been lost; 0 if they are not.
 func (l *serverLinks) lostFor(now time.Duration) time.Duration {
 	l.mu.Lock()
@@ -77,31 +91,63 @@
 		return connectivity.Evidence{}, false
 	}
 	evidence, due := l.tracker.ProbeDue(now, l.servers)
-	l.probing = due || forced
+	if l.probing = due || forced; l.probing {
+		l.settled = make(chan struct{})
+	}
 	return evidence, l.probing
 }
 
+// probeCounts counts the connections of a probe by their results.
+type probeCounts struct{ accepted, refused, timedOut int }
+
+func (c *probeCounts) failed() int { return c.refused + c.timedOut }
+
 // probed records the result of a probe. The probe is over unless the result is Inconclusive or the
 // links are lost.
-func (l *serverLinks) probed(now time.Duration, accepted, failed int) connectivity.Result {
+func (l *serverLinks) probed(now time.Duration, counts probeCounts) connectivity.Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	result := l.tracker.Probed(now, accepted, failed)
+	result := l.tracker.Probed(now, counts.accepted, counts.failed())
 	switch result {
 	case connectivity.BecameLost:
+		l.silent = counts.refused == 0
 		l.setLost()
 	case connectivity.BecameRestored:
 		l.lost, l.setLost = context.WithCancel(context.Background())
 	}
 	l.probing = result == connectivity.Inconclusive || result == connectivity.BecameLost || result == connectivity.StillLost
+	if result != connectivity.Inconclusive {
+		l.settle()
+	}
 	return result
 }
 
+// settle marks the current probe as having a result. l.mu must be held.
+func (l *serverLinks) settle() {
+	select {
+	case <-l.settled:
+	default:
+		close(l.settled)
+	}
+}
+
+// awaitProbe waits for the result of a probe that is in progress.
+func (l *serverLinks) awaitProbe(ctx context.Context) {
+	l.mu.Lock()
+	settled := l.settled
+	l.mu.Unlock()
+	select {
+	case <-settled:
+	case <-ctx.Done():
+	}
+}
+
 // stopProbe ends a probe without a result.
 func (l *serverLinks) stopProbe() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.probing = false
+	l.settle()
 }
 
 // setServers sets the number of known servers.
@@ -129,7 +175,8 @@
 	now := d.gateway.now()
 	switch {
 	case err == nil:
-		d.service.links.noteConnected()
+		d.service.links.noteConnected(began)
+		d.gateway.confirmRefusals(began)
 	case errors.Is(err, context.Canceled), ctx.Err() != nil && now-began < minTimeoutEvidence:
 	default:
 		d.gateway.noteConnectFailed(now, d.service, address)
@@ -137,10 +184,10 @@
 	return conn, err
 }
 
-func (l *serverLinks) noteConnected() {
+func (l *serverLinks) noteConnected(began time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tracker.Connected()
+	l.tracker.Connected(began)
 }
 
 // noteConnectFailed records that a connection to a server's address could not be opened.
@@ -177,37 +224,51 @@
 	s.links.tracker.Ended(g.now(), server.Address, answered)
 }
 
-// checkLinks starts a probe of a service's links if one is due.
-func (g *Gateway) checkLinks(now time.Duration, s *service) {
-	if evidence, due := s.links.startProbe(now, false); due {
+// checkLinks starts a probe of a service's links if one is due, and reports whether it did.
+func (g *Gateway) checkLinks(now time.Duration, s *service) bool {
+	evidence, due := s.links.startProbe(now, false)
+	if due {
 		go g.probeLinks(s, evidence)
 	}
+	return due
+}
+
+// linksLostAfterProbe reports whether the links to a service's servers are lost, after waiting for a
+// probe that is in progress. One that began before the last failures may miss what they show, and is
+// followed by another.
+func (g *Gateway) linksLostAfterProbe(ctx context.Context, s *service) bool {
+	s.links.awaitProbe(ctx)
+	if !s.links.areLost() && g.checkLinks(g.now(), s) {
+		s.links.awaitProbe(ctx)
+	}
+	return s.links.areLost()
 }
 
 // probeLinks probes servers of a service until its links are found to work.
 func (g *Gateway) probeLinks(s *service, evidence connectivity.Evidence) {
 	lostAt := g.now()
 	for g.background.Err() == nil {
-		accepted, failed := g.connectToSample(s)
+		counts := g.connectToSample(s)
 		g.metrics.linkProbes.Inc()
 		now := g.now()
-		switch s.links.probed(now, accepted, failed) {
+		switch s.links.probed(now, counts) {
 		case connectivity.Inconclusive:
 			continue
 		case connectivity.BecameLost:
 			g.log.Warn("links to all servers of a service are lost", "service", s.name, "refused-connections", evidence.FailedServers,
-				"silent-servers", evidence.SilentServers, "probed", failed)
+				"silent-servers", evidence.SilentServers, "probed", counts.failed(), "timed-out", counts.timedOut)
+			g.forgetRefusals()
 			g.wakeControl() // the controller has to know at once
 			g.probeOtherServices(now, s)
 		case connectivity.BecameRestored:
 			s.forgetUnreachable()
-			g.log.Info("links to servers of a service are restored", "service", s.name, "accepted", accepted, "failed", failed, "lost-ms", (now - lostAt).Milliseconds())
+			g.log.Info("links to servers of a service are restored", "service", s.name, "accepted", counts.accepted, "failed", counts.failed(), "lost-ms", (now - lostAt).Milliseconds())
 			g.wakeControl()
 			return
 		case connectivity.StillUp:
 			if g.failureLogLimit.allow() {
 				g.log.Info("links to servers of a service work", "service", s.name, "refused-connections", evidence.FailedServers,
-					"silent-servers", evidence.SilentServers, "accepted", accepted, "failed", failed)
+					"silent-servers", evidence.SilentServers, "accepted", counts.accepted, "failed", counts.failed())
 			}
 			return
 		}
@@ -260,19 +321,24 @@
 // probeTimeout bounds a probe; connections take about 1 ms.
 const probeTimeout = 400 * time.Millisecond
 
-// connectToSample opens connections to a few servers of a service, and returns how many were accepted.
-// The connections are kept for later requests.
-func (g *Gateway) connectToSample(s *service) (accepted, failed int) {
+// connectToSample opens connections to a few servers of a service. The connections are kept for later
+// requests.
+func (g *Gateway) connectToSample(s *service) probeCounts {
 	ctx, cancel := context.WithTimeout(g.background, probeTimeout)
 	defer cancel()
+	var counts probeCounts
 	for err := range connectAll(ctx, s.sampleConns(probedServers)) {
-		if err == nil {
-			accepted++
-		} else {
-			failed++
+		var netErr net.Error
+		switch {
+		case err == nil:
+			counts.accepted++
+		case errors.As(err, &netErr) && netErr.Timeout():
+			counts.timedOut++
+		default:
+			counts.refused++
 		}
 	}
-	return accepted, failed
+	return counts
 }
 
 // connectAll opens a connection in each pool and returns a channel of the results, which is closed
@@ -305,8 +371,9 @@
 	return pools
 }
 
-// reachesAnotherServer reports whether any of a few servers other than the one at the address accepts
-// a connection. It returns true if no other server is known.
+// reachesAnotherServer connects to a few servers other than the one at the address, which confirms
+// earlier refusals, and reports whether any accepts. If no other server is known there is nothing to
+// compare with, and refusals are confirmed.
 func (g *Gateway) reachesAnotherServer(address string) bool {
 	ctx, cancel := context.WithTimeout(g.background, connectCheckTimeout)
 	defer cancel()
@@ -322,6 +389,9 @@
 			return true
 		}
 	}
+	if len(others) == 0 {
+		g.confirmRefusals(g.now())
+	}
 	return len(others) == 0
 }
 
--- a/gateway/links_test.go
+++ b/gateway/links_test.go
@@ -164,6 +164,77 @@
 	}
 }
 
+// Guards against requests that wait for their deadlines on connections that have fallen silent, although
+// they may be repeated.
+func TestRequestsOnSilentConnectionsAreForwarded(t *testing.T) {
+	s := newSite(t)
+	for i := range 6 {
+		s.startServer(fmt.Sprintf("f%d", i), "free", false)
+	}
+	s.configureKeyless(3)
+	const retries = 200 // more than there are requests
+	for _, name := range []string{"h0", "h1"} {
+		s.start(hostOptions{name: name, store: s.address, retryReserve: retries})
+	}
+	cut := s.hosts[0]
+	s.eventually("the host knows its peer", func() bool { return metric(cut, "cicada_peers") == "1" })
+	for range 50 {
+		s.call(cut, http.MethodGet, "/free/x", "", "") // opens connections
+	}
+	cut.links.SetFault(platformtest.LinksSilent)
+	var done sync.WaitGroup
+	for i := range 20 {
+		done.Go(func() {
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+			got := s.callWithin(cut, http.MethodGet, "/free/x", "", "", 3*time.Second)
+			if got.err != nil || got.status != http.StatusOK && got.status != http.StatusServiceUnavailable {
+				t.Errorf("a request got status %d, error %v", got.status, got.err)
+			}
+		})
+	}
+	done.Wait()
+	assert.Equal(t, cut.linksLost(), "1")
+}
+
+// Guards against running requests twice that are under way on open connections, while servers answer on
+// these and only new connections fail, as they do when servers are overloaded.
+func TestRequestsOnWorkingConnectionsAreNotAborted(t *testing.T) {
+	s := newSite(t)
+	const (
+		work  = 400 * time.Millisecond
+		calls = 16 // a third of the slots
+	)
+	for i := range 6 {
+		s.startServer(fmt.Sprintf("f%d", i), "free", false).Work = work
+	}
+	s.configureKeyless(3)
+	cut := s.startHost("h0")
+	s.startHost("h1")
+	s.eventually("the host knows its peer", func() bool { return metric(cut, "cicada_peers") == "1" })
+	// call keeps 16 requests under way, the first ones on connections that are open by then.
+	call := func(during func()) {
+		var done sync.WaitGroup
+		for i := range calls {
+			done.Go(func() {
+				time.Sleep(time.Duration(i) * work / calls)
+				got := s.callWithin(cut, http.MethodGet, "/free/x", "", "", 3*time.Second)
+				if got.err != nil || got.status != http.StatusOK {
+					t.Errorf("a request got status %d, error %v", got.status, got.err)
+				}
+			})
+		}
+		during()
+		done.Wait()
+	}
+	call(func() {})
+	before := s.totalRuns()
+	call(func() { time.AfterFunc(work/2, func() { cut.links.SetFault(platformtest.LinksRefuse) }) })
+	call(func() {
+		s.eventually("the host knows that its links are lost", func() bool { return cut.linksLost() == "1" })
+	})
+	assert.Equal(t, s.totalRuns()-before, 2*calls, "requests ran again")
+}
+
 // Guards against taking servers for terminated, and requests for their cause at all hosts, because
 // the host's own broken links reset connections and refuse new ones.
 func TestLostLinksBlameNoRequest(t *testing.T) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -209,6 +209,7 @@
 // has lost its links to the servers of the service.
 func (g *Gateway) forward(ctx context.Context, req *request) *reply {
 	for {
+		g.checkLinks(g.now(), req.service)
 		links := req.service.links.lostContext()
 		if links.Err() != nil {
 			if answer := g.replyWithoutLinks(ctx, req); answer != nil {
@@ -245,6 +246,9 @@
 			return rejection(outcomeLinksLost, defaultRetryAfter)
 		}
 		if result.reply != nil && !g.shouldRetry(ctx, req, result) {
+			if !result.sent && result.notRun && g.linksLostAfterProbe(ctx, req.service) {
+				continue // a peer may take the request
+			}
 			return result.reply
 		}
 		if result.reply == nil {
@@ -332,7 +336,7 @@
 	if result.unanswered && g.judge(req).Verdict >= poison.Suspected {
 		return false
 	}
-	if sent && !req.service.takeRetry() {
+	if sent && !result.retryTaken && !req.service.takeRetry() {
 		return false
 	}
 	g.logRetry(req, result)
--- a/gateway/serverends.go
+++ b/gateway/serverends.go
@@ -28,8 +28,10 @@
 	// They keep the lock out of the path of requests and answers, which arrive by the thousand,
 	// while there is nothing to check.
 	tracking, suspecting atomic.Bool
+	anyRefused           atomic.Bool // a server refused a connection and this is not confirmed
 
 	mu         sync.Mutex
+	refused    map[fleet.Incarnation]time.Duration // when servers refused connections, not confirmed
 	unanswered poison.UnansweredTracker
 	answered   poison.RecentlyAnswered
 	ledger     poison.Ledger
@@ -62,23 +64,74 @@
 	}
 	reaching, cancel := context.WithTimeout(ctx, connectCheckTimeout)
 	defer cancel()
-	g.noteConnectError(server, link.Connect(reaching))
+	g.noteConnectError(req.service, server, link.Connect(reaching))
 }
 
+// refusalValidFor is how long a refused connection may wait for the proof that this host reaches other
+// servers.
+const refusalValidFor = time.Second
+
 // noteConnectError records the result of opening a connection. A refused connection proves that
 // no process listens there any more, unless it was this host's link that refused it: then other
 // servers can't be reached either. Any other failure may be due to the network.
-func (g *Gateway) noteConnectError(server *balance.Server, err error) {
-	if !errors.Is(err, syscall.ECONNREFUSED) || !g.terminations.awaitsProof(server.Incarnation()) {
+func (g *Gateway) noteConnectError(s *service, server *balance.Server, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) || !g.terminations.awaitsProof(server.Incarnation()) || s.links.areLost() {
 		return
 	}
-	if !g.reachesAnotherServer(server.Address) {
-		if g.failureLogLimit.allow() {
-			g.log.Info("refused connection proves nothing: this host reaches no other server either", "server", server.Incarnation().String())
+	refusedAt := g.now()
+	g.terminations.noteRefused(server.Incarnation(), refusedAt)
+	if !g.reachesAnotherServer(server.Address) && g.failureLogLimit.allow() {
+		g.log.Info("refused connection proves nothing yet: this host reaches no other server", "server", server.Incarnation().String())
+	}
+}
+
+// noteRefused records that a server refused a connection.
+func (e *terminationTracker) noteRefused(server fleet.Incarnation, now time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.refused == nil {
+		e.refused = map[fleet.Incarnation]time.Duration{}
+	}
+	e.refused[server] = now
+	e.anyRefused.Store(true)
+}
+
+// takeRefused returns the servers that had refused a connection shortly before the given time, and
+// forgets them and all earlier ones.
+func (e *terminationTracker) takeRefused(before time.Duration) []fleet.Incarnation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var servers []fleet.Incarnation
+	for server, at := range e.refused {
+		if at > before {
+			continue
+		}
+		delete(e.refused, server)
+		if before-at <= refusalValidFor {
+			servers = append(servers, server)
 		}
+	}
+	e.anyRefused.Store(len(e.refused) > 0)
+	return servers
+}
+
+// confirmRefusals takes the servers that refused connections for terminated: this host has reached
+// another server by a connection that was begun later.
+func (g *Gateway) confirmRefusals(began time.Duration) {
+	if !g.terminations.anyRefused.Load() {
 		return
 	}
-	g.noteTerminated(server.Incarnation(), "connection refused")
+	for _, server := range g.terminations.takeRefused(began) {
+		g.noteTerminated(server, "connection refused")
+	}
+}
+
+// forgetRefusals forgets refused connections, because this host's links are lost.
+func (g *Gateway) forgetRefusals() {
+	g.terminations.mu.Lock()
+	defer g.terminations.mu.Unlock()
+	clear(g.terminations.refused)
+	g.terminations.anyRefused.Store(false)
 }
 
 // awaitsProof reports whether the termination of a server would matter: it left a request unanswered
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -255,6 +255,8 @@
 	firstStart bool
 	// peers is the listener for calls by other hosts; nil for a new one.
 	peers *peerAddress
+	// retryReserve is the number of retries of all hosts beyond the ratio; 0 for the default.
+	retryReserve float64
 }
 
 func (s *site) start(setup hostOptions) *hostUnderTest {
@@ -264,7 +266,7 @@
 		h.peers = s.newPeerAddress()
 	}
 	store := platform.NewStore(setup.store)
-	identity := gateway.Identity{Host: setup.name, Domain: "a", PeerAddress: h.peers.address, Seeds: setup.seeds, FirstStart: setup.firstStart, EvacuateWithin: 5 * time.Second, Incarnation: s.starts.Add(1)}
+	identity := gateway.Identity{Host: setup.name, Domain: "a", PeerAddress: h.peers.address, Seeds: setup.seeds, FirstStart: setup.firstStart, EvacuateWithin: 5 * time.Second, Incarnation: s.starts.Add(1), RetryReserve: setup.retryReserve}
 	h.gateway = gateway.New(identity, gateway.Platform{Store: store, Registry: platform.Registry{}, Codec: platform.Codec{}, Keys: platform.NewKeysWithDialer(h.links), ServerDialer: h.links}, logs.Discard())
 	h.peers.process.Store(h.gateway)
 	h.callers = httptest.NewServer(h.gateway)
--- a/tools/mutants/poison.go
+++ b/tools/mutants/poison.go
@@ -50,7 +50,7 @@
 		host("serverends.go", "blame recently answered requests", "	if g.terminations.answered.Contains(g.now(), blame.Request) {", "	if false {"),
 		host("service.go", "blame requests for planned shutdowns", "return server.Leaving() || brokeOff &&", "return brokeOff &&"),
 		host("service.go", "blame requests for terminations after the entry was removed", "return server.Leaving() || brokeOff &&", "return server.Leaving() || false &&"),
-		host("serverends.go", "ignore refused connections", "	if !errors.Is(err, syscall.ECONNREFUSED) || ", "	if true || "),
+		host("serverends.go", "ignore refused connections", "	if !errors.Is(err, syscall.ECONNREFUSED) || ", "	if errors.Is(err, syscall.ECONNREFUSED) || "),
 		host("control.go", "write nothing to the store", "	g.syncQuarantine(ctx, c, now)\n", ""),
 		host("quarantinestore.go", "ignore requests released by an operator", "	for _, released := range content.Released {", "	for _, released := range content.Released[:0] {"),
 		host("quarantinestore.go", "read nothing back from the store", "	g.mergeCases(content.cases(wall), \"the store\")\n", ""),
