--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -91,10 +91,7 @@
 	var tried []string
 	differs, waits := false, 0
 	for ctx.Err() == nil {
-		address, conns, wait := "", (*backendlink.Pool)(nil), time.Duration(0)
-		if len(tried) < maxForwardTries {
-			address, conns, wait = g.peers.acquire(g.now(), req.serviceName, tried)
-		}
+		address, conns, wait := g.peers.acquire(g.now(), req.serviceName, tried)
 		if conns == nil && differs && waits < maxConfigurationWaits {
 			clock.Sleep(ctx, configurationWait)
 			tried, differs, waits = nil, false, waits+1
--- a/gateway/forwardpeers.go
+++ b/gateway/forwardpeers.go
@@ -87,9 +87,12 @@
 }
 
 // acquire returns the address and the connections of the peer for a service's request with the fewest
-// requests of this host, and counts one more. If there is none, wait is the time until one may be
-// used again, 0 if unknown.
+// requests of this host, and counts one more. If there is none, or as many are excluded as a request may
+// be offered to, conns is nil and wait the time until a peer may be used again, 0 if unknown.
 func (p *forwardPeers) acquire(now time.Duration, service string, excluded []string) (address string, conns *backendlink.Pool, wait time.Duration) {
+	if len(excluded) >= maxForwardTries {
+		return "", nil, 0
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *forwardPeer
