--- a/tools/mutants/links.go
+++ b/tools/mutants/links.go
@@ -38,9 +38,9 @@
 		host("forwardring.go", "name the same peers to all hosts", "entry := entries[(first+i)%len(entries)]", "entry := entries[(0*first+i)%len(entries)]"),
 		host("control.go", "keep control without links", "	if g.shouldResign(c) {", "	if false {"),
 		host("serverends.go", "take a refusal by the own link for a server's end", "	if !g.reachesAnotherServer(server.Address) &&", "	if g.confirmRefusals(refusedAt); !g.reachesAnotherServer(server.Address) &&"),
-		host("links.go", "remember refusals by a link that is lost", "			g.forgetRefusals()\n", ""),
+		host("linkprobe.go", "remember refusals by a link that is lost", "			g.forgetRefusals()\n", ""),
 		host("attempt.go", "wait on silent connections", "		if g.takeRetryOnLoss(req) {", "		if false {"),
 		host("attempt.go", "abort requests on connections that work", "	return links.areSilent() && !links.answeredWithin(g.now(), connectivity.SilenceThreshold) && req", "	return connectivity.SilenceThreshold > 0 && links != nil && req"),
-		host("links.go", "probe one service only", "			g.probeOtherServices(now, s)\n", ""),
+		host("linkprobe.go", "probe one service only", "			g.probeOtherServices(now, s)\n", ""),
 	})
 }
