gateway: a streamed request that a peer has declined is rejected, not sent to a server

What a caller could have seen: a server runs its request with a body that lacks a piece.

Cause: while links are lost, a request that no peer takes may use open connections if servers still answer on them. A body of more than 64 KB is streamed; the peer that declined may have been sent part of it, and the rest would have gone to the server, which for a chunked body looks complete.

Change: such a request is answered 503, which is true: it has not run. The caller sends it again.

TestStreamedRequestIsNotSentAfterPeerDeclined failed before (no reply, so the request went on to a server) and passes. A mutant breaks the rule.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -117,7 +117,7 @@
 		}
 		differs = differs || result.declined == outcomeConfigurationDiffers
 		if result.declined != "" && req.remainingBody != nil {
-			return nil, 0 // a streamed body can't be sent again
+			return rejection(outcomeLinksLost, defaultRetryAfter), 0 // the peer may have read part of the body
 		}
 	}
 	return g.replyIfEnded(ctx, ctx.Err()), 0
--- a/gateway/forwardpeers_test.go
+++ b/gateway/forwardpeers_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cicadarouter/fleet"
 	"cicadarouter/host/logs"
 	"cicadarouter/platform"
 	"cicadarouter/routing"
@@ -205,3 +206,25 @@
 	assert.Assert(t, info.Counted)
 	assert.Equal(t, info.Configuration, uint64(7))
 }
+
+// Guards against sending a server the rest of a body whose beginning a peer has read before it declined.
+func TestStreamedRequestIsNotSentAfterPeerDeclined(t *testing.T) {
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerForwardResult, `{"outcome":"links-lost","declined":true}`)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer peer.Close()
+	g := New(Identity{Host: "h"}, Platform{}, logs.Discard())
+	g.peers.update(peerList{Addresses: []string{peer.Listener.Addr().String()}})
+	s := g.newService("s", false)
+	server := fleet.Server{ID: "a", Address: "a"}
+	s.links.tracker.Sent(g.now(), server.Address)
+	s.links.tracker.Ended(g.now(), server.Address, true) // open connections work
+	body := strings.NewReader(strings.Repeat("x", 1<<20))
+	req := &request{httpRequest: httptest.NewRequest(http.MethodPost, "/x", body), configuration: &routing.Configuration{Version: 7},
+		route: &routing.Route{MaxAttempts: 2}, service: s, serviceName: "s", remainingBody: body, deadline: time.Hour}
+	answer := g.replyWithoutLinks(t.Context(), req)
+	assert.Assert(t, answer != nil, "the host may send the rest of the body to a server")
+	assert.Equal(t, answer.status, http.StatusServiceUnavailable)
+	assert.Assert(t, answer.retryAfter > 0)
+}
--- a/tools/mutants/links.go
+++ b/tools/mutants/links.go
@@ -22,6 +22,7 @@
 		tracker("tracker.go", "lose the links although a server accepts", "case accepted == 0:\n		t.lost,", "case accepted <= failed:\n		t.lost,"),
 		tracker("tracker.go", "believe one failed probe while servers answer", "case accepted == 0 && !unconfirmed && now-t.lastAnswer < SilenceThreshold:", "case false && unconfirmed:"),
 	}, []mutant{
+		host("forward.go", "send the rest of a body that a peer has begun to read", "		if result.declined != \"\" && req.remainingBody != nil {", "		if false {"),
 		host("request.go", "forward nothing", "	answer, retryAfter := g.forwardToPeers(ctx, req)\n", "	answer, retryAfter := (*reply)(nil), defaultRetryAfter\n"),
 		host("request.go", "forward forwarded requests", "	if req.forwarded != nil {\n		if req.sendCount", "	if false {\n		if req.sendCount"),
 		host("forward.go", "forward a request again that a peer has received", "return g.peerLost(ctx, req, err)\n	}\n	var result", "return forwardAttempt{err: err, failed: true}\n	}\n	var result"),
