--- a/tools/mutants/links.go
+++ b/tools/mutants/links.go
@@ -6,7 +6,7 @@
 // requests, and handles forwarded ones.
 func linkMutants() []mutant {
 	tracker := breaking("connectivity", ".")
-	host := breaking("gateway", "WithoutLinks|Forward|PeerFails|PromisesWhile|LostLinks|ControllerKeepsRole|WorkingConnections")
+	host := breaking("gateway", "WithoutLinks|Forward|PeerFails|PromisesWhile|LostLinks|ControllerKeepsRole|WorkingConnections|StreamedRequest")
 	return slices.Concat([]mutant{
 		tracker("tracker.go", "blame the links for one dead server", "case evidence.FailedServers >= min(minFailedServers, servers) &&", "case evidence.FailedServers >= 1 &&"),
 		tracker("tracker.go", "ignore that a server accepted a connection", "		if at <= began {", "		if false && at <= began {"),
