gateway, backendlink: logs name the connection that gave an answer

Callers were told 503 for requests that servers ran. The logs could not tell the possible causes apart:

The late second copy of the rejection of the first send is taken for the answer to the second one: same connection, same id, next send on it, an answer at once, and then an answer that nobody waits for. 2. A server rejects the second send and runs it all the same: no such answer follows. 3. A copy of another request's rejection is taken: another connection, or an answer without the id. 4. The host ends the second send itself and reports it as not run: the connection carries nothing after it.

"attempt repeated" and "request" give the number of the connection, how many requests were sent on it, the time to the answer, and whether it named the request. Lines of their own tell of an answer to another request, and of a connection that is closed because it holds bytes of no request; these are also counted in cicada_unexpected_bytes_total. No decision changes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,9 +38,29 @@
 	outcome  balance.Outcome
 	load     *balance.Load
 	serverID string
+	// hasID is set if the response names the request.
+	hasID    bool
+	exchange *exchangeInfo // set once the request has been sent
 	err      error
 }
 
+// exchangeInfo describes in logs which response was taken for a request's.
+type exchangeInfo struct {
+	conn backendlink.ConnInfo
+	// answeredAfter is the time from the send to the response, or to the failure.
+	answeredAfter time.Duration
+	// hasID is set if the response names the request.
+	hasID bool
+}
+
+// logFields returns the fields for a log line; none if nothing was sent.
+func (i *exchangeInfo) logFields() []any {
+	if i == nil {
+		return nil
+	}
+	return []any{"connection", i.conn.Number, "connection-sends", i.conn.Sends, "answered-us", i.answeredAfter.Microseconds(), "answer-id", i.hasID}
+}
+
 // completed reports whether a server's response shows that it finished running the request.
 func (r *attemptResult) completed(status int) bool {
 	return !r.notRun && status != http.StatusGatewayTimeout
@@ -114,6 +134,10 @@
 	sentAt := g.now()
 	g.noteSent(req.service, server)
 	result, response := g.sendRequest(ctx, req, server, exchange)
+	result.exchange = &exchangeInfo{conn: exchange.Conn(), answeredAfter: g.now() - sentAt, hasID: result.hasID}
+	if result.reply != nil {
+		result.reply.exchange = result.exchange
+	}
 	stopOnLoss()
 	stopOnCutOff()
 	g.noteExchangeEnded(req.service, server, response != nil)
@@ -210,11 +234,14 @@
 			if otherServer := metadata.Misdirected && metadata.Server != server.ID; !otherServer {
 				g.handleNotices(receivedNotices{from: server.Incarnation(), call: callRequest, requestID: req.ID, sentAt: sent, ran: metadata.HasSignature, Notice: metadata.Notice})
 			}
-			return g.responseResult(ctx, req, server, exchange.Response, metadata)
+			result, response := g.responseResult(ctx, req, server, exchange.Response, metadata)
+			result.hasID = metadata.RequestID != ""
+			return result, response
 		}
 		// The response belongs to another request, such as a second response to an
 		// earlier one on this connection. Forwarding it would leak another caller's data.
 		g.metrics.strayResponses.Inc()
+		g.logStrayResponse(req, server, exchange, metadata)
 		if !exchange.Reused || stray >= maxStrayResponses {
 			return g.noResponseResult(ctx, errWrongRequest), nil
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -197,6 +197,7 @@
 	s := newService(name, g.identity, keyed, g.now)
 	s.dialer = trackingDialer{Dialer: g.dialer, gateway: g, service: s}
 	s.requestReservations = g.requestReservations
+	s.noteUnexpectedBytes = g.noteUnexpectedBytes
 	g.metrics.set.GetOrCreateGauge(`cicada_domains_cut_off{service="`+name+`"}`, s.domains.cutOffGauge)
 	g.directory.MarkAllChanged()
 	return s
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -9,7 +9,10 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
+	"cicadarouter/balance"
+	"cicadarouter/contract/adapter"
 	"cicadarouter/host/clock"
+	"cicadarouter/link/backendlink"
 )
 
 // hostMetrics holds the host's counters and histograms.
@@ -17,6 +20,7 @@
 	set                      *metrics.Set
 	retries                  *metrics.Counter
 	strayResponses           *metrics.Counter
+	unexpectedBytes          *metrics.Counter // connections closed because of bytes that belong to no request
 	storeErrors              *metrics.Counter
 	unreadableEntries        *metrics.Counter
 	crowdedAssignments       *metrics.Counter
@@ -35,6 +39,7 @@
 	return &hostMetrics{set: set,
 		retries:                  set.NewCounter("cicada_retries_total"),
 		strayResponses:           set.NewCounter("cicada_stray_answers_total"),
+		unexpectedBytes:          set.NewCounter("cicada_unexpected_bytes_total"),
 		storeErrors:              set.NewCounter("cicada_store_errors_total"),
 		hostCallsRejected:        set.NewCounter("cicada_host_calls_turned_away_total"),
 		crowdedAssignments:       set.NewCounter("cicada_crowded_assignments_total"),
@@ -170,6 +175,9 @@
 	if req.forwardedTo != "" {
 		fields = append(fields, "forwarded-to", req.forwardedTo)
 	}
+	if answer.outcome != outcomeAnswered {
+		fields = append(fields, answer.exchange.logFields()...)
+	}
 	if answer.cause != nil {
 		fields = append(fields, "error", answer.cause.Error())
 	}
@@ -186,8 +194,28 @@
 	if result.reply != nil {
 		fields = append(fields, "outcome", result.reply.outcome, "status", result.reply.status)
 	}
+	fields = append(fields, result.exchange.logFields()...)
 	if result.err != nil {
 		fields = append(fields, "error", result.err.Error())
 	}
 	g.log.Info("attempt repeated", fields...)
 }
+
+// logStrayResponse logs a response that belongs to another request than the one sent last.
+func (g *Gateway) logStrayResponse(req *request, server *balance.Server, exchange *backendlink.Exchange, metadata adapter.Answer) {
+	if !g.failureLogLimit.allow() {
+		return
+	}
+	conn := exchange.Conn()
+	g.log.Info("response belongs to another request", "request", req.ID, "answer-request", metadata.RequestID, "server", server.ID,
+		"status", exchange.Response.StatusCode, "connection", conn.Number, "connection-sends", conn.Sends)
+}
+
+// noteUnexpectedBytes records that a connection was closed because the server sent bytes on it that
+// belong to no request.
+func (g *Gateway) noteUnexpectedBytes(server string, conn backendlink.ConnInfo) {
+	g.metrics.unexpectedBytes.Inc()
+	if g.failureLogLimit.allow() {
+		g.log.Info("connection closed: it held bytes that belong to no request", "server", server, "connection", conn.Number, "connection-sends", conn.Sends)
+	}
+}
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -34,6 +34,8 @@
 	// for other requests.
 	decision *balance.GateDecision
 	cause    error
+	// exchange is the one that gave the reply; nil if no server did.
+	exchange *exchangeInfo
 	// declined is set in the reply to a forwarded request that this host can't handle although
 	// another one might.
 	declined bool
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -62,6 +62,10 @@
 	removedAt          map[*balance.Server]time.Duration
 	earliestPlannedEnd time.Duration
 
+	// noteUnexpectedBytes records a connection that held bytes that belong to no request. It does
+	// not block.
+	noteUnexpectedBytes func(server string, conn backendlink.ConnInfo)
+
 	// requestReservations requests reservations at rate-limited servers. It does not block.
 	requestReservations func(s *service, requests []balance.ReservationRequest)
 }
@@ -78,6 +82,7 @@
 		s.view = newKeyView(now)
 		owner = s.view
 	}
+	s.noteUnexpectedBytes = func(string, backendlink.ConnInfo) {}
 	s.pool = balance.NewPool(identity.Domain, owner, identity.Incarnation)
 	if identity.EvacuateWithin > 0 {
 		s.pool.SetEvacuationGrace(identity.EvacuateWithin - identity.ApplyWithin)
@@ -206,7 +211,9 @@
 	}
 	link := s.conns[server.ID]
 	if link == nil {
-		link = &serverConns{incarnation: server.Incarnation(), pool: backendlink.NewPoolWithDialer(server.Address, maxIdleConnsPerServer, maxWholeResponseBytes, s.dialer)}
+		pool := backendlink.NewPoolWithDialer(server.Address, maxIdleConnsPerServer, maxWholeResponseBytes, s.dialer)
+		pool.OnUnexpectedBytes = func(conn backendlink.ConnInfo) { s.noteUnexpectedBytes(server.ID, conn) }
+		link = &serverConns{incarnation: server.Incarnation(), pool: pool}
 		s.conns[server.ID] = link
 	}
 	return link.pool
--- a/link/backendlink/exchange.go
+++ b/link/backendlink/exchange.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, &SendError{Cause: err}
 	}
-	return &Exchange{pool: p, conn: c, Reused: c.used, AfterLoss: lost}, nil
+	return &Exchange{pool: p, conn: c, Reused: c.info.Sends > 0, AfterLoss: lost}, nil
 }
 
 // ErrNoIdleConn reports that there is no idle connection that can be used.
@@ -62,20 +62,23 @@
 	if c == nil {
 		return nil, &SendError{Cause: ErrNoIdleConn}
 	}
-	return &Exchange{pool: p, conn: c, Reused: c.used}, nil
+	return &Exchange{pool: p, conn: c, Reused: c.info.Sends > 0}, nil
 }
 
 // Age returns how long ago the connection was opened. The process that answers on it
 // has been running at least since then.
 func (e *Exchange) Age() time.Duration { return time.Since(e.conn.opened) }
 
+// Conn identifies the connection.
+func (e *Exchange) Conn() ConnInfo { return e.conn.info }
+
 // Send writes the request and reads the header of the final answer. The error is
 // a *SendError. A server may answer before it has read the whole request; that
 // answer is returned at once, and Keep closes the connection if the request is
 // still being written. After an error the connection may be closed.
 func (e *Exchange) Send(request *http.Request) error {
 	e.writeResult = make(chan error, 1)
-	e.conn.used = true
+	e.conn.info.Sends++
 	counter := &countingWriter{to: e.conn}
 	if request.ContentLength == 0 || request.Body == nil {
 		err := request.Write(counter)
@@ -143,7 +146,12 @@
 		e.Abort()
 		return
 	}
-	if e.Response.Close || e.conn.reader.Buffered() > 0 {
+	if e.conn.reader.Buffered() > 0 {
+		e.pool.reportUnexpectedBytes(e.conn)
+		e.Abort()
+		return
+	}
+	if e.Response.Close {
 		e.Abort()
 		return
 	}
--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -60,6 +61,10 @@
 // Pool holds the idle connections to one server. It is safe for concurrent use.
 // Its callers limit the number of connections in use.
 type Pool struct {
+	// OnUnexpectedBytes, if set, is called for each connection that is closed because the server
+	// sent bytes that belong to no request. It must be set before the first use.
+	OnUnexpectedBytes func(ConnInfo)
+
 	address   string
 	dialer    Dialer
 	maxIdle   int
@@ -70,12 +75,32 @@
 	closed bool
 }
 
+// ConnInfo identifies a connection in logs.
+type ConnInfo struct {
+	// Number is unique among the connections of the process.
+	Number uint64
+	// Sends is the number of requests sent on the connection, including one in progress.
+	Sends int
+}
+
+// connState is the state of an idle connection.
+type connState int
+
+const (
+	connOpen connState = iota
+	connClosed
+	// connHasBytes is the state of a connection with bytes that belong to no request.
+	connHasBytes
+)
+
+// lastConnNumber is the number of the latest connection of the process.
+var lastConnNumber atomic.Uint64
+
 type conn struct {
 	net.Conn
+	info   ConnInfo
 	reader *bufio.Reader
 	opened time.Time
-	// used is set once the connection was used for a request.
-	used bool
 	// reuseUntil is when the idle connection must not be reused any more, because the
 	// server may close it; zero if unknown.
 	reuseUntil time.Time
@@ -136,6 +161,7 @@
 
 // exchange writes the request and reads the answer. The error is nil or a *SendError.
 func (p *Pool) exchange(c *conn, encoded []byte, request *http.Request) (Answer, bool, error) {
+	c.info.Sends++
 	written, err := c.Write(encoded)
 	if err != nil {
 		return Answer{}, false, &SendError{Written: written > 0, Cause: err}
@@ -152,6 +178,9 @@
 	if !whole {
 		return Answer{}, false, &SendError{Written: true, Cause: ErrAnswerTooLarge}
 	}
+	if c.reader.Buffered() > 0 {
+		p.reportUnexpectedBytes(c)
+	}
 	reusable := !response.Close && c.reader.Buffered() == 0
 	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, reusable, nil
 }
@@ -176,14 +205,24 @@
 			return nil, lost
 		}
 		expired := !c.reuseUntil.IsZero() && time.Now().After(c.reuseUntil)
-		if !expired && alive(c.Conn) {
+		state := idleState(c.Conn)
+		if !expired && state == connOpen {
 			return c, lost
 		}
 		lost = lost || !expired
+		if state == connHasBytes {
+			p.reportUnexpectedBytes(c)
+		}
 		_ = c.Close()
 	}
 }
 
+func (p *Pool) reportUnexpectedBytes(c *conn) {
+	if p.OnUnexpectedBytes != nil {
+		p.OnUnexpectedBytes(c.info)
+	}
+}
+
 func (p *Pool) popIdle() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -203,7 +242,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), opened: time.Now()}, nil
+	return &conn{Conn: raw, info: ConnInfo{Number: lastConnNumber.Add(1)}, reader: bufio.NewReaderSize(raw, readBufferBytes), opened: time.Now()}, nil
 }
 
 // Connect opens a connection and keeps it idle for a later request. The error says why
--- a/link/backendlink/pool_test.go
+++ b/link/backendlink/pool_test.go
@@ -36,7 +36,7 @@
 	assert.NilError(t, pool.Connect(t.Context()))
 	assert.NilError(t, (<-serverSide).Close())
 	idle := pool.idle[0].Conn
-	for alive(idle) { // until the close has arrived
+	for idleState(idle) == connOpen { // until the close has arrived
 		time.Sleep(time.Millisecond)
 	}
 	lost, err := pool.Begin(t.Context())
