gateway, backendlink: an ID is sent once on a connection

What callers saw: status 503, which promises that a request has not run and never will, for requests that may run only once and that a server ran. Who repeated them had them carried out twice.

Cause: a response counts as a request's own if it has the request's ID. A request that a server rejects is sent again with the same ID, to the owner of its key mostly on the connection of the first send. A faulty server sends a second copy of a response where the next one is expected; the copy of the rejection then passes for the response to the second send, which runs.

A retry gets another idle connection, or a new one in place of an idle one that has carried the ID, so that a server has no more connections than before. A rejection without an ID counts only as the first response on its connection, which is closed then; else it is unknown whether the request ran. cicada-router takes its connections from the same pools. Why it works: within what a server may do, a response comes on the connection of its request, and there the ID is now unique.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -74,6 +74,7 @@
 // Errors of server responses.
 var (
 	errWrongRequest = errors.New("response belongs to another request")
+	errUnidentified = errors.New("rejection on a reused connection lacks the request's ID")
 	errTruncated    = errors.New("response was truncated")
 	errUnsigned     = errors.New("successful response lacks the server's signature")
 )
@@ -158,7 +159,7 @@
 	took := g.now() - startedAt
 	g.noteAlive(server, aliveSpan(g.now()-exchange.Age(), startedAt, server), &result)
 	finish := func(whole bool) {
-		if stop() && whole {
+		if stop() && whole && result.hasID {
 			exchange.Keep()
 		} else {
 			exchange.Abort()
@@ -190,12 +191,12 @@
 // gives up once the server's failure domain is found cut off.
 func beginExchange(ctx, cutOff context.Context, req *request, link *backendlink.Pool) (*backendlink.Exchange, error) {
 	if req.openConnsOnly {
-		return link.BeginIdle()
+		return link.BeginIdleRequest(req.ID)
 	}
 	dialing, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(cutOff, cancel)()
-	return link.Begin(dialing)
+	return link.BeginRequest(dialing, req.ID)
 }
 
 // connectFailure returns the result if no connection could be opened: nothing was sent.
@@ -230,7 +231,12 @@
 	}
 	for stray := 0; ; stray++ {
 		metadata := g.codec.ReadAnswer(exchange.Response.StatusCode, exchange.Response.Header)
-		if metadata.RequestID == req.ID || metadata.RequestID == "" && metadata.NotRun {
+		isUnidentified := metadata.RequestID == "" && metadata.NotRun && req.ID != ""
+		if isUnidentified && exchange.Reused {
+			// It may be a late copy of a rejection of an earlier request.
+			return g.noResponseResult(ctx, errUnidentified), nil
+		}
+		if metadata.RequestID == req.ID || isUnidentified {
 			if otherServer := metadata.Misdirected && metadata.Server != server.ID; !otherServer {
 				g.handleNotices(receivedNotices{from: server.Incarnation(), call: callRequest, requestID: req.ID, sentAt: sent, ran: metadata.HasSignature, Notice: metadata.Notice})
 			}
@@ -261,7 +267,7 @@
 		return result
 	}
 	result := attemptResult{failed: true, outcome: balance.Failed, err: err,
-		unanswered: !errors.Is(err, errWrongRequest) && !errors.Is(err, errUnsigned)}
+		unanswered: !errors.Is(err, errWrongRequest) && !errors.Is(err, errUnidentified) && !errors.Is(err, errUnsigned)}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		result.outcome = balance.Unreachable
--- a/link/backendlink/exchange.go
+++ b/link/backendlink/exchange.go
@@ -34,6 +34,7 @@
 type Exchange struct {
 	pool *Pool
 	conn *conn
+	id   requestID
 	// Response is set by Send.
 	Response *http.Response
 	// Reused is set if the connection was used for earlier requests.
@@ -44,25 +45,36 @@
 	writeResult chan error
 }
 
-// Begin takes an idle connection or opens one. If it fails, nothing was sent.
-func (p *Pool) Begin(ctx context.Context) (*Exchange, error) {
-	c, lost, err := p.takeConn(ctx)
+// Begin takes an idle connection or opens one. If it fails, nothing was sent. It is meant for
+// servers that send each response once.
+func (p *Pool) Begin(ctx context.Context) (*Exchange, error) { return p.begin(ctx, requestID{}) }
+
+// BeginRequest is Begin for a request with an ID. The connection is one on which the ID has not been
+// sent. If all idle connections have carried it, one of them is closed, so that the new connection
+// does not add to the open ones.
+func (p *Pool) BeginRequest(ctx context.Context, id string) (*Exchange, error) {
+	return p.begin(ctx, newRequestID(id))
+}
+
+func (p *Pool) begin(ctx context.Context, id requestID) (*Exchange, error) {
+	c, lost, err := p.takeConn(ctx, id)
 	if err != nil {
 		return nil, &SendError{Cause: err}
 	}
-	return &Exchange{pool: p, conn: c, Reused: c.info.Sends > 0, AfterLoss: lost}, nil
+	return &Exchange{pool: p, conn: c, id: id, Reused: c.info.Sends > 0, AfterLoss: lost}, nil
 }
 
 // ErrNoIdleConn reports that there is no idle connection that can be used.
 var ErrNoIdleConn = errors.New("no idle connection")
 
-// BeginIdle takes an idle connection and opens none. If it fails, nothing was sent.
-func (p *Pool) BeginIdle() (*Exchange, error) {
-	c, _ := p.takeIdle()
+// BeginIdleRequest is BeginRequest, but opens no connection.
+func (p *Pool) BeginIdleRequest(requestID string) (*Exchange, error) {
+	id := newRequestID(requestID)
+	c, _ := p.takeIdle(id)
 	if c == nil {
 		return nil, &SendError{Cause: ErrNoIdleConn}
 	}
-	return &Exchange{pool: p, conn: c, Reused: c.info.Sends > 0}, nil
+	return &Exchange{pool: p, conn: c, id: id, Reused: c.info.Sends > 0}, nil
 }
 
 // Age returns how long ago the connection was opened. The process that answers on it
@@ -78,7 +90,7 @@
 // still being written. After an error the connection may be closed.
 func (e *Exchange) Send(request *http.Request) error {
 	e.writeResult = make(chan error, 1)
-	e.conn.info.Sends++
+	e.conn.beginSend(e.id)
 	counter := &countingWriter{to: e.conn}
 	if request.ContentLength == 0 || request.Body == nil {
 		err := request.Write(counter)
--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,6 +100,7 @@
 type conn struct {
 	net.Conn
 	info   ConnInfo
+	sent   sentIDs
 	reader *bufio.Reader
 	opened time.Time
 	// reuseUntil is when the idle connection must not be reused any more, because the
@@ -120,15 +122,17 @@
 // Address returns the server's IP address and port.
 func (p *Pool) Address() string { return p.address }
 
-// Do sends a request and returns its complete answer, or a *SendError. lastCheck is
+// Do sends a request and returns its complete answer, or a *SendError. The connection is chosen as by
+// BeginRequest. lastCheck is
 // called after the request was encoded and the connection opened, immediately before
 // the first byte is sent; if it returns false, nothing is sent.
-func (p *Pool) Do(ctx context.Context, request *http.Request, lastCheck func() bool) (Answer, error) {
+func (p *Pool) Do(ctx context.Context, id string, request *http.Request, lastCheck func() bool) (Answer, error) {
+	requestID := newRequestID(id)
 	encoded, err := encode(request)
 	if err != nil {
 		return Answer{}, &SendError{Cause: err}
 	}
-	c, _, err := p.takeConn(ctx)
+	c, _, err := p.takeConn(ctx, requestID)
 	if err != nil {
 		return Answer{}, &SendError{Cause: err}
 	}
@@ -141,6 +145,7 @@
 		}
 		return Answer{}, &SendError{Cause: ErrNotSent}
 	}
+	c.beginSend(requestID)
 	answer, reusable, sendErr := p.exchange(c, encoded, request)
 	if stop() && reusable {
 		p.putConn(c)
@@ -161,7 +166,6 @@
 
 // exchange writes the request and reads the answer. The error is nil or a *SendError.
 func (p *Pool) exchange(c *conn, encoded []byte, request *http.Request) (Answer, bool, error) {
-	c.info.Sends++
 	written, err := c.Write(encoded)
 	if err != nil {
 		return Answer{}, false, &SendError{Written: written > 0, Cause: err}
@@ -185,22 +189,30 @@
 	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, reusable, nil
 }
 
-// takeConn returns an idle connection that is still open, or opens one. lost is set if no idle
-// connection was usable and the server had closed at least one before its timeout.
-func (p *Pool) takeConn(ctx context.Context) (taken *conn, lost bool, err error) {
-	c, lost := p.takeIdle()
+// beginSend records that a request is sent on the connection.
+func (c *conn) beginSend(id requestID) {
+	c.info.Sends++
+	c.sent.add(id)
+}
+
+// takeConn returns an idle connection that is still open and has not carried the ID, or opens one.
+// lost is set if no idle connection was usable and the server had closed at least one before its
+// timeout.
+func (p *Pool) takeConn(ctx context.Context, id requestID) (taken *conn, lost bool, err error) {
+	c, lost := p.takeIdle(id)
 	if c != nil {
 		return c, false, nil
 	}
+	p.closeOneIdle()
 	taken, err = p.openConn(ctx)
 	return taken, lost, err
 }
 
-// takeIdle returns an idle connection that is still open, or nil. lost is set if the server had
-// closed at least one before its timeout.
-func (p *Pool) takeIdle() (taken *conn, lost bool) {
+// takeIdle returns an idle connection that is still open and has not carried the ID, or nil. lost
+// is set if the server had closed at least one before its timeout.
+func (p *Pool) takeIdle(id requestID) (taken *conn, lost bool) {
 	for {
-		c := p.popIdle()
+		c := p.popIdle(id)
 		if c == nil {
 			return nil, lost
 		}
@@ -223,16 +235,28 @@
 	}
 }
 
-func (p *Pool) popIdle() *conn {
+// popIdle removes the idle connection that was used last among those that have not carried the ID,
+// and returns it, or nil.
+func (p *Pool) popIdle(id requestID) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, c := range slices.Backward(p.idle) {
+		if !c.sent.contains(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// closeOneIdle closes the idle connection that was used least recently, if there is any.
+func (p *Pool) closeOneIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	if len(p.idle) > 0 {
+		_ = p.idle[0].Close()
+		p.idle = slices.Delete(p.idle, 0, 1)
 	}
-	last := len(p.idle) - 1
-	c := p.idle[last]
-	p.idle = p.idle[:last]
-	return c
 }
 
 func (p *Pool) openConn(ctx context.Context) (*conn, error) {
--- a/router/try.go
+++ b/router/try.go
@@ -102,7 +102,7 @@
 		return backendlink.Answer{}, running, &backendlink.SendError{Cause: err}
 	}
 	lastCheck := func() bool { return p.maySend(ctx, req, chosen) }
-	answer, err := srv.pool.Do(ctx, outgoing, lastCheck)
+	answer, err := srv.pool.Do(ctx, req.meta.ID.String(), outgoing, lastCheck)
 	return answer, running, err
 }
 
--- a/tools/mutants/links.go
+++ b/tools/mutants/links.go
@@ -12,6 +12,12 @@
 	status := breaking("gateway", "StatusOfRequests")
 	sent := mutant{pkg: "gateway", run: "StatusOfRequests", file: "link/backendlink/exchange.go"}
 	sent.name, sent.old, sent.new = "backendlink: take a request with a body for sent before its first byte", "counter.stop() == 0", "counter.stop() < 0"
+	const copies = "LateCopy|RejectionWithoutID|RepliesAreTrue"
+	stray := breaking("gateway", copies)
+	sentTwice := mutant{pkg: "gateway", run: copies, file: "link/backendlink/pool.go"}
+	sentTwice.name, sentTwice.old, sentTwice.new = "backendlink: send an ID twice on a connection", "if !c.sent.contains(id) {", "if !c.sent.contains(requestID{}) {"
+	replaced := mutant{pkg: "link/backendlink", run: "IDIsSentOnce", file: "link/backendlink/pool.go"}
+	replaced.name, replaced.old, replaced.new = "backendlink: add to the open connections with each retry", "	p.closeOneIdle()\n", ""
 	host := breaking("gateway", "WithoutLinks|Forward|PeerFails|PromisesWhile|LostLinks|ControllerKeepsRole|WorkingConnections|StreamedRequest")
 	return slices.Concat([]mutant{
 		tracker("tracker.go", "blame the links for one dead server", "case evidence.FailedServers >= min(minFailedServers, servers) &&", "case evidence.FailedServers >= 1 &&"),
@@ -81,6 +87,10 @@
 		status("attempt.go", "take a request for sent whose deadline passes before the first byte", "		result.notRun = true // also if the deadline has passed\n", ""),
 		status("attempt.go", "ignore a refusal that breaks off", "	if err != nil && metadata.NotRun {", "	if false {"),
 		sent,
+		sentTwice,
+		replaced,
+		stray("attempt.go", "take a rejection without an ID on a reused connection", "		if isUnidentified && exchange.Reused {", "		if isUnidentified && false {"),
+		stray("attempt.go", "keep a connection whose rejection lacked the ID", "whole && result.hasID {", "whole {"),
 		host("linkprobe.go", "probe one service only", "			g.probeOtherServices(now, s)\n", ""),
 	})
 }
