gateway: logs tell how the reading of a long response ended

Callers got a 200 with a server's signature and the closing chunk, with the first part of the body only. Possible causes that the logs could not tell apart:

Reading ends with an error, and the host takes it for the end. 2. The body of a chunked response that breaks off ends without an error. 3. The error is passed on, and the end of the caller's response is written all the same.

"request" now has, for responses of more than 64 KiB, the bytes streamed, the error with which the server's body ended, and whether the host took the response for whole. No decision changes.

--- a/gateway/log.go
+++ b/gateway/log.go
@@ -178,6 +178,9 @@
 	if answer.outcome != outcomeAnswered {
 		fields = append(fields, answer.exchange.logFields()...)
 	}
+	if answer.ahead != nil {
+		fields = append(fields, answer.ahead.logFields()...)
+	}
 	if answer.cause != nil {
 		fields = append(fields, "error", answer.cause.Error())
 	}
--- a/gateway/readahead.go
+++ b/gateway/readahead.go
@@ -54,6 +54,8 @@
 	chunks   [][]byte
 	reserved int64 // bytes reserved from the quota
 	endErr   error // why reading ended: io.EOF if the response is complete, nil before the end
+	bytes    int64 // read from the server
+	readErr  error // as returned by the body of the server's response
 	closed   bool  // the consumer has stopped
 }
 
@@ -64,7 +66,8 @@
 }
 
 // fill reads a response to its end. It returns io.EOF if the response is complete.
-func (a *readAhead) fill(from io.Reader) error {
+func (a *readAhead) fill(body io.Reader) error {
+	from := recordingReader{from: body, ahead: a}
 	for {
 		if err := a.reserveChunk(); err != nil {
 			return a.setEnd(err)
@@ -101,6 +104,29 @@
 	}
 }
 
+// recordingReader records what is read from the server, for logs.
+type recordingReader struct {
+	from  io.Reader
+	ahead *readAhead
+}
+
+// Read implements io.Reader.
+func (r recordingReader) Read(into []byte) (int, error) {
+	n, err := r.from.Read(into)
+	r.ahead.mu.Lock()
+	defer r.ahead.mu.Unlock()
+	r.ahead.bytes += int64(n)
+	r.ahead.readErr = err
+	return n, err
+}
+
+// logFields returns the fields that tell how the reading of the response ended.
+func (a *readAhead) logFields() []any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return []any{"streamed-bytes", a.bytes, "stream-end", errorText(a.readErr), "complete", errors.Is(a.endErr, io.EOF)}
+}
+
 func (a *readAhead) appendChunk(chunk []byte) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -34,6 +34,8 @@
 	// for other requests.
 	decision *balance.GateDecision
 	cause    error
+	// ahead buffers the part of a long response that was still to be read; nil for other responses.
+	ahead *readAhead
 	// exchange is the one that gave the reply; nil if no server did.
 	exchange *exchangeInfo
 	// declined is set in the reply to a forwarded request that this host can't handle although
@@ -123,6 +125,7 @@
 		return writeErr
 	}
 	ahead := newReadAhead(&g.unreadBytes)
+	answer.ahead = ahead
 	readDone := make(chan struct{})
 	go func() {
 		defer close(readDone)
