gateway: a response that was broken off is not taken for whole

What callers saw: a 200 with the server's signature that ended as a complete message, with the first part of the server's body: responses of more than 64 KiB in chunks whose server closed the connection before the last chunk.

Cause: a response is read in pieces of 16 KiB with io.ReadFull, which returns io.ErrUnexpectedEOF for a short last piece; fill took that for the end. The body of a chunked response that is broken off ends with the same error.

Change: a loop of its own reads the pieces and returns the body's error. Why it works: only the body knows where it ends, and returns io.EOF there alone.

--- a/gateway/readahead.go
+++ b/gateway/readahead.go
@@ -66,17 +66,14 @@
 }
 
 // fill reads a response to its end. It returns io.EOF if the response is complete.
-func (a *readAhead) fill(body io.Reader) error {
-	from := recordingReader{from: body, ahead: a}
+func (a *readAhead) fill(from io.Reader) error {
 	for {
 		if err := a.reserveChunk(); err != nil {
 			return a.setEnd(err)
 		}
 		chunk := make([]byte, readAheadChunkBytes)
-		n, err := io.ReadFull(from, chunk)
-		if errors.Is(err, io.ErrUnexpectedEOF) {
-			err = io.EOF
-		}
+		n, err := readChunk(from, chunk)
+		a.noteRead(n, err)
 		a.appendChunk(chunk[:n])
 		if err != nil {
 			return a.setEnd(err)
@@ -104,20 +101,24 @@
 	}
 }
 
-// recordingReader records what is read from the server, for logs.
-type recordingReader struct {
-	from  io.Reader
-	ahead *readAhead
+// readChunk reads until the chunk is full or the reader returns an error, and returns that error.
+// io.ReadFull would return io.ErrUnexpectedEOF for a short last chunk, which is also what the
+// body of a response that was broken off returns.
+func readChunk(from io.Reader, chunk []byte) (n int, err error) {
+	for n < len(chunk) && err == nil {
+		var read int
+		read, err = from.Read(chunk[n:])
+		n += read
+	}
+	return n, err
 }
 
-// Read implements io.Reader.
-func (r recordingReader) Read(into []byte) (int, error) {
-	n, err := r.from.Read(into)
-	r.ahead.mu.Lock()
-	defer r.ahead.mu.Unlock()
-	r.ahead.bytes += int64(n)
-	r.ahead.readErr = err
-	return n, err
+// noteRead records a read from the server, for logs.
+func (a *readAhead) noteRead(n int, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bytes += int64(n)
+	a.readErr = err
 }
 
 // logFields returns the fields that tell how the reading of the response ended.
--- a/gateway/readahead_test.go
+++ b/gateway/readahead_test.go
@@ -82,6 +82,22 @@
 	return n, nil
 }
 
+// Guards against taking the end of a response that was broken off for its end, wherever that is in a
+// chunk.
+func TestBrokenOffResponseIsNotComplete(t *testing.T) {
+	for _, length := range []int{0, 1, readAheadChunkBytes - 1, readAheadChunkBytes, readAheadChunkBytes + 1, 3 * readAheadChunkBytes, 3*readAheadChunkBytes + 1} {
+		body := bytes.Repeat([]byte("b"), length)
+		for _, end := range []error{io.EOF, io.ErrUnexpectedEOF} {
+			ahead := newReadAhead(&byteQuota{limit: 1 << 20})
+			assert.ErrorIs(t, ahead.fill(io.MultiReader(bytes.NewReader(body), failingReadWriter{end})), end, "%d bytes", length)
+			var got bytes.Buffer
+			_, err := ahead.WriteTo(&got)
+			assert.Assert(t, bytes.Equal(got.Bytes(), body))
+			assert.Equal(t, err == nil, errors.Is(end, io.EOF), "%d bytes, %v", length, end)
+		}
+	}
+}
+
 // A truncated response, and one whose caller disconnects, release their buffers.
 func TestReadAheadThatEndsEarly(t *testing.T) {
 	quota := &byteQuota{limit: 1 << 20}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -83,6 +83,9 @@
 	peerDropsResponse
 	// peerTruncatesResponse ends in the middle of its response.
 	peerTruncatesResponse
+	// peerIsKilled ends in the middle of a response that it sends in chunks, as it does with long
+	// ones.
+	peerIsKilled
 	// peerIsForeign answers like a program that knows no forwarded requests.
 	peerIsForeign
 	// peerDeclines behaves like a host that is shutting down.
@@ -109,6 +112,17 @@
 		w.WriteHeader(whole.Code)
 		_, _ = w.Write(whole.Body.Bytes()) // the host may have disconnected
 		panic(http.ErrAbortHandler)
+	case peerIsKilled:
+		whole := httptest.NewRecorder()
+		handler.ServeHTTP(whole, r)
+		for name, values := range whole.Header() {
+			w.Header()[name] = values
+		}
+		w.Header().Del("Content-Length")
+		w.WriteHeader(whole.Code)
+		_, _ = w.Write(whole.Body.Bytes()[:whole.Body.Len()*3/4]) // the host may have disconnected
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
 	case peerIsForeign:
 		http.NotFound(w, r)
 	case peerDeclines:
--- a/tools/mutants/scale.go
+++ b/tools/mutants/scale.go
@@ -26,6 +26,8 @@
 		host("firstservers.go", "read the entries from the store", "	deadline := g.now() + peerListWait + g.storeReadDelay()\n", "	deadline := g.now()\n"),
 		host("control.go", "assign keys only to the servers that register first", "	if now-c.serverCountSince < registrationQuietTime && now-c.controllerSince < maxWait {", "	if now-c.serverCountSince < 0 && now-c.controllerSince < maxWait {"),
 		host("readahead.go", "buffer whatever callers do not read", "		case a.reserved+readAheadChunkBytes <= maxReadAheadBytes && a.quota.tryReserve(readAheadChunkBytes):", "		case true:"),
+		breaking("gateway", "BrokenOff")("readahead.go", "take the end of a response that was broken off for its end", "		n, err := readChunk(from, chunk)\n",
+			"		n, err := readChunk(from, chunk)\n		if errors.Is(err, io.ErrUnexpectedEOF) {\n			err = io.EOF\n		}\n"),
 		host("readahead.go", "keep the buffer space of a caller that left", "	a.release(a.reserved)\n", ""),
 		keys("first.go", "assign keys without authority", " || !m.Authorized(now) {", " {"),
 		keys("first.go", "assign keys that others may hold", "	if restored {", "	if restored && false {"),
