platformtest, soak: servers repeat responses late and break off long ones

Stand-in servers play both now, rejections with and without the request's ID among them; some requests are rejected meanwhile. The soak draws the two faults (a new version of the list, so that older seeds draw what they drew), and checks with them what it checked before.

--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -168,7 +168,10 @@
 }
 
 func (s *site) listen(handler http.Handler) string {
-	server := httptest.NewServer(handler)
+	server := httptest.NewUnstartedServer(handler)
+	server.Listener = platformtest.RepeatingListener{Listener: server.Listener}
+	platformtest.Instrument(server.Config)
+	server.Start()
 	s.t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -49,10 +49,12 @@
 	NoticeFaults
 	// RestoreFaults adds a store that is restored from a backup.
 	RestoreFaults
+	// GarbledFaults adds servers that send responses twice, and that break off long responses.
+	GarbledFaults
 )
 
 // CurrentFaults is the version that new seeds use.
-const CurrentFaults = RestoreFaults
+const CurrentFaults = GarbledFaults
 
 // faults returns all kinds of faults.
 func faults() []fault {
@@ -88,6 +90,8 @@
 		{leavingFault, 3, false, NoticeFaults, leaveDuringOutage},
 		{backoffFault, 3, false, NoticeFaults, requestBackoff},
 		{restoreFault, 2, true, RestoreFaults, restoreBackup},
+		{repeatFault, 3, false, GarbledFaults, repeatResponses},
+		{breakOffFault, 2, false, GarbledFaults, onServer(platformtest.ServerFaults{BreakOffResponses: 40})},
 	}
 }
 
@@ -285,6 +289,19 @@
 	}
 }
 
+// Names of the faults in which servers garble responses.
+const (
+	repeatFault   = "a server sends responses a second time, late"
+	breakOffFault = "a server breaks off long responses in chunks"
+)
+
+// repeatResponses makes a server repeat its responses and reject some requests, with or without their
+// IDs.
+func repeatResponses(r *run, random *rand.Rand, length time.Duration) func(ctx context.Context) {
+	faults := platformtest.ServerFaults{RepeatResponses: 500, RejectEvery: 2 + random.IntN(3), OmitRequestID: random.IntN(2) == 0}
+	return onServer(faults)(r, random, length)
+}
+
 // restoreFault is the name of the fault in which the store loses acknowledged writes because
 // it is restored from a backup.
 const restoreFault = "the store comes back from a copy"
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -74,6 +74,13 @@
 // a backup, and so miss what the store acknowledges after the restore.
 func TestShortSoakOfStoreRestore(t *testing.T) { runFault(t, restoreFault, 4) }
 
+// Guards against callers that are told that a request has not run because a server repeated the
+// rejection of its first send.
+func TestShortSoakOfRepeatedResponses(t *testing.T) { runFault(t, repeatFault, 2) }
+
+// Guards against callers that take a response for complete that its server broke off.
+func TestShortSoakOfBrokenOffResponses(t *testing.T) { runFault(t, breakOffFault, 2) }
+
 func runFault(t *testing.T, fault string, seed uint64) {
 	t.Helper()
 	result, err := Run(context.Background(), Options{Program: buildGateway(t), Dir: t.TempDir(), Seed: seed, Only: fault, Hosts: 3, Servers: 4, Callers: 6,
