gateway: a long response that is broken off is recorded as the server's failure

What operators saw: a response that its server broke off after the first 64 KiB was counted and logged like a whole one. Its connection went back to the pool, the server's failure was not recorded, and a request that ends its servers in the middle of their responses was cleared of suspicion.

Cause: the end of a long response was told as whole or not, and "not whole" also stood for callers that leave.

Change: a response ends whole, abandoned (by the caller or the host) or broken off (by the server). Broken off counts as a failure of the server and as a request that it left unanswered, the line "request" has the outcome broken-off, and cicada_broken_off_answers_total counts. Why it works: only a read error that neither the caller's end nor the host's caused counts as broken off.

In the test of two hosts the callers now wait until the peers use the server that breaks off only: another one had answered some of its requests.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -158,19 +158,25 @@
 	}
 	took := g.now() - startedAt
 	g.noteAlive(server, aliveSpan(g.now()-exchange.Age(), startedAt, server), &result)
-	finish := func(whole bool) {
-		if stop() && whole && result.hasID {
+	finish := func(end responseEnd) {
+		ended := !stop() // by the caller, or by the deadline
+		if !ended && end == responseWhole && result.hasID {
 			exchange.Keep()
 		} else {
 			exchange.Abort()
 		}
-		if whole && result.completed(response.StatusCode) {
+		switch {
+		case end == responseWhole && result.completed(response.StatusCode):
 			g.noteCompleted(req)
+		case end == responseBrokenOff && !ended:
+			result.failed, result.unanswered, result.outcome, result.err = true, true, balance.Failed, errTruncated
+			g.noteUnanswered(ctx, req, server, link, &result)
+			g.checkForRestart(ctx, req, server)
 		}
 		req.service.releaseServer(server, result.poolResult(req, took))
 	}
 	if result.reply.remainingBody == nil {
-		finish(true)
+		finish(responseWhole)
 		return result
 	}
 	result.reply.releaseServer, result.reply.abort = finish, exchange.Abort
--- a/gateway/brokenoff_test.go
+++ b/gateway/brokenoff_test.go
@@ -241,7 +241,14 @@
 	s.register("breaks-off", "free", s.listenBreakingOff(), "ready")
 	whole := brokenOff{framing: byChunks, chunk: 8_000, body: 150_000}
 	whole.sent = whole.length()
-	s.eventually("the peers know the server", func() bool { return whole.fetch(t, cut).status == http.StatusOK })
+	s.eventually("the peers use this server only", func() bool {
+		for range 30 {
+			if got := whole.fetch(t, cut); got.status != http.StatusOK || len(got.body) != whole.body {
+				return false
+			}
+		}
+		return true
+	})
 	for _, form := range brokenOffForms() {
 		t.Run(fmt.Sprintf("%s, %d bytes in %d, reset %t", form.framing, form.body, form.chunk, form.reset), func(t *testing.T) {
 			checkBrokenOff(t, cut, form)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -178,8 +178,8 @@
 		return forwardAttempt{reply: answer}
 	}
 	answer.remainingBody, answer.abort = exchange.Response.Body, exchange.Abort
-	answer.releaseServer = func(whole bool) {
-		release(whole)
+	answer.releaseServer = func(end responseEnd) {
+		release(end == responseWhole)
 		g.peers.release(g.now(), address, 0)
 	}
 	return forwardAttempt{reply: answer}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -20,6 +20,7 @@
 	set                      *metrics.Set
 	retries                  *metrics.Counter
 	strayResponses           *metrics.Counter
+	brokenOffResponses       *metrics.Counter // responses broken off after their first part had been sent to the caller
 	unexpectedBytes          *metrics.Counter // connections closed because of bytes that belong to no request
 	storeErrors              *metrics.Counter
 	unreadableEntries        *metrics.Counter
@@ -39,6 +40,7 @@
 	return &hostMetrics{set: set,
 		retries:                  set.NewCounter("cicada_retries_total"),
 		strayResponses:           set.NewCounter("cicada_stray_answers_total"),
+		brokenOffResponses:       set.NewCounter("cicada_broken_off_answers_total"),
 		unexpectedBytes:          set.NewCounter("cicada_unexpected_bytes_total"),
 		storeErrors:              set.NewCounter("cicada_store_errors_total"),
 		hostCallsRejected:        set.NewCounter("cicada_host_calls_turned_away_total"),
--- a/gateway/readahead.go
+++ b/gateway/readahead.go
@@ -138,6 +138,9 @@
 func (a *readAhead) setEnd(err error) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.closed && !errors.Is(err, io.EOF) {
+		err = errCallerDisconnected // this host has aborted the reading
+	}
 	a.endErr = err
 	a.changed.Broadcast()
 	return err
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -18,9 +18,8 @@
 	header        http.Header
 	body          []byte
 	remainingBody io.Reader // the part of a long response that is still to be read, or nil
-	// releaseServer releases the server; whole tells whether the response was read to its end.
-	// It is nil if there is no server to release.
-	releaseServer func(whole bool)
+	// releaseServer releases the server. It is nil if there is no server to release.
+	releaseServer func(end responseEnd)
 	// abort aborts the reading of the rest.
 	abort        func()
 	retryAfter   time.Duration
@@ -43,9 +42,34 @@
 	declined bool
 }
 
+// responseEnd is how the reading of a server's response ended.
+type responseEnd int
+
+const (
+	responseWhole responseEnd = iota
+	// responseAbandoned: the caller or this host ended it.
+	responseAbandoned
+	// responseBrokenOff: the server ended it before its end.
+	responseBrokenOff
+)
+
+// responseEndOf returns how a response ended whose reading ended with an error.
+func responseEndOf(err error) responseEnd {
+	switch {
+	case errors.Is(err, io.EOF):
+		return responseWhole
+	case errors.Is(err, errCallerDisconnected):
+		return responseAbandoned
+	}
+	return responseBrokenOff
+}
+
 // Outcomes of requests in logs and metrics.
 const (
-	outcomeAnswered           = "answered"
+	outcomeAnswered = "answered"
+	// outcomeBrokenOff is the outcome in logs of a request whose response was broken off after its
+	// first part had been sent to the caller.
+	outcomeBrokenOff          = "broken-off"
 	outcomeCallerDisconnected = "caller-left"
 	// outcomeQuarantined is the outcome of a request that crashes the servers that run it.
 	outcomeQuarantined = "quarantined"
@@ -107,7 +131,7 @@
 	if answer.remainingBody != nil {
 		err = g.streamRemaining(w, answer, err)
 	} else if answer.releaseServer != nil {
-		answer.releaseServer(err == nil)
+		answer.releaseServer(responseWhole)
 	}
 	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		answer.cause = err
@@ -121,21 +145,25 @@
 // not the caller has read it.
 func (g *Gateway) streamRemaining(w http.ResponseWriter, answer *reply, writeErr error) error {
 	if writeErr != nil {
-		answer.releaseServer(false)
+		answer.releaseServer(responseAbandoned)
 		return writeErr
 	}
 	ahead := newReadAhead(&g.unreadBytes)
 	answer.ahead = ahead
-	readDone := make(chan struct{})
+	readDone := make(chan responseEnd, 1)
 	go func() {
-		defer close(readDone)
-		answer.releaseServer(errors.Is(ahead.fill(answer.remainingBody), io.EOF))
+		end := responseEndOf(ahead.fill(answer.remainingBody))
+		answer.releaseServer(end)
+		readDone <- end
 	}()
 	_, err := ahead.WriteTo(flushingWriter{w})
 	if err != nil {
 		answer.abort()
 	}
-	<-readDone
+	if <-readDone == responseBrokenOff {
+		answer.outcome = outcomeBrokenOff
+		g.metrics.brokenOffResponses.Inc()
+	}
 	return err
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -259,7 +259,7 @@
 		}
 		if result.reply.releaseServer != nil {
 			// Another attempt replaces this long response: release its server.
-			result.reply.releaseServer(false)
+			result.reply.releaseServer(responseAbandoned)
 		}
 	}
 }
--- a/tools/mutants/scale.go
+++ b/tools/mutants/scale.go
@@ -28,6 +28,7 @@
 		host("readahead.go", "buffer whatever callers do not read", "		case a.reserved+readAheadChunkBytes <= maxReadAheadBytes && a.quota.tryReserve(readAheadChunkBytes):", "		case true:"),
 		breaking("gateway", "BrokenOff")("readahead.go", "take the end of a response that was broken off for its end", "		n, err := readChunk(from, chunk)\n",
 			"		n, err := readChunk(from, chunk)\n		if errors.Is(err, io.ErrUnexpectedEOF) {\n			err = io.EOF\n		}\n"),
+		breaking("gateway", "BrokenOffIsRecorded")("attempt.go", "ignore that a server broke a long response off", "		case end == responseBrokenOff && !ended:\n", "		case false:\n"),
 		host("readahead.go", "keep the buffer space of a caller that left", "	a.release(a.reserved)\n", ""),
 		keys("first.go", "assign keys without authority", " || !m.Authorized(now) {", " {"),
 		keys("first.go", "assign keys that others may hold", "	if restored {", "	if restored && false {"),
