--- a/tools/mutants/links.go
+++ b/tools/mutants/links.go
@@ -90,7 +90,7 @@
 		sentTwice,
 		replaced,
 		stray("attempt.go", "take a rejection without an ID on a reused connection", "		if isUnidentified && exchange.Reused {", "		if isUnidentified && false {"),
-		stray("attempt.go", "keep a connection whose rejection lacked the ID", "whole && result.hasID {", "whole {"),
+		stray("attempt.go", "keep a connection whose rejection lacked the ID", "end == responseWhole && result.hasID {", "end == responseWhole {"),
 		host("linkprobe.go", "probe one service only", "			g.probeOtherServices(now, s)\n", ""),
 	})
 }
