router: a refusal that names another request is not taken for the request's own

What callers of cicada-router saw: "not run" for a request that the server ran, or a request sent once more than needed, if a server sends a refusal a second time, late.

Change: the ID is compared before an answer is looked at. Not mended: servers of this contract need not name the request in refusals; the late copy of such a one still passes for the next request's.

--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -90,6 +91,10 @@
 	foreign = script{act: func(conn net.Conn, _ *http.Request) {
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nno", backend.HeaderRequestID, uuid.Max)
 	}}
+	// foreignRefusal is the refusal of another request, like a late second copy of it.
+	foreignRefusal = script{act: func(conn net.Conn, _ *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 503 X\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", backend.HeaderRequestID, uuid.Max, backend.HeaderRefused, backend.RefusedShed)
+	}}
 	stale    = script{act: answer(503, backend.HeaderRefused+": "+string(backend.RefusedToken)+"\r\n", "")}
 	sheds    = script{act: answer(503, backend.HeaderRefused+": "+string(backend.RefusedShed)+"\r\n", "")}
 	tooLarge = script{act: answer(200, "", strings.Repeat("x", 2<<20))}
@@ -203,6 +208,8 @@
 		{"read, half a body", read, []script{halfBody, works}, caller.Done, 2},
 		{"write, another request's answer", write, []script{foreign, works}, caller.Unknown, 1},
 		{"read, another request's answer", read, []script{foreign, works}, caller.Unknown, 1},
+		{"write, another request's refusal", write, []script{foreignRefusal, works}, caller.Unknown, 1},
+		{"write, refused once and the refusal repeated late", write, repeatedRefusal(), caller.Done, 2},
 		{"write, stale token once", write, []script{stale, works}, caller.Done, 2},
 		{"write, shed once", write, []script{sheds, works}, caller.Done, 2},
 		{"write, answer beyond the limit", write, []script{tooLarge}, caller.Unknown, 1},
@@ -224,6 +231,29 @@
 	}
 }
 
+// repeatedRefusal returns the scripts of a server that refuses a request, and sends the refusal a second
+// time where the next answer on the connection is expected.
+func repeatedRefusal() []script {
+	var mu sync.Mutex
+	refused := map[net.Conn]bool{}
+	refuses := func(conn net.Conn, in *http.Request) {
+		mu.Lock()
+		refused[conn] = true
+		mu.Unlock()
+		sheds.act(conn, in)
+	}
+	runs := func(conn net.Conn, in *http.Request) {
+		mu.Lock()
+		repeats := refused[conn]
+		mu.Unlock()
+		if repeats {
+			sheds.act(conn, in)
+		}
+		works.act(conn, in)
+	}
+	return []script{{refuses}, {runs}}
+}
+
 // deadlineOf returns a short deadline for the rows in which only the deadline ends the
 // request.
 func deadlineOf(first script) string {
--- a/router/try.go
+++ b/router/try.go
@@ -198,9 +198,15 @@
 
 // afterAnswer handles a complete answer, which may be a rejection by the server.
 func (p *page) afterAnswer(ctx context.Context, req *request, chosen target, srv *server, answer backendlink.Answer) (dispatch.Reply, verdict) {
+	// The answer, a refusal too, may be a late second copy of one to an earlier request.
+	echoed := answer.Header.Get(backend.HeaderRequestID)
+	if echoed != "" && echoed != req.meta.ID.String() {
+		p.router.log.Error("server returned the answer to another request", "server", chosen.server, "wanted", req.meta.ID, "found", echoed)
+		return unknown(caller.ReasonMismatchedResponse), final
+	}
 	refusal := backend.Refusal(answer.Header.Get(backend.HeaderRefused))
 	if refusal == "" {
-		return p.acceptAnswer(req, chosen, answer)
+		return doneReply(chosen, answer), final
 	}
 	if remaining(ctx) <= shedRetryDelay {
 		return notRun(caller.ReasonDeadline, time.Second), final
@@ -234,20 +240,15 @@
 	srv.avoidUntil = p.router.clock.Now() + wait
 }
 
-// acceptAnswer verifies that the answer belongs to the request and turns it into the reply.
-func (p *page) acceptAnswer(req *request, chosen target, answer backendlink.Answer) (dispatch.Reply, verdict) {
-	echoed := answer.Header.Get(backend.HeaderRequestID)
-	if echoed != "" && echoed != req.meta.ID.String() {
-		p.router.log.Error("server returned the answer to another request", "server", chosen.server, "wanted", req.meta.ID, "found", echoed)
-		return unknown(caller.ReasonMismatchedResponse), final
-	}
+// doneReply returns the reply for a server's answer to the request.
+func doneReply(chosen target, answer backendlink.Answer) dispatch.Reply {
 	return dispatch.Reply{
 		Outcome: caller.Done,
 		Status:  answer.Status,
 		Headers: answerHeaders(answer.Header),
 		Body:    answer.Body,
 		Server:  chosen.server,
-	}, final
+	}
 }
 
 // waitChange waits up to a maximum for a newer generation of the page.
