soak: a response that its server breaks off is not cut by the host's planned stop

What was seen: reported "request 127.242.88.5:21000/.../1478 ran and got no answer from host-3, which was stopped as planned".

Trace: the host's line "request" has the outcome broken-off and stream-end "unexpected EOF": the server broke its long response off, a fault that the soak has played since today, while the host was being stopped. The rule on planned stops excludes what the server breaks off.

Change: servers record which responses they break off, and the check passes over exactly these. All other requests that run without an answer count as before.

--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -18,6 +18,7 @@
 			"while the store rejected all calls got the load of a warmed-up one"},
 		{2041386211, LimitFaults, "fault of the test: a limit was checked from the moment at which the server restarted, " +
 			"before the new process had announced it to any host"},
+		{1706791354, GarbledFaults, "fault of the test: a response that its server broke off while the host was being stopped counted as cut by the stop"},
 		{2114909493, InitialFaults, "fault of the test: an outgoing connection took the port of a host that was about to start"},
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -446,10 +446,15 @@
 }
 
 // plannedStopViolations returns a violation for each request that ran but got no response
-// during a planned stop of its host, unless the host was paused or killed meanwhile.
+// during a planned stop of its host, unless the host was paused or killed meanwhile, or the server
+// broke the response off.
 func (r *run) plannedStopViolations(runs map[string]int) []string {
 	var violations []string
+	brokenOff := r.site.BrokenOffByID()
 	for _, request := range r.load.Unanswered() {
+		if brokenOff[request.ID] {
+			continue
+		}
 		for _, h := range r.hosts {
 			if h.callersAddress != request.Host || runs[request.ID] == 0 {
 				continue
