--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -123,9 +123,8 @@
 func (p *Pool) Address() string { return p.address }
 
 // Do sends a request and returns its complete answer, or a *SendError. The connection is chosen as by
-// BeginRequest. lastCheck is
-// called after the request was encoded and the connection opened, immediately before
-// the first byte is sent; if it returns false, nothing is sent.
+// BeginRequest. lastCheck is called after the request was encoded and the connection opened,
+// immediately before the first byte is sent; if it returns false, nothing is sent.
 func (p *Pool) Do(ctx context.Context, id string, request *http.Request, lastCheck func() bool) (Answer, error) {
 	requestID := newRequestID(id)
 	encoded, err := encode(request)
