--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -122,7 +122,7 @@
 // Address returns the server's IP address and port.
 func (p *Pool) Address() string { return p.address }
 
-// Do sends a request and returns its complete answer, or a *SendError. The connection is chosen as by
+// Do sends a request and returns its complete answer, or a *SendError. The connection is taken as by
 // BeginRequest. lastCheck is called after the request was encoded and the connection opened,
 // immediately before the first byte is sent; if it returns false, nothing is sent.
 func (p *Pool) Do(ctx context.Context, id string, request *http.Request, lastCheck func() bool) (Answer, error) {
