gateway: logs and metrics tell how old a host's copy of the configuration is

Why a host handled requests by a replaced configuration can't be told from logs: they give the version, but neither where it was read nor whether anything newer could have been known, and a confirmation is not compared with what its sender knows.

Each host now keeps, for each kind, the time as of which its copy was known to be complete: from its own reads of the store, or from the statement of another host once it has reached the revision stated. Hosts add the ages of their copies to answers to reports and to queries of relays. Logged are a change of the way in which a kind is read, a confirmation after a time without one, how each version was read, and with each request the age of the copy. Metrics: copy age by kind, age of the confirmation, version in force, changes of readers, watches found behind.

No decision depends on them.

--- a/gateway/firstservers.go
+++ b/gateway/firstservers.go
@@ -35,9 +35,9 @@
 
 // listServersAtStartup lists the servers from another host after the start of the process. ok
 // is false if they have to be read from the store.
-func (g *Gateway) listServersAtStartup(ctx context.Context) (listing objects.Listing, ok bool) {
+func (g *Gateway) listServersAtStartup(ctx context.Context) (got fetched, ok bool) {
 	if !g.listsServersFromPeers(ctx) {
-		return objects.Listing{}, false
+		return fetched{}, false
 	}
 	deadline := g.now() + peerListWait + g.storeReadDelay()
 	for g.now() < deadline && ctx.Err() == nil && !g.freshness.isController() {
@@ -48,13 +48,13 @@
 		}
 		listing, err := g.listServersFrom(ctx, source)
 		if err == nil {
-			return listing, true
+			return g.fetched(listing, readHost, source), true
 		}
 		g.sources.skip(source)
 		g.log.Info("host did not list the servers", "source", source, "error", err.Error())
 		clock.Sleep(ctx, sourceRetryDelay)
 	}
-	return objects.Listing{}, false
+	return fetched{}, false
 }
 
 // storeReadDelay returns how long this host delays its read of the store after it got no list
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -51,11 +51,13 @@
 
 // follow keeps a kind up to date until the context ends.
 func (g *Gateway) follow(ctx context.Context, f follower) {
+	g.addCopyAgeMetric(f.kind)
 	pause := minRetryDelay
 	var known uint64
 	connected := false
 	for ctx.Err() == nil {
-		listing, ended, err := g.fetchNext(ctx, f, connected, known)
+		answer, ended, err := g.fetchNext(ctx, f, connected, known)
+		listing := answer.listing
 		if ended {
 			continue
 		}
@@ -76,13 +78,14 @@
 		}
 		g.noteEra(f.kind, revision.Era(listing.Revision))
 		if !connected {
-			g.log.Info("store followed", "kind", f.kind, "revision", listing.Revision, "objects", len(listing.Objects))
+			g.log.Info("store followed", "kind", f.kind, "revision", listing.Revision, "objects", len(listing.Objects), "reader", answer.reader, "source", answer.source)
 			f.onListing(listing)
 		} else if len(listing.Objects) > 0 {
 			f.onChanges(listing)
 		}
 		g.relayCache.update(f.kind, listing, !connected)
 		g.freshness.noteRevision(f.kind, listing.Revision, !connected || len(listing.Objects) > 0)
+		g.noteApplied(f.kind, answer)
 		connected, pause, known = true, minRetryDelay, max(known, listing.Revision)
 		if f.batchDelay > 0 && len(listing.Objects) < fullBatch {
 			clock.Sleep(ctx, g.batchDelayFor(f.batchDelay))
@@ -100,42 +103,45 @@
 
 // fetchNext makes the next call for a kind. ended is set if there is no answer to handle: the
 // host only waited for a confirmation, the watch was canceled, or its source failed.
-func (g *Gateway) fetchNext(ctx context.Context, f follower, connected bool, revision uint64) (listing objects.Listing, ended bool, err error) {
+func (g *Gateway) fetchNext(ctx context.Context, f follower, connected bool, revision uint64) (got fetched, ended bool, err error) {
 	kind := f.kind
 	if !connected {
-		listing, err = g.list(ctx, kind, revision)
-		return listing, false, err
+		got, err = g.list(ctx, kind, revision)
+		return got, false, err
 	}
 	watchCtx, cancel, plan := g.freshness.beginWatch(ctx, kind, g.now(), g.sources.hasCandidate())
 	defer cancel()
 	if plan.confirmationArrived != nil {
+		g.logWatch(kind, plan, readNothing)
 		clock.Await(watchCtx, plan.confirmationArrived, plan.wait)
-		return listing, true, nil
+		return fetched{}, true, nil
 	}
 	if f.prober && g.storeAvailability.isUnavailable() {
 		// The other followers wait until any host or the store answers.
 		plan.wait = min(plan.wait, probeWatchWait)
 	}
 	if plan.source == "" {
-		listing, err = g.watchStore(watchCtx, kind, revision, plan.wait)
-		return listing, err != nil && watchCtx.Err() != nil && ctx.Err() == nil, err
+		got, err = g.watchStore(watchCtx, kind, revision, plan)
+		return got, err != nil && watchCtx.Err() != nil && ctx.Err() == nil, err
 	}
-	listing, err = g.watchFromPeer(watchCtx, plan.source, kind, revision, plan.wait)
+	g.logWatch(kind, plan, readHost)
+	listing, err := g.watchFromPeer(watchCtx, plan.source, kind, revision, plan.wait)
+	got = g.fetched(listing, readHost, plan.source)
 	if err == nil || errors.Is(err, objects.ErrCompacted) || ctx.Err() != nil {
-		return listing, false, err
+		return got, false, err
 	}
 	if watchCtx.Err() == nil {
 		g.freshness.noteSourceFailure(plan.source)
 		g.sources.skip(plan.source)
 		g.log.Info("source does not pass on what the store holds", "kind", kind, "source", plan.source, "error", err.Error())
 	}
-	return listing, true, err
+	return got, true, err
 }
 
 // list lists a kind that this host knows up to a revision; 0 if it has just started. A later
 // list comes from the source that this host follows. A host that was too far behind to get the
 // changes from its source would otherwise pay the store for a page per 500 entries.
-func (g *Gateway) list(ctx context.Context, kind string, known uint64) (objects.Listing, error) {
+func (g *Gateway) list(ctx context.Context, kind string, known uint64) (fetched, error) {
 	if known == 0 {
 		return g.listAtStartup(ctx, kind)
 	}
@@ -145,7 +151,7 @@
 			err = &objects.RewoundError{Given: listing.Revision, Era: g.era.Load()}
 		}
 		if err == nil {
-			return listing, nil
+			return g.fetched(listing, readHost, source), nil
 		}
 		g.log.Info("source did not list the objects; listing them from the store", "kind", kind, "source", source, "error", err.Error())
 	}
@@ -154,7 +160,7 @@
 	if err == nil {
 		g.freshness.noteStoreRead(kind, began)
 	}
-	return g.peerListing(kind, listing), err
+	return g.fetched(g.peerListing(kind, listing), readStore, ""), err
 }
 
 // listAtStartup lists a kind after the start of the process. A stale read, which costs a
@@ -162,40 +168,42 @@
 // unavailable, the host lists from another host, however old that list may be; else it would
 // reject every request until the store is back, although its servers work. A watch of the
 // store brings later changes as soon as one succeeds.
-func (g *Gateway) listAtStartup(ctx context.Context, kind string) (objects.Listing, error) {
+func (g *Gateway) listAtStartup(ctx context.Context, kind string) (fetched, error) {
 	if kind == g.registry.ServerKind() {
-		if listing, ok := g.listServersAtStartup(ctx); ok {
-			return listing, nil
+		if got, ok := g.listServersAtStartup(ctx); ok {
+			return got, nil
 		}
 	}
 	listing, err := g.store.Stale().List(ctx, kind)
 	source := g.sources.current()
 	if err == nil || source == "" || ctx.Err() != nil {
-		return g.peerListing(kind, listing), err
+		return g.fetched(g.peerListing(kind, listing), readStale, ""), err
 	}
 	listing, _, peerErr := g.listFromPeer(ctx, source, kind)
 	if peerErr != nil {
 		g.sources.noteMiss()
-		return listing, errors.Join(err, peerErr)
+		return fetched{}, errors.Join(err, peerErr)
 	}
-	return listing, nil
+	return g.fetched(listing, readHost, source), nil
 }
 
 // watchStore watches the store itself. While the whole system starts for the first time, every
 // host is notified of each server that registers: with 76 hosts that was two thirds of the
 // calls of a calm day. Changes aren't urgent before the first callers arrive, so the cheaper stale
 // reads are used.
-func (g *Gateway) watchStore(ctx context.Context, kind string, revision uint64, wait time.Duration) (objects.Listing, error) {
+func (g *Gateway) watchStore(ctx context.Context, kind string, revision uint64, plan watchPlan) (fetched, error) {
 	if g.identity.FirstStart && g.freshness.isStartingUp(g.now()) {
-		listing, err := g.store.Stale().Watch(ctx, kind, revision, wait)
-		return g.peerListing(kind, listing), err
+		g.logWatch(kind, plan, readStale)
+		listing, err := g.store.Stale().Watch(ctx, kind, revision, plan.wait)
+		return g.fetched(g.peerListing(kind, listing), readStale, ""), err
 	}
+	g.logWatch(kind, plan, readStore)
 	began := g.now()
-	listing, err := g.store.Watch(ctx, kind, revision, wait)
+	listing, err := g.store.Watch(ctx, kind, revision, plan.wait)
 	if err == nil {
 		g.freshness.noteStoreRead(kind, began)
 	}
-	return g.peerListing(kind, listing), err
+	return g.fetched(g.peerListing(kind, listing), readStore, ""), err
 }
 
 // handleFollowError handles a failed call, and reports whether the watch may continue from its
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -132,9 +132,9 @@
 	g := New(Identity{}, Platform{Store: memobjects.New(), Registry: kindNames{}}, logs.Discard())
 	g.freshness.acceptConfirmation(g.now(), confirmationFrom(g.now(), strings.TrimPrefix(controller.URL, "http://"), nil))
 	g.storeAvailability.markUnavailable()
-	listing, _, err := g.fetchNext(context.Background(), follower{prober: true, kind: "configurations"}, true, 5)
+	got, _, err := g.fetchNext(context.Background(), follower{prober: true, kind: "configurations"}, true, 5)
 	assert.NilError(t, err)
-	assert.Equal(t, listing.Revision, uint64(5))
+	assert.Equal(t, got.listing.Revision, uint64(5))
 	asked := <-requests
 	assert.Equal(t, time.Duration(asked.WaitMs)*time.Millisecond, probeWatchWait)
 }
--- a/gateway/forwardpeers_test.go
+++ b/gateway/forwardpeers_test.go
@@ -35,7 +35,7 @@
 		}, outcomeStopping},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			g := New(Identity{Host: "h"}, Platform{}, logs.Discard())
+			g := New(Identity{Host: "h"}, Platform{Registry: kindNames{}}, logs.Discard())
 			c.prepare(g)
 			request := httptest.NewRequest(http.MethodGet, "/x", nil)
 			request.Header.Set(headerForward, `{"host":"other","configuration":7}`)
@@ -48,7 +48,7 @@
 }
 
 func TestForwardedRequestWithInvalidHeader(t *testing.T) {
-	g := New(Identity{Host: "h"}, Platform{}, logs.Discard())
+	g := New(Identity{Host: "h"}, Platform{Registry: kindNames{}}, logs.Discard())
 	request := httptest.NewRequest(http.MethodGet, "/x", nil)
 	request.Header.Set(headerForward, "none")
 	recorded := httptest.NewRecorder()
@@ -149,7 +149,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	defer peer.Close()
-	g := New(Identity{Host: "h"}, Platform{}, logs.Discard())
+	g := New(Identity{Host: "h"}, Platform{Registry: kindNames{}}, logs.Discard())
 	g.peers.update(peerList{Addresses: []string{peer.Listener.Addr().String()}})
 	req := &request{httpRequest: httptest.NewRequest(http.MethodGet, "/x", nil), configuration: &routing.Configuration{Version: 7}, deadline: time.Hour}
 	answer, _ := g.forwardToPeers(t.Context(), req)
@@ -178,7 +178,7 @@
 	var forwards atomic.Int32
 	next := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { forwards.Add(1) }))
 	defer next.Close()
-	g := New(Identity{Host: "h"}, Platform{Codec: platform.Codec{}}, logs.Discard())
+	g := New(Identity{Host: "h"}, Platform{Registry: kindNames{}, Codec: platform.Codec{}}, logs.Discard())
 	g.services["s"] = g.newService("s", false)
 	g.services["s"].links.probed(time.Second, probeCounts{timedOut: 4})
 	g.peers.update(peerList{Addresses: []string{next.Listener.Addr().String()}})
@@ -197,7 +197,7 @@
 
 // A forwarded request says how long it has been at this host.
 func TestForwardedRequestTellsElapsedTime(t *testing.T) {
-	g := New(Identity{Host: "h"}, Platform{}, logs.Discard())
+	g := New(Identity{Host: "h"}, Platform{Registry: kindNames{}}, logs.Discard())
 	req := &request{httpRequest: httptest.NewRequest(http.MethodGet, "/x", nil), configuration: &routing.Configuration{Version: 7}, arrivedAt: g.now() - time.Second, sendCount: 1, counted: true}
 	var info forwardInfo
 	assert.NilError(t, json.Unmarshal([]byte(g.newForwardedRequest(req).Header.Get(headerForward)), &info))
@@ -214,7 +214,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	defer peer.Close()
-	g := New(Identity{Host: "h"}, Platform{}, logs.Discard())
+	g := New(Identity{Host: "h"}, Platform{Registry: kindNames{}}, logs.Discard())
 	g.peers.update(peerList{Addresses: []string{peer.Listener.Addr().String()}})
 	s := g.newService("s", false)
 	server := fleet.Server{ID: "a", Address: "a"}
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -88,11 +88,15 @@
 	lastChange    uint64        // revision of the last listing that contained a change
 	storeReadAt   time.Duration // start of the last call to the store that brought the kind up to date
 	readFromStore bool          // there was such a call
-	cancelWatch   context.CancelFunc
-	isLong        bool   // the watch was started as a long one
-	source        string // the host that the watch asks; empty for the store
-	behindCount   int    // consecutive confirmations that showed the watch to be behind
-	bypassRelay   bool   // the source was behind repeatedly; ask the sender of the confirmation instead
+	// storeReadPending is set while what the last such call returned is being applied.
+	storeReadPending bool
+	cancelWatch      context.CancelFunc
+	isLong           bool   // the watch was started as a long one
+	source           string // the host that the watch asks; empty for the store
+	behindCount      int    // consecutive confirmations that showed the watch to be behind
+	bypassRelay      bool   // the source was behind repeatedly; ask the sender of the confirmation instead
+	currency         currency
+	loggedReader     reader // of the last watch that was logged
 }
 
 func newFreshness(within time.Duration) freshness {
@@ -175,6 +179,7 @@
 	defer f.mu.Unlock()
 	state := f.kind(name)
 	state.storeReadAt, state.readFromStore = max(state.storeReadAt, began), true
+	state.storeReadPending = true
 }
 
 // noteRoleConfirmed records that the store confirmed this host as the controller, by a call
@@ -304,6 +309,11 @@
 	state := f.kind(name)
 	state.revision = max(state.revision, revision)
 	state.behindCount, state.bypassRelay = 0, false
+	if state.storeReadPending {
+		state.storeReadPending = false
+		state.currency.complete(state.storeReadAt)
+	}
+	state.currency.reach(state.revision)
 	if changed {
 		state.lastChange = max(state.lastChange, revision)
 	}
@@ -333,6 +343,21 @@
 	// source is the host to follow: the sender, or a relay that follows the sender.
 	source    string
 	revisions map[string]uint64
+	// askedAt is when this host sent the request that the confirmation answers.
+	askedAt time.Duration
+	// agesMs are the ages of the sender's copies of the kinds in milliseconds; nil if it has not
+	// stated them.
+	agesMs map[string]int64
+}
+
+// asOf returns as of when the sender's copy of a kind was complete. The sender stated its age after
+// it had been asked.
+func (c *confirmation) asOf(kind string) (asOf time.Duration, known bool) {
+	if c.agesMs == nil {
+		return c.confirmedAt, true
+	}
+	age, known := c.agesMs[kind]
+	return c.askedAt - time.Duration(age)*time.Millisecond, known
 }
 
 // maxConsecutiveBehind is the number of consecutive confirmations showing a watch at a relay
@@ -356,6 +381,7 @@
 	}
 	f.confirmedAt, f.hasConfirmation, f.source, f.sender = max(f.confirmedAt, c.confirmedAt), true, c.source, c.sender
 	f.receivedAt, f.ageOnReceipt = now, now-c.confirmedAt
+	f.noteStatements(c)
 	close(f.confirmationArrived)
 	f.confirmationArrived = make(chan struct{})
 	var behind []string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -158,6 +158,7 @@
 	g.metrics.set.NewGauge("cicada_links_lost", g.linksLostGauge)
 	g.metrics.set.NewGauge("cicada_peers", g.peers.count)
 	g.metrics.set.NewGauge("cicada_store_era", func() float64 { return float64(g.era.Load()) })
+	g.addCopyMetrics()
 	for _, verdict := range []poison.Verdict{poison.Suspected, poison.Quarantined} {
 		g.metrics.set.NewGauge(`cicada_judged_requests{verdict="`+verdict.String()+`"}`, g.verdictGauge(verdict))
 	}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -146,7 +146,7 @@
 	fields := []any{"request", req.ID, "outcome", answer.outcome, "status", answer.status,
 		"ms", (g.now() - req.arrivedAt).Milliseconds()}
 	if req.configuration != nil {
-		fields = append(fields, "configuration", req.configuration.Version)
+		fields = append(fields, "configuration", req.configuration.Version, "configuration-age-ms", ageMillis(g.configurationAge()))
 	}
 	if req.route != nil {
 		fields = append(fields, "route", req.route.Name, "service", req.serviceName, "sends", req.sendCount, "servers", req.triedServers)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -95,6 +95,9 @@
 	StoreAgeMs int64 `json:"storeAgeMs"`
 	// Revisions holds the revision at which each watched kind last changed.
 	Revisions map[string]uint64 `json:"revisions"`
+	// AgesMs holds the age of the process's copy of each kind, in milliseconds. Hosts of earlier
+	// versions don't send it.
+	AgesMs map[string]int64 `json:"agesMs,omitempty"`
 	// Shares holds, for keys whose load exceeds the capacity of their owners, the share of
 	// requests that the owner can accept.
 	Shares map[uint16]float64 `json:"shares,omitempty"`
@@ -188,6 +191,7 @@
 	limitsUpTo  uint64 // likewise for limits
 	leavingUpTo uint64
 	answer      loadAnswer
+	askedAt     time.Duration // when the report was sent
 	err         error
 }
 
@@ -207,7 +211,7 @@
 	limitsUpTo := g.addLimitsToReport(c, &report)
 	leavingUpTo := g.addLeavingToReport(c, &report)
 	go func() {
-		result := &reportResult{control: c, to: to, casesUpTo: casesUpTo, limitsUpTo: limitsUpTo, leavingUpTo: leavingUpTo}
+		result := &reportResult{control: c, to: to, casesUpTo: casesUpTo, limitsUpTo: limitsUpTo, leavingUpTo: leavingUpTo, askedAt: g.now()}
 		result.err = g.callPeer(ctx, peerTimeout, to.Address, pathLoad, report, &result.answer)
 		g.postEvent(ctx, result)
 	}()
@@ -248,8 +252,9 @@
 		g.updateHostCount(e.answer.Hosts)
 		receivedAt := g.now()
 		confirmed := receivedAt - time.Duration(e.answer.StoreAgeMs)*time.Millisecond
-		received := confirmation{confirmedAt: confirmed, sender: e.to.Address, source: g.sources.upstream(e.to.Address), revisions: e.answer.Revisions}
-		if behind := g.freshness.acceptConfirmation(receivedAt, received); len(behind) > 0 {
+		received := confirmation{confirmedAt: confirmed, sender: e.to.Address, source: g.sources.upstream(e.to.Address), revisions: e.answer.Revisions,
+			askedAt: e.askedAt, agesMs: e.answer.AgesMs}
+		if behind := g.acceptConfirmation(receivedAt, received); len(behind) > 0 {
 			g.sources.skip(received.source)
 			g.log.Warn("watches were behind", "kinds", behind, "controller", e.to.Host, "source", received.source)
 		}
@@ -339,7 +344,7 @@
 	answer.FollowRelays = len(c.members.hosts) > maxDirectFollowers
 	answer.Controls, answer.Shares = true, c.shares
 	c.division.addTo(&answer)
-	answer.Revisions = g.freshness.changeRevisions()
+	answer.Revisions, answer.AgesMs = g.freshness.changeRevisions(), g.freshness.copyAges(g.now())
 	answer.StoreAgeMs = c.machine.ConfirmedAge(now).Milliseconds()
 	return answer
 }
--- /dev/null
+++ b/gateway/reads.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"cicadarouter/contract/objects"
+)
+
+// reader is the way by which a host reads a kind.
+type reader string
+
+// Readers of kinds.
+const (
+	readStore   reader = "store"
+	readStale   reader = "stale" // stale reads of the store
+	readHost    reader = "host"  // another host's copy
+	readNothing reader = "none"  // the host waits for a confirmation
+)
+
+// fetched is what a call returned of a kind.
+type fetched struct {
+	listing    objects.Listing
+	reader     reader
+	source     string // address of the host that answered; empty for the store
+	answeredAt time.Duration
+}
+
+func (g *Gateway) fetched(listing objects.Listing, reader reader, source string) fetched {
+	return fetched{listing: listing, reader: reader, source: source, answeredAt: g.now()}
+}
+
+// logWatch logs that a kind is read in another way than before.
+func (g *Gateway) logWatch(kind string, plan watchPlan, by reader) {
+	before, sender, confirmation := g.freshness.noteReader(kind, by, g.now())
+	if before == by {
+		return
+	}
+	g.metrics.set.GetOrCreateCounter(`cicada_reader_changes_total{kind="` + kind + `",reader="` + string(by) + `"}`).Inc()
+	g.log.Info("kind is read in another way", "kind", kind, "reader", by, "before", before, "source", plan.source, "wait-ms", plan.wait.Milliseconds(),
+		"copy-age-ms", ageMillis(g.freshness.copyAge(kind, g.now())), "confirmed-by", sender, "confirmation-age-ms", ageMillis(confirmation))
+}
+
+// noteReader records the way in which a kind is read. It returns the way before, and who last
+// confirmed the state of the store how long ago.
+func (f *freshness) noteReader(name string, by reader, now time.Duration) (before reader, sender string, confirmation time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.kind(name)
+	before, state.loggedReader = state.loggedReader, by
+	return before, f.sender, f.confirmationAge(now)
+}
+
+// noteApplied records that what a call returned has been applied.
+func (g *Gateway) noteApplied(kind string, got fetched) {
+	if kind != g.registry.ConfigurationKind() || len(got.listing.Objects) == 0 {
+		return
+	}
+	_, sender, confirmation := g.freshness.noteReader(kind, got.reader, g.now())
+	g.log.Info("configuration read", "revision", got.listing.Revision, "reader", got.reader, "source", got.source, "apply-ms", (g.now() - got.answeredAt).Milliseconds(),
+		"copy-age-ms", ageMillis(g.freshness.copyAge(kind, g.now())), "confirmed-by", sender, "confirmation-age-ms", ageMillis(confirmation))
+}
+
+// configurationAge returns the age of this host's copy of the configuration.
+func (g *Gateway) configurationAge() time.Duration {
+	return g.freshness.copyAge(g.registry.ConfigurationKind(), g.now())
+}
+
+// addCopyMetrics registers the metrics of this host's copies of the store's kinds.
+func (g *Gateway) addCopyMetrics() {
+	g.metrics.set.NewGauge("cicada_configuration_version", func() float64 {
+		if current := g.configuration.Current(); current != nil {
+			return float64(current.Version)
+		}
+		return 0
+	})
+	g.metrics.set.NewGauge("cicada_confirmation_age_seconds", func() float64 { return ageSeconds(g.freshness.lastConfirmationAge(g.now())) })
+}
+
+// addCopyAgeMetric registers the age of this host's copy of a kind.
+func (g *Gateway) addCopyAgeMetric(kind string) {
+	g.metrics.set.GetOrCreateGauge(`cicada_copy_age_seconds{kind="`+kind+`"}`, func() float64 { return ageSeconds(g.freshness.copyAge(kind, g.now())) })
+}
+
+// ageSeconds returns an age in seconds, or -1 if it is unknown.
+func ageSeconds(age time.Duration) float64 {
+	if age == math.MaxInt64 {
+		return -1
+	}
+	return age.Seconds()
+}
+
+// lastConfirmationAge is confirmationAge for callers that don't hold the lock.
+func (f *freshness) lastConfirmationAge(now time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmationAge(now)
+}
+
+// acceptConfirmation records a confirmation and logs one that follows a time without any. It returns
+// the kinds whose watches were behind.
+func (g *Gateway) acceptConfirmation(now time.Duration, c confirmation) []string {
+	before := g.freshness.lastConfirmationAge(now)
+	behind := g.freshness.acceptConfirmation(now, c)
+	if before >= g.freshness.validFor() {
+		g.log.Info("state of the store is confirmed again", "confirmed-by", c.sender, "source", c.source, "age-ms", (now - c.confirmedAt).Milliseconds(),
+			"unconfirmed-ms", ageMillis(before), "answer-ms", (now - c.askedAt).Milliseconds(), "copy-ages-ms", g.freshness.copyAges(now), "behind", behind)
+	}
+	for _, kind := range behind {
+		g.metrics.set.GetOrCreateCounter(`cicada_watches_behind_total{kind="` + kind + `"}`).Inc()
+	}
+	return behind
+}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -207,6 +207,9 @@
 	AgeMs int64 `json:"ageMs"`
 	// Revisions are the revisions at which each watched kind last changed.
 	Revisions map[string]uint64 `json:"revisions"`
+	// AgesMs holds the age of the host's copy of each kind, in milliseconds. Hosts of earlier
+	// versions don't send it.
+	AgesMs map[string]int64 `json:"agesMs,omitempty"`
 }
 
 // queryRelays queries relays for a confirmation of the state of the store while no
@@ -235,7 +238,8 @@
 		}
 		g.sources.resetMisses()
 		g.storeAvailability.markAvailable() // the relay passes on what this host can't read from the store
-		behind := g.freshness.acceptConfirmation(g.now(), confirmation{confirmedAt: now - age, sender: address, source: address, revisions: answer.Revisions})
+		behind := g.acceptConfirmation(g.now(), confirmation{confirmedAt: now - age, sender: address, source: address, revisions: answer.Revisions,
+			askedAt: now, agesMs: answer.AgesMs})
 		if following != address || len(behind) > 0 {
 			g.log.Info("relay vouches for the store's state", "relay", address, "age-ms", answer.AgeMs, "behind", behind)
 		}
@@ -255,6 +259,7 @@
 	if !g.decodePeerRequest(w, r, &question) {
 		return
 	}
-	age, revisions := g.freshness.noteRelayQuery(g.now())
-	g.writePeerResponse(w, r, sourceResponse{AgeMs: age.Milliseconds(), Revisions: revisions})
+	now := g.now()
+	age, revisions := g.freshness.noteRelayQuery(now)
+	g.writePeerResponse(w, r, sourceResponse{AgeMs: age.Milliseconds(), Revisions: revisions, AgesMs: g.freshness.copyAges(now)})
 }
--- a/gateway/strayresponses_test.go
+++ b/gateway/strayresponses_test.go
@@ -184,7 +184,7 @@
 }
 
 func newStrayTestHost(address string) *strayTestHost {
-	g := New(Identity{Host: "h", Domain: "a"}, Platform{Codec: platform.Codec{}, ServerDialer: &net.Dialer{}}, logs.Discard())
+	g := New(Identity{Host: "h", Domain: "a"}, Platform{Registry: kindNames{}, Codec: platform.Codec{}, ServerDialer: &net.Dialer{}}, logs.Discard())
 	g.mu.Lock()
 	s := g.newService("free", false)
 	g.services["free"] = s
--- a/gateway/unsent_test.go
+++ b/gateway/unsent_test.go
@@ -91,7 +91,7 @@
 func replyOfScripted(t *testing.T, scripts []func(net.Conn), body string) *reply {
 	t.Helper()
 	const timeout = 400 * time.Millisecond
-	g := New(Identity{Host: "h", Domain: "a"}, Platform{Codec: platform.Codec{}, ServerDialer: &scriptedServers{scripts: scripts}}, logs.Discard())
+	g := New(Identity{Host: "h", Domain: "a"}, Platform{Registry: kindNames{}, Codec: platform.Codec{}, ServerDialer: &scriptedServers{scripts: scripts}}, logs.Discard())
 	g.mu.Lock()
 	s := g.newService("free", false)
 	g.services["free"] = s
