soak: first start under load, stale reads that are old, routes that move

Hosts handled requests by a replaced configuration, and no soak could show it: its hosts never start as the first of the system, its store answers stale reads with the current state, no route moves between services, and a fault anywhere suspends the check of versions for all hosts, with 1 s of margin.

From the list StartFaults on a run begins with the first start: load, probes and moves of routes begin with the processes, and stale reads return the state of 3 s before. New faults: routes move in series, the first within milliseconds; a host gets 15 to 35% of a processor as a quota of 100 ms; hosts start while the store drops its history; one connection of a controller to the store goes silent. Each host is probed every 25 ms over kept connections for the route that moves and for the routes of the last eight versions. Each probe is judged by the times at which the store acknowledged the versions, 2 s without margin, and only faults of that host and of the store excuse it. Earlier lists draw what they drew, and the tests that use them name theirs.

--- a/cmd/cicada-soak/main.go
+++ b/cmd/cicada-soak/main.go
@@ -30,6 +30,7 @@
 	Every   time.Duration `long:"every" default:"700ms" description:"mean time between the starts of two faults"`
 	Only    string        `long:"only" description:"inject only faults whose names contain this text"`
 	Quiet   bool          `long:"quiet" description:"don't print each fault"`
+	Logs    bool          `long:"keep-logs" description:"keep the logs of seeds that passed, too"`
 }
 
 func main() {
@@ -83,6 +84,9 @@
 			failed++
 			continue
 		}
+		if opts.Logs {
+			continue
+		}
 		if err := os.RemoveAll(dir); err != nil {
 			return failed, eris.Wrap(err, "removing the logs of a seed that passed")
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -1,13 +1,17 @@
 package soak
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"syscall"
 	"time"
 
+	"cicadarouter/gateway"
+	"cicadarouter/keyspace"
 	"cicadarouter/platform/platformtest"
 )
 
@@ -51,10 +55,15 @@
 	RestoreFaults
 	// GarbledFaults adds servers that send responses twice, and that break off long responses.
 	GarbledFaults
+	// StartFaults adds the first start of the system under load, with changes from the first second
+	// on; stale reads that are seconds old; routes that move between services; hosts with a share of
+	// a processor; a store that drops its history while hosts start; and connections to the store
+	// that go silent.
+	StartFaults
 )
 
 // CurrentFaults is the version that new seeds use.
-const CurrentFaults = GarbledFaults
+const CurrentFaults = StartFaults
 
 // faults returns all kinds of faults.
 func faults() []fault {
@@ -92,6 +101,10 @@
 		{restoreFault, 2, true, RestoreFaults, restoreBackup},
 		{repeatFault, 3, false, GarbledFaults, repeatResponses},
 		{breakOffFault, 2, false, GarbledFaults, onServer(platformtest.ServerFaults{BreakOffResponses: 40})},
+		{moveFault, 6, true, StartFaults, moveRoutes},
+		{throttleFault, 3, true, StartFaults, throttleHost},
+		{historyFault, 2, false, StartFaults, dropHistoryAtStart},
+		{silenceFault, 4, false, StartFaults, silenceStoreConnection},
 	}
 }
 
@@ -163,9 +176,11 @@
 	return func(r *run, random *rand.Rand, length time.Duration) func(ctx context.Context) {
 		h := r.hosts[random.IntN(len(r.hosts))]
 		return func(ctx context.Context) {
+			from := time.Now()
 			h.storeProxy.SetCondition(link)
 			sleep(ctx, length)
 			h.storeProxy.SetCondition(LinkCondition{})
+			h.recordWindow(&h.linkFaults, from)
 		}
 	}
 }
@@ -173,7 +188,9 @@
 func resetStoreLinks(r *run, _ *rand.Rand, _ time.Duration) func(ctx context.Context) {
 	return func(context.Context) {
 		for _, h := range r.hosts {
+			from := time.Now()
 			h.storeProxy.Reset()
+			h.recordWindow(&h.linkFaults, from)
 		}
 	}
 }
@@ -181,6 +198,7 @@
 func onStore(faults platformtest.Faults) planFunc {
 	return func(r *run, _ *rand.Rand, length time.Duration) func(ctx context.Context) {
 		return func(ctx context.Context) {
+			defer r.recordStoreFault(time.Now())
 			r.site.Store.SetFaults(faults)
 			sleep(ctx, length)
 			r.site.Store.SetFaults(platformtest.Faults{})
@@ -189,7 +207,17 @@
 }
 
 func dropWatchEvents(r *run, _ *rand.Rand, _ time.Duration) func(ctx context.Context) {
-	return func(context.Context) { r.site.Store.DropWatchEvents() }
+	return func(context.Context) {
+		defer r.recordStoreFault(time.Now())
+		r.site.Store.DropWatchEvents()
+	}
+}
+
+// recordStoreFault records a fault of the store from the given time until now.
+func (r *run) recordStoreFault(from time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeFaults = append(r.storeFaults, window{from: from, to: time.Now()})
 }
 
 // Server faults target only the servers present from the start, so that what a seed draws
@@ -260,6 +288,7 @@
 		if !r.site.LeavingSince(server).IsZero() {
 			return
 		}
+		defer r.recordStoreFault(time.Now())
 		r.site.Store.SetFaults(platformtest.Faults{RejectCalls: true})
 		server.SetLeaving()
 		sleep(ctx, leaveWithin+length)
@@ -314,6 +343,7 @@
 	age := minAge + time.Duration(random.Int64N(int64(ageRange)))
 	return func(ctx context.Context) {
 		r.addActiveFaults(1)
+		from := time.Now()
 		r.site.Store.Backup()
 		r.recordError(r.site.AddKeyed(r.servingCtx)) // written after the backup, so lost by the restore
 		sleep(ctx, age)
@@ -322,16 +352,117 @@
 		r.recordError(r.site.RestoreBackup(ctx))
 		r.site.Store.SetFaults(platformtest.Faults{})
 		r.addActiveFaults(-1)
+		r.recordStoreFault(from)
 		sleep(ctx, quietPeriod+margin)
 		changeConfiguration(r, nil, 0)(ctx)
 	}
 }
 
 func changeConfiguration(r *run, _ *rand.Rand, _ time.Duration) func(ctx context.Context) {
+	return func(ctx context.Context) { r.changeVersion(ctx, r.site.Configure) }
+}
+
+// Names of the faults that come with StartFaults.
+const (
+	moveFault     = "routes move between services"
+	throttleFault = "a host gets a share of a processor"
+	historyFault  = "the store drops its history while a host starts"
+	silenceFault  = "a connection to the store goes silent"
+)
+
+// staleness is the age of stale reads.
+const staleness = 3 * time.Second
+
+// playsStarts reports whether the run begins with the first start of the system under load.
+func (r *run) playsStarts() bool {
+	return cmp.Or(r.options.FaultList, CurrentFaults) >= StartFaults
+}
+
+// moveRoutesAtStart moves routes at random intervals while the hosts start, and then tells the
+// hosts that later starts are not the first of the system.
+func (r *run) moveRoutesAtStart() {
+	const during, meanInterval = 9 * time.Second, 700 * time.Millisecond
+	random := rand.New(rand.NewPCG(r.options.Seed, 2))
+	for end := time.Now().Add(during); time.Now().Before(end) && r.servingCtx.Err() == nil; {
+		sleep(r.servingCtx, time.Duration(random.ExpFloat64()*float64(meanInterval)))
+		r.changeVersion(r.servingCtx, r.site.MoveRoute)
+	}
+	for _, h := range r.hosts {
+		r.recordError(h.writeSettings(false))
+	}
+}
+
+// moveRoutes moves routes a few times in a row, the first times within milliseconds.
+func moveRoutes(r *run, random *rand.Rand, _ time.Duration) func(ctx context.Context) {
+	const maxPause = 1500 * time.Millisecond
+	pauses := []time.Duration{time.Duration(random.Int64N(int64(10 * time.Millisecond))), time.Duration(random.Int64N(int64(maxPause))), time.Duration(random.Int64N(int64(maxPause)))}
 	return func(ctx context.Context) {
-		version, err := r.site.Configure(ctx)
-		r.recordError(err)
-		r.recordVersion(version)
+		for _, pause := range pauses {
+			r.changeVersion(ctx, r.site.MoveRoute)
+			sleep(ctx, pause)
+		}
+	}
+}
+
+// throttleHost gives a host a third of a processor or less as a quota.
+func throttleHost(r *run, random *rand.Rand, length time.Duration) func(ctx context.Context) {
+	const minShare, shareRange = 0.15, 0.2
+	h, share := r.hosts[random.IntN(len(r.hosts))], minShare+shareRange*random.Float64()
+	return func(context.Context) { h.throttle(length, share) }
+}
+
+// silenceStoreConnection makes one open connection of a controller to the store go silent for good,
+// and moves routes right after.
+func silenceStoreConnection(r *run, random *rand.Rand, _ time.Duration) func(ctx context.Context) {
+	const maxPause = 200 * time.Millisecond
+	other, pick, pause := r.hosts[random.IntN(len(r.hosts))], random.Float64(), time.Duration(random.Int64N(int64(maxPause)))
+	return func(ctx context.Context) {
+		h := cmp.Or(r.controller(ctx), other)
+		from := time.Now()
+		h.storeProxy.Silence(pick)
+		h.recordWindow(&h.linkFaults, from)
+		sleep(ctx, pause)
+		r.changeVersion(ctx, r.site.MoveRoute)
+	}
+}
+
+// controller returns the host that controls the service with keys, or nil.
+func (r *run) controller(ctx context.Context) *host {
+	listing, err := r.site.Store.Objects().List(ctx, gateway.Assignments)
+	r.recordError(err)
+	for _, object := range listing.Objects {
+		var record keyspace.Record
+		if json.Unmarshal(object.Spec, &record) != nil || record.Keyless {
+			continue
+		}
+		for _, h := range r.hosts {
+			if h.peersAddress == record.Controller.Address {
+				return h
+			}
+		}
+	}
+	return nil
+}
+
+// dropHistoryAtStart starts some or all hosts again and makes the store drop its history within their
+// first second, so that no watch of theirs hears of changes. Routes move once the hosts are held to
+// their bounds again.
+func dropHistoryAtStart(r *run, random *rand.Rand, _ time.Duration) func(ctx context.Context) {
+	first, count := random.IntN(len(r.hosts)), 1+random.IntN(len(r.hosts))
+	after, moveAfter := time.Duration(random.Int64N(int64(time.Second))), time.Duration(random.Int64N(int64(2*time.Second)))
+	return func(ctx context.Context) {
+		for i := range count {
+			r.hosts[(first+i)%len(r.hosts)].kill()
+		}
+		for i := range count {
+			r.restart(r.hosts[(first+i)%len(r.hosts)])
+		}
+		sleep(ctx, after)
+		from := time.Now()
+		r.recordError(r.site.Store.DropHistory(ctx))
+		r.recordStoreFault(from)
+		sleep(ctx, moveAfter)
+		r.changeVersion(ctx, r.site.MoveRoute)
 	}
 }
 
--- a/soak/host.go
+++ b/soak/host.go
@@ -23,8 +23,10 @@
 	name           string
 	program        string
 	dir            string
+	settings       string // format of the settings file
 	callersAddress string
 	readyAddress   string
+	peersAddress   string
 	storeProxy     *Proxy
 
 	mu              sync.Mutex
@@ -36,6 +38,8 @@
 	plannedStops    []window // planned stops, from SIGTERM to the exit of the process
 	overdueStops    []window // planned stops that exceeded the grace time, until the process was killed
 	disturbances    []window // pauses and kills
+	linkFaults      []window // faults of the link to the store
+	starts          []time.Time
 }
 
 // window is a time interval.
@@ -52,7 +56,7 @@
 // to start.
 const firstPort = 21000
 
-func newHost(name, program, dir, ip, storeAddress string) (*host, error) {
+func newHost(name, program, dir, ip, storeAddress string, firstStart bool) (*host, error) {
 	store, err := NewProxy(storeAddress)
 	if err != nil {
 		return nil, err
@@ -62,11 +66,20 @@
 	for n := range 4 {
 		addresses = append(addresses, fmt.Sprintf("%s:%d", ip, firstPort+n))
 	}
-	h.callersAddress, h.readyAddress = addresses[0], addresses[1]
-	settings := fmt.Sprintf("[host]\nname = %s\ndomain = a\n[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[store]\naddress = %s\n[changes]\nevacuate-within = %v\n[stop]\nleave-for = 500ms\nwithin = %v\n",
+	h.callersAddress, h.readyAddress, h.peersAddress = addresses[0], addresses[1], addresses[2]
+	h.settings = fmt.Sprintf("[host]\nname = %s\ndomain = a\n%%s[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[store]\naddress = %s\n[changes]\nevacuate-within = %v\n[stop]\nleave-for = 500ms\nwithin = %v\n",
 		name, addresses[0], addresses[1], addresses[2], addresses[3], store.Address(), evacuateWithin, stopGrace)
-	err = os.WriteFile(h.settingsFile(), []byte(settings), 0o600)
-	return h, eris.Wrap(err, "settings of a host")
+	return h, h.writeSettings(firstStart)
+}
+
+// writeSettings writes the settings file. firstStart is set if the whole system starts for the first
+// time.
+func (h *host) writeSettings(firstStart bool) error {
+	first := ""
+	if firstStart {
+		first = "first-start = true\n"
+	}
+	return eris.Wrap(os.WriteFile(h.settingsFile(), fmt.Appendf(nil, h.settings, first), 0o600), "settings of a host")
 }
 
 func (h *host) settingsFile() string { return filepath.Join(h.dir, h.name+".ini") }
@@ -90,6 +103,7 @@
 	}
 	gone := make(chan struct{})
 	h.running, h.exited, h.stopRequested, h.upSince = command, gone, false, time.Now()
+	h.starts = append(h.starts, h.upSince)
 	go h.waitForExit(command, gone)
 	return nil
 }
@@ -193,6 +207,33 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// startedBefore returns the last start of the process before a time.
+func (h *host) startedBefore(at time.Time) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var last time.Time
+	for _, start := range h.starts {
+		if start.Before(at) {
+			last = start
+		}
+	}
+	return last
+}
+
+// throttle gives the process a share of a processor as a quota: it runs for that share of each period
+// and then not at all.
+func (h *host) throttle(length time.Duration, share float64) {
+	const period = 100 * time.Millisecond
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		if _, ok := h.signal(syscall.SIGSTOP, false); !ok {
+			return
+		}
+		time.Sleep(time.Duration((1 - share) * float64(period)))
+		h.signal(syscall.SIGCONT, false)
+		time.Sleep(time.Duration(share * float64(period)))
+	}
+}
+
 // uptime returns the process's uptime, or 0 if it is not running.
 func (h *host) uptime() time.Duration {
 	h.mu.Lock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,8 @@
 	condition LinkCondition
 	changed   chan struct{} // closed when link changes
 	openConns map[net.Conn]bool
+	accepted  []net.Conn        // the open connections of clients, the earliest first
+	silent    map[net.Conn]bool // connections of clients on which nothing is passed on
 }
 
 // NewProxy returns a proxy on a free port.
@@ -36,7 +39,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listening for a proxy")
 	}
-	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), openConns: map[net.Conn]bool{}}
+	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), openConns: map[net.Conn]bool{}, silent: map[net.Conn]bool{}}
 	go p.accept()
 	return p, nil
 }
@@ -65,6 +68,22 @@
 	}
 }
 
+// Silence makes one of the open connections silent for good: it stays open and nothing is passed on.
+// pick, from 0 to 1, selects it.
+func (p *Proxy) Silence(pick float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.accepted); n > 0 {
+		p.silent[p.accepted[min(int(pick*float64(n)), n-1)]] = true
+	}
+}
+
+func (p *Proxy) isSilent(client net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[client]
+}
+
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -90,33 +109,35 @@
 	}
 	p.track(client, target)
 	defer p.closeAndUntrack(client, target)
+	silent := func() bool { return p.isSilent(client) }
 	var copying sync.WaitGroup
-	copying.Go(func() { p.copyDirection(target, client, func(l LinkCondition) bool { return l.CutTo }) })
-	copying.Go(func() { p.copyDirection(client, target, func(l LinkCondition) bool { return l.CutFrom }) })
+	copying.Go(func() { p.copyDirection(target, client, silent, func(l LinkCondition) bool { return l.CutTo }) })
+	copying.Go(func() { p.copyDirection(client, target, silent, func(l LinkCondition) bool { return l.CutFrom }) })
 	copying.Wait()
 }
 
-func (p *Proxy) track(conns ...net.Conn) {
+func (p *Proxy) track(client, target net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, conn := range conns {
-		p.openConns[conn] = true
-	}
+	p.openConns[client], p.openConns[target] = true, true
+	p.accepted = append(p.accepted, client)
 }
 
-func (p *Proxy) closeAndUntrack(conns ...net.Conn) {
+func (p *Proxy) closeAndUntrack(client, target net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, conn := range conns {
+	for _, conn := range []net.Conn{client, target} {
 		delete(p.openConns, conn)
 		_ = conn.Close()
 	}
+	delete(p.silent, client)
+	p.accepted = slices.DeleteFunc(p.accepted, func(conn net.Conn) bool { return conn == client })
 }
 
 // copyDirection copies one direction until it ends and then closes both connections. Data that a
 // cut holds back is lost if its sender resets the connection meanwhile, as on a real link:
 // a client that has abandoned a call relies on the call not arriving later.
-func (p *Proxy) copyDirection(to, from net.Conn, cut func(LinkCondition) bool) {
+func (p *Proxy) copyDirection(to, from net.Conn, silent func() bool, cut func(LinkCondition) bool) {
 	defer func() { _, _ = to.Close(), from.Close() }()
 	chunks, reset := make(chan []byte, maxBufferedChunks), make(chan struct{})
 	go readChunks(from, chunks, reset)
@@ -124,6 +145,9 @@
 		if !p.waitForLink(cut, reset) {
 			return
 		}
+		if silent() {
+			continue
+		}
 		if _, err := to.Write(chunk); err != nil {
 			return
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -96,15 +96,11 @@
 	activeFaults int      // number of active faults
 	activeSince  time.Time
 	versions     []version
+	probes       []probe  // by which versionViolations judges
+	storeFaults  []window // when the store had a fault, for all hosts
 	faultCount   int
 }
 
-// version is a configuration change and when the store acknowledged it.
-type version struct {
-	number int
-	at     time.Time
-}
-
 // Run runs the test with one seed. It returns an error if the run could not start or was
 // canceled. Violations of guarantees, and errors of the run after its start, are in the
 // result.
@@ -113,13 +109,13 @@
 	defer stopServing()
 	r := &run{options: options, servingCtx: serving, began: time.Now()}
 	defer r.close()
-	if err := r.start(); err != nil {
-		return Result{}, err
-	}
 	loading, endLoad := context.WithCancel(serving)
 	defer endLoad()
 	r.loadCtx = loading
 	var checks sync.WaitGroup
+	if err := r.start(&checks); err != nil {
+		return Result{}, err
+	}
 	checks.Go(func() { r.load.Run(loading) })
 	checks.Go(func() { r.checkKeyHolders(loading) })
 	checks.Go(func() { r.checkVersions(loading) })
@@ -137,8 +133,9 @@
 	return r.checkGuarantees(), ctx.Err()
 }
 
-// start starts the site and the hosts and waits until the hosts serve requests.
-func (r *run) start() error {
+// start starts the site and the hosts and waits until the hosts serve requests. checks waits for the
+// probes, which begin with the processes.
+func (r *run) start(checks *sync.WaitGroup) error {
 	// Each run uses a random loopback network, so that concurrent runs do not use the
 	// same addresses.
 	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
@@ -157,18 +154,31 @@
 	if err := r.site.Start(r.servingCtx, storeAddress, r.options.Servers); err != nil {
 		return err
 	}
+	if r.playsStarts() {
+		const first = 1
+		r.versions = append(r.versions, version{number: first, sent: r.began, at: time.Now(), turnService: r.site.TurnService(first)})
+		r.site.Store.SetStaleness(staleness)
+	}
 	r.initialProxies = slices.Clone(r.proxies)
 	r.load = &platformtest.Load{Callers: r.options.Callers, Pause: 5 * time.Millisecond}
 	for i := range r.options.Hosts {
-		h, err := newHost(fmt.Sprintf("host-%d", i), r.options.Program, r.options.Dir, fmt.Sprintf("%s.%d", network, i+2), storeAddress)
+		h, err := newHost(fmt.Sprintf("host-%d", i), r.options.Program, r.options.Dir, fmt.Sprintf("%s.%d", network, i+2), storeAddress, r.playsStarts())
 		if err != nil {
 			return err
 		}
 		r.hosts = append(r.hosts, h)
 		r.load.Hosts = append(r.load.Hosts, h.callersAddress)
+	}
+	for _, h := range r.hosts {
 		if err := h.start(); err != nil {
 			return err
 		}
+		if r.playsStarts() {
+			checks.Go(func() { r.probeRoutes(r.loadCtx, h) })
+		}
+	}
+	if r.playsStarts() {
+		r.moveRoutesAtStart()
 	}
 	if missing := r.waitUntilServed(recoverWithin); missing != "" {
 		return eris.Errorf("the hosts do not serve at the start: %s", missing)
@@ -263,12 +273,6 @@
 	}
 }
 
-func (r *run) recordVersion(number int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.versions = append(r.versions, version{number: number, at: time.Now()})
-}
-
 // checkVersions requests the newest version's route from each host once the version must
 // be in force. It skips versions for which a fault was active.
 func (r *run) checkVersions(ctx context.Context) {
@@ -356,6 +360,7 @@
 	violations = append(violations, r.leavingViolations()...)
 	violations = append(violations, r.evacuationViolations()...)
 	violations = append(violations, r.site.ColdOverruns()...)
+	violations = append(violations, r.versionViolations()...)
 	violations = append(violations, r.limitViolations()...)
 	violations = append(violations, r.leavingNoticeViolations()...)
 	violations = append(violations, r.backoffViolations()...)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,7 +48,7 @@
 // Guards against hosts that keep sending requests known to terminate servers. The copies
 // that reach servers are counted over all hosts, under ordinary load.
 func TestShortSoakOfDeadlyRequests(t *testing.T) {
-	result, err := Run(context.Background(), Options{Program: buildGateway(t), Dir: t.TempDir(), Seed: 3, Only: deadlyFault, Hosts: 3, Servers: 4, Callers: 6,
+	result, err := Run(context.Background(), Options{Program: buildGateway(t), Dir: t.TempDir(), Seed: 3, FaultList: GarbledFaults, Only: deadlyFault, Hosts: 3, Servers: 4, Callers: 6,
 		FaultDuration: 3 * time.Second, MeanInterval: time.Second, Print: func(line string) { t.Log(line) }})
 	assert.NilError(t, err)
 	assert.Equal(t, len(result.Violations), 0, "%v", result.Violations)
@@ -57,7 +57,7 @@
 
 // Guards against hosts that together exceed the rate limit that a server announces.
 func TestShortSoakOfLimits(t *testing.T) {
-	result, err := Run(context.Background(), Options{Program: buildGateway(t), Dir: t.TempDir(), Seed: 5, Only: limitFault, Hosts: 3, Servers: 4, Callers: 6,
+	result, err := Run(context.Background(), Options{Program: buildGateway(t), Dir: t.TempDir(), Seed: 5, FaultList: GarbledFaults, Only: limitFault, Hosts: 3, Servers: 4, Callers: 6,
 		FaultDuration: time.Second, MeanInterval: time.Second, Print: func(line string) { t.Log(line) }})
 	assert.NilError(t, err)
 	assert.Equal(t, len(result.Violations), 0, "%v", result.Violations)
@@ -65,25 +65,35 @@
 
 // Guards against hosts that send to a server after it has announced in responses that it
 // is leaving, while the store rejects all calls.
-func TestShortSoakOfLeavingServers(t *testing.T) { runFault(t, leavingFault, 6) }
+func TestShortSoakOfLeavingServers(t *testing.T) { runFault(t, GarbledFaults, leavingFault, 6) }
 
 // Guards against hosts that send to a server which has asked them to back off.
-func TestShortSoakOfBackoff(t *testing.T) { runFault(t, backoffFault, 8) }
+func TestShortSoakOfBackoff(t *testing.T) { runFault(t, GarbledFaults, backoffFault, 8) }
 
 // Guards against hosts that keep using data which the store lost when it was restored from
 // a backup, and so miss what the store acknowledges after the restore.
-func TestShortSoakOfStoreRestore(t *testing.T) { runFault(t, restoreFault, 4) }
+func TestShortSoakOfStoreRestore(t *testing.T) { runFault(t, GarbledFaults, restoreFault, 4) }
 
 // Guards against callers that are told that a request has not run because a server repeated the
 // rejection of its first send.
-func TestShortSoakOfRepeatedResponses(t *testing.T) { runFault(t, repeatFault, 2) }
+func TestShortSoakOfRepeatedResponses(t *testing.T) { runFault(t, GarbledFaults, repeatFault, 2) }
 
 // Guards against callers that take a response for complete that its server broke off.
-func TestShortSoakOfBrokenOffResponses(t *testing.T) { runFault(t, breakOffFault, 2) }
+func TestShortSoakOfBrokenOffResponses(t *testing.T) { runFault(t, GarbledFaults, breakOffFault, 2) }
 
-func runFault(t *testing.T, fault string, seed uint64) {
+// Guards against hosts that handle requests by a replaced configuration in the first seconds after
+// the first start of the system, when they read the store by stale reads.
+func TestShortSoakOfFirstStart(t *testing.T) { runFault(t, StartFaults, moveFault, 201) }
+
+// Guards against hosts that trust a controller whose watch of the configuration has gone silent while
+// its other calls to the store work.
+func TestShortSoakOfSilentStoreConnections(t *testing.T) {
+	runFault(t, StartFaults, silenceFault, 301)
+}
+
+func runFault(t *testing.T, list FaultListVersion, fault string, seed uint64) {
 	t.Helper()
-	result, err := Run(context.Background(), Options{Program: buildGateway(t), Dir: t.TempDir(), Seed: seed, Only: fault, Hosts: 3, Servers: 4, Callers: 6,
+	result, err := Run(context.Background(), Options{Program: buildGateway(t), Dir: t.TempDir(), Seed: seed, FaultList: list, Only: fault, Hosts: 3, Servers: 4, Callers: 6,
 		FaultDuration: time.Second, MeanInterval: 500 * time.Millisecond, Print: func(line string) { t.Log(line) }})
 	assert.NilError(t, err)
 	assert.Equal(t, len(result.Violations), 0, "%v", result.Violations)
