gateway: a start is over before changes must take effect

Callers of a host that had started 3 to 4 s before got answers by a configuration that another had replaced more than 2 s before: moved and removed routes were served as before.

Cause: a process that nobody had confirmed counted as starting up for 8 s. Until then its watches of the store lasted 5 s, and at the first start of the whole system they were stale reads, which return a state that is seconds old. The assignment that names the controller, whose confirmation ends this, came by a stale read as well. Hosts are held to their bounds from 3 s after their start on.

Stale reads now end 1 s after the first start, and a start is over after 3 s: no watch that nobody has confirmed lasts beyond it. What the store has acknowledged by the end of the stale reads is read with the first call after them, so a change is known 2 s after it at the latest.

Logs of a failing host: configuration read by stale reads, copy age unknown, first confirmation 4.0 s after its start.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -189,10 +189,9 @@
 
 // watchStore watches the store itself. While the whole system starts for the first time, every
 // host is notified of each server that registers: with 76 hosts that was two thirds of the
-// calls of a calm day. Changes aren't urgent before the first callers arrive, so the cheaper stale
-// reads are used.
+// calls of a calm day. For the first second the cheaper stale reads are used.
 func (g *Gateway) watchStore(ctx context.Context, kind string, revision uint64, plan watchPlan) (fetched, error) {
-	if g.identity.FirstStart && g.freshness.isStartingUp(g.now()) {
+	if plan.stale {
 		g.logWatch(kind, plan, readStale)
 		listing, err := g.store.Stale().Watch(ctx, kind, revision, plan.wait)
 		return g.fetched(g.peerListing(kind, listing), readStale, ""), err
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -14,11 +14,17 @@
 	// longWatchWait is how long a watch waits while another host confirms that this one is up
 	// to date. It is long because each call to the store is billed.
 	longWatchWait = 25 * time.Second
-	// startupWatchWait is how long a watch waits while the process starts and no controller is
-	// known yet: hundreds of hosts would make short watches at once.
-	startupWatchWait = 5 * time.Second
-	// startupPeriod is how long after its start a process uses startupWatchWait.
-	startupPeriod = 8 * time.Second
+	// startupPeriod is how long after its start a process may rely on watches that no controller
+	// has confirmed: from then on, changes must take effect in time.
+	startupPeriod = 3 * time.Second
+	// startupWatchWait is how long a watch waits at most while the process starts and no
+	// controller is known yet: hundreds of hosts would make short watches at once. No such watch
+	// outlasts startupPeriod, since it may miss a change.
+	startupWatchWait = startupPeriod
+	// staleReadPeriod is how long after the first start of the whole system hosts use stale reads.
+	// It ends early enough for a change that the store acknowledges within it to take effect by
+	// the end of startupPeriod.
+	staleReadPeriod = time.Second
 	// relayWatchWait is how long a relay's watch of the store waits while no controller
 	// confirms freshness. A relay's confirmation is then at most two such watches and the
 	// pause between them old: 1 s.
@@ -60,6 +66,8 @@
 type freshness struct {
 	// maxDelay is the time in which a change has to take effect.
 	maxDelay time.Duration
+	// firstStart is set if the whole system starts for the first time.
+	firstStart bool
 
 	mu          sync.Mutex
 	controlling bool // this host is a controller
@@ -99,11 +107,12 @@
 	loggedReader     reader // of the last watch that was logged
 }
 
-func newFreshness(within time.Duration) freshness {
+func newFreshness(identity Identity) freshness {
+	within := identity.ApplyWithin
 	if within <= 0 {
 		within = defaultMaxChangeDelay
 	}
-	return freshness{maxDelay: within, kinds: map[string]*kindState{}, confirmationArrived: make(chan struct{})}
+	return freshness{maxDelay: within, firstStart: identity.FirstStart, kinds: map[string]*kindState{}, confirmationArrived: make(chan struct{})}
 }
 
 // validFor returns how long another host's confirmation counts.
@@ -295,13 +304,6 @@
 	return !f.controlling && !f.hasConfirmation && !f.sourceFailed && now < startupPeriod
 }
 
-// isStartingUp is startingUp for callers that don't hold the lock.
-func (f *freshness) isStartingUp(now time.Duration) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.startingUp(now)
-}
-
 // noteRevision records up to which revision a kind is known, and whether it changed.
 func (f *freshness) noteRevision(name string, revision uint64, changed bool) {
 	f.mu.Lock()
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -28,7 +28,7 @@
 // resets the connection. The controller's confirmation must expire before a change has to take
 // effect.
 func TestSilentControllerConfirmationExpires(t *testing.T) {
-	f := newFreshness(0)
+	f := newFreshness(Identity{})
 	shortWait, validFor := f.shortWait(), f.validFor()
 	planned, _ := beginTestWatch(&f, "things", 0)
 	assert.Equal(t, planned, watchPlan{wait: startupWatchWait})
@@ -37,7 +37,7 @@
 
 	// A host starts while the controller is cut off, and the store drops its history, so
 	// that the host's first watch never returns a change.
-	started := newFreshness(0)
+	started := newFreshness(Identity{})
 	_, first := beginTestWatch(&started, "things", time.Second)
 	started.noteControllerFailure()
 	started.setControlling(time.Second, false)
@@ -67,7 +67,7 @@
 
 // A watch that is behind what the controller knows is canceled at once.
 func TestWatchThatIsBehindEnds(t *testing.T) {
-	f := newFreshness(0)
+	f := newFreshness(Identity{})
 	f.acceptConfirmation(0, confirmationFrom(0, "controller", nil))
 	_, watchCtx := beginTestWatch(&f, "things", 0)
 	f.noteRevision("things", 5, true)
@@ -139,7 +139,7 @@
 // follows hangs. A relay is usually some milliseconds behind the controller, so the host
 // leaves it only when two consecutive confirmations of the controller show it to be behind.
 func TestRelayThatIsBehind(t *testing.T) {
-	f := newFreshness(0)
+	f := newFreshness(Identity{})
 	confirm := func(revision uint64) []string {
 		return f.acceptConfirmation(0, confirmation{sender: "controller", source: "relay", revisions: map[string]uint64{"things": revision}})
 	}
@@ -159,3 +159,23 @@
 	planned, _ = beginTestWatch(&f, "things", 0)
 	assert.Equal(t, planned.source, "relay")
 }
+
+// Guards against a host that still relies on stale reads, or on a watch that may have missed a change,
+// once changes must take effect there in time: from 3 s after its start.
+func TestStartEndsBeforeChangesMustTakeEffect(t *testing.T) {
+	const heldFrom, maxChangeDelay = 3 * time.Second, 2 * time.Second
+	for _, firstStart := range []bool{true, false} {
+		f := newFreshness(Identity{FirstStart: firstStart})
+		now := time.Duration(0)
+		for now < heldFrom {
+			planned, _ := beginTestWatch(&f, "things", now)
+			assert.Assert(t, planned.wait > 0)
+			assert.Assert(t, !planned.stale || firstStart)
+			now += planned.wait
+			assert.Assert(t, !planned.stale || now <= heldFrom-maxChangeDelay, "stale reads until %v", now)
+			assert.Assert(t, now <= heldFrom, "a watch that nobody confirms lasts until %v", now)
+		}
+		planned, _ := beginTestWatch(&f, "things", now)
+		assert.Equal(t, planned, watchPlan{wait: f.shortWait()})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,7 +139,7 @@
 		identity: identity, codec: platform.Codec, registry: platform.Registry, keys: platform.Keys,
 		clock: clock.System(), bootClock: clock.Boot(), log: logger, metrics: newHostMetrics(),
 		directory: fleet.NewDirectory(), services: map[string]*service{},
-		stop: newShutdown(), peers: newForwardPeers(), control: newControl(), freshness: newFreshness(identity.ApplyWithin), sources: newSources(identity), deltas: newDeltaCache(identity), peerClient: newPeerClient(), wake: make(chan struct{}, 1),
+		stop: newShutdown(), peers: newForwardPeers(), control: newControl(), freshness: newFreshness(identity), sources: newSources(identity), deltas: newDeltaCache(identity), peerClient: newPeerClient(), wake: make(chan struct{}, 1),
 	}
 	g.background, g.endBackground = context.WithCancel(context.Background())
 	g.dialer = platform.ServerDialer
--- a/gateway/sources_test.go
+++ b/gateway/sources_test.go
@@ -105,7 +105,7 @@
 // controller's.
 func TestRelayReplacesSilentController(t *testing.T) {
 	const silent = 10 * time.Second
-	relay, host := newFreshness(0), newFreshness(0)
+	relay, host := newFreshness(Identity{}), newFreshness(Identity{})
 	for _, f := range []*freshness{&relay, &host} {
 		f.noteRevision("things", 5, true)
 		f.acceptConfirmation(silent-relayQueryAge, confirmationFrom(silent-relayQueryAge, "controller", nil))
@@ -143,7 +143,7 @@
 // A host whose source fails waits for another source while the last confirmation counts, and
 // then watches the store.
 func TestHostWaitsForSourceWhileConfirmationValid(t *testing.T) {
-	f := newFreshness(0)
+	f := newFreshness(Identity{})
 	f.acceptConfirmation(0, confirmationFrom(0, "controller", nil))
 	f.noteSourceFailure("controller")
 	assert.Assert(t, f.needsRelay(time.Millisecond))
@@ -169,7 +169,7 @@
 // answer that does not come, even after the controller's next confirmation.
 func TestLateReportMakesNobodyLeaveTheController(t *testing.T) {
 	const received = 5 * time.Second
-	f := newFreshness(0)
+	f := newFreshness(Identity{})
 	f.noteRevision("things", 5, true)
 	f.acceptConfirmation(received, confirmationFrom(received-600*time.Millisecond, "controller", nil))
 	_, watchCtx := beginTestWatch(&f, "things", received)
@@ -196,7 +196,7 @@
 // relay instead, which learns of the leaving server 6 ms later. If the host's watch stayed at
 // the controller, it would learn of it only with the relay's next confirmation, 0.5 s later.
 func TestWatchMovesToTheNewSource(t *testing.T) {
-	f := newFreshness(0)
+	f := newFreshness(Identity{})
 	f.acceptConfirmation(0, confirmationFrom(0, "controller", nil))
 	planned, watchCtx := beginTestWatch(&f, "things", 0)
 	assert.Equal(t, planned.source, "controller")
--- a/gateway/watchplan.go
+++ b/gateway/watchplan.go
@@ -10,6 +10,8 @@
 	wait time.Duration
 	// source is the host to watch; empty for the store.
 	source string
+	// stale is set if a stale read of the store is enough.
+	stale bool
 	// confirmationArrived is set if the host should wait for a confirmation in place of
 	// watching; it is closed when one arrives.
 	confirmationArrived <-chan struct{}
@@ -42,8 +44,10 @@
 		return watchPlan{wait: relayWatchWait}
 	case f.startingUp(now) && hasRelays && now < startupRelayWait:
 		return watchPlan{wait: startupRelayWait - now, confirmationArrived: f.confirmationArrived}
+	case f.startingUp(now) && f.firstStart && now < staleReadPeriod:
+		return watchPlan{wait: staleReadPeriod - now, stale: true}
 	case f.startingUp(now):
-		return watchPlan{wait: startupWatchWait}
+		return watchPlan{wait: min(startupWatchWait, startupPeriod-now)}
 	case !f.mayWaitLong(name, now):
 		return watchPlan{wait: f.shortWait()}
 	case f.source == "" && hasRelays:
