gateway: hosts confirm each kind of object by itself

Callers of all hosts that followed a controller got answers by a configuration that another had replaced 2.0 to 2.6 s before, at any time of a process's life.

Cause: a controller confirmed the state of the store to others by the age at which the store had last confirmed its role. That is a read of its own record. Its watch of the configuration is another call on another connection; when that one went silent, or was being retried, every host that followed it went on taking an old version for current, since the confirmation stayed young. A relay passed such a confirmation on although its own copy was behind what had been stated to it, and a host's own view counted as recent as its last confirmation was.

A host now relies on others for a kind only while its copy of that kind is known to be complete as of 1.5 s before at most: by a call to the store that has returned, or by the statement of another host about its copy of that kind, once the revision stated has been reached. Else it watches the store itself. What a host tells others follows the same rule. Controllers watch each kind every 0.6 s instead of 1.2 s, so that what they state is young enough between two reports. Hosts of earlier versions state no ages and are believed as before.

Evidence: TestConfirmedRoleDoesNotConfirmOtherKinds failed before ('{ controller} != {}': a watch of 25 s at a controller whose copy is 2 s old), TestRelayThatIsBehindDoesNotConfirm too ('0s != 1s').

--- a/gateway/currency.go
+++ b/gateway/currency.go
@@ -63,10 +63,8 @@
 // noteStatements records what a confirmation states of the kinds. The caller holds the lock.
 func (f *freshness) noteStatements(c confirmation) {
 	for name, state := range f.kinds {
-		revision, stated := c.revisions[name]
-		asOf, known := c.asOf(name)
-		if stated && known {
-			state.currency.state(asOf, revision, state.revision)
+		if asOf, known := c.asOf(name); known {
+			state.currency.state(asOf, c.revisions[name], state.revision)
 		}
 	}
 }
@@ -85,7 +83,7 @@
 	if state == nil {
 		return math.MaxInt64
 	}
-	if f.controlling && name == Assignments {
+	if f.controlling && name == Assignments && f.roleConfirmedAt > 0 {
 		// Nobody else writes the records of a controller, and it reads its own regularly.
 		return min(state.currency.age(now), now-f.roleConfirmedAt)
 	}
--- /dev/null
+++ b/gateway/currency_test.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// statement is a confirmation by a host that has just been asked, with the age of its copy of
+// "things".
+func statement(now time.Duration, sender string, revision uint64, age time.Duration) confirmation {
+	return confirmation{confirmedAt: now, sender: sender, source: sender, askedAt: now,
+		revisions: map[string]uint64{"things": revision}, agesMs: map[string]int64{"things": age.Milliseconds()}}
+}
+
+// Guards against hosts that take an old configuration for current because the store has just
+// confirmed the controller's role: the controller's watch of the configuration is another call, and
+// it may be silent meanwhile.
+func TestConfirmedRoleDoesNotConfirmOtherKinds(t *testing.T) {
+	f := newFreshness(Identity{})
+	now := 10 * time.Second
+	f.noteRevision("things", 5, true)
+	f.acceptConfirmation(now, statement(now, "controller", 5, 2*time.Second))
+	planned, _ := beginTestWatch(&f, "things", now)
+	assert.Equal(t, planned, watchPlan{wait: f.shortWait()})
+
+	f.acceptConfirmation(now, statement(now, "controller", 5, time.Second))
+	planned, watchCtx := beginTestWatch(&f, "things", now)
+	assert.Equal(t, planned, watchPlan{wait: longWatchWait, source: "controller"})
+	// The role is confirmed again and again, the kind isn't.
+	now += f.validFor() - time.Second
+	f.acceptConfirmation(now, statement(now, "controller", 5, f.validFor()))
+	f.setControlling(now, false)
+	assert.Assert(t, watchCtx.Err() != nil)
+}
+
+// Guards against a relay that passes on a controller's confirmation although its own copy is behind
+// what the controller stated.
+func TestRelayThatIsBehindDoesNotConfirm(t *testing.T) {
+	relay := newFreshness(Identity{})
+	now := 10 * time.Second
+	relay.noteRevision("things", 5, true)
+	relay.acceptConfirmation(now, statement(now, "controller", 5, 0))
+	age, _ := relay.noteRelayQuery(now)
+	assert.Equal(t, age, time.Duration(0))
+
+	now += time.Second
+	relay.acceptConfirmation(now, statement(now, "controller", 6, 0))
+	age, revisions := relay.noteRelayQuery(now)
+	assert.Equal(t, age, time.Second)
+	assert.Equal(t, revisions["things"], uint64(5))
+
+	relay.noteRevision("things", 6, true)
+	age, revisions = relay.noteRelayQuery(now)
+	assert.Equal(t, age, time.Duration(0))
+	assert.Equal(t, revisions["things"], uint64(6))
+}
+
+func TestCurrency(t *testing.T) {
+	var c currency
+	assert.Equal(t, ageMillis(c.age(time.Second)), int64(unknownAgeMs))
+	c.complete(2 * time.Second)
+	c.complete(time.Second)
+	assert.Equal(t, c.age(5*time.Second), 3*time.Second)
+	c.state(3*time.Second, 7, 6)
+	assert.Equal(t, c.age(5*time.Second), 3*time.Second)
+	c.reach(6)
+	assert.Equal(t, c.age(5*time.Second), 3*time.Second)
+	c.reach(7)
+	assert.Equal(t, c.age(5*time.Second), 2*time.Second)
+	c.state(4*time.Second, 7, 8)
+	assert.Equal(t, c.age(5*time.Second), time.Second)
+}
--- a/gateway/firstservers.go
+++ b/gateway/firstservers.go
@@ -46,9 +46,10 @@
 			clock.Sleep(ctx, sourcePollInterval)
 			continue
 		}
-		listing, err := g.listServersFrom(ctx, source)
+		began := g.now()
+		listing, age, err := g.listServersFrom(ctx, source)
 		if err == nil {
-			return g.fetched(listing, readHost, source), true
+			return g.listedFrom(listing, source, began, age), true
 		}
 		g.sources.skip(source)
 		g.log.Info("host did not list the servers", "source", source, "error", err.Error())
@@ -91,10 +92,10 @@
 
 // listServersFrom lists the servers from a host. It fails if that host's view of the store is
 // too old.
-func (g *Gateway) listServersFrom(ctx context.Context, source string) (objects.Listing, error) {
-	listing, age, err := g.listFromPeer(ctx, source, g.registry.ServerKind())
+func (g *Gateway) listServersFrom(ctx context.Context, source string) (listing objects.Listing, age time.Duration, err error) {
+	listing, age, err = g.listFromPeer(ctx, source, g.registry.ServerKind())
 	if err == nil && age >= g.freshness.validFor() {
 		err = errStaleList
 	}
-	return listing, err
+	return listing, age, err
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -52,6 +52,7 @@
 // follow keeps a kind up to date until the context ends.
 func (g *Gateway) follow(ctx context.Context, f follower) {
 	g.addCopyAgeMetric(f.kind)
+	g.freshness.setPause(f.kind, f.batchDelay)
 	pause := minRetryDelay
 	var known uint64
 	connected := false
@@ -125,8 +126,9 @@
 		return got, err != nil && watchCtx.Err() != nil && ctx.Err() == nil, err
 	}
 	g.logWatch(kind, plan, readHost)
+	began := g.now()
 	listing, err := g.watchFromPeer(watchCtx, plan.source, kind, revision, plan.wait)
-	got = g.fetched(listing, readHost, plan.source)
+	got = g.fetched(listing, readHost, plan.source, began)
 	if err == nil || errors.Is(err, objects.ErrCompacted) || ctx.Err() != nil {
 		return got, false, err
 	}
@@ -145,22 +147,20 @@
 	if known == 0 {
 		return g.listAtStartup(ctx, kind)
 	}
-	if source := g.freshness.currentSource(g.now()); source != "" {
-		listing, _, err := g.listFromPeer(ctx, source, kind)
+	began := g.now()
+	if source := g.freshness.currentSource(began); source != "" {
+		listing, age, err := g.listFromPeer(ctx, source, kind)
 		if err == nil && revision.Era(listing.Revision) < g.era.Load() {
 			err = &objects.RewoundError{Given: listing.Revision, Era: g.era.Load()}
 		}
 		if err == nil {
-			return g.fetched(listing, readHost, source), nil
+			return g.listedFrom(listing, source, began, age), nil
 		}
 		g.log.Info("source did not list the objects; listing them from the store", "kind", kind, "source", source, "error", err.Error())
 	}
-	began := g.now()
+	began = g.now()
 	listing, err := g.store.List(ctx, kind)
-	if err == nil {
-		g.freshness.noteStoreRead(kind, began)
-	}
-	return g.fetched(g.peerListing(kind, listing), readStore, ""), err
+	return g.fetched(g.peerListing(kind, listing), readStore, "", began), err
 }
 
 // listAtStartup lists a kind after the start of the process. A stale read, which costs a
@@ -174,35 +174,36 @@
 			return got, nil
 		}
 	}
+	began := g.now()
 	listing, err := g.store.Stale().List(ctx, kind)
 	source := g.sources.current()
 	if err == nil || source == "" || ctx.Err() != nil {
-		return g.fetched(g.peerListing(kind, listing), readStale, ""), err
+		return g.fetched(g.peerListing(kind, listing), readStale, "", began), err
 	}
-	listing, _, peerErr := g.listFromPeer(ctx, source, kind)
+	began = g.now()
+	listing, age, peerErr := g.listFromPeer(ctx, source, kind)
 	if peerErr != nil {
 		g.sources.noteMiss()
 		return fetched{}, errors.Join(err, peerErr)
 	}
-	return g.fetched(listing, readHost, source), nil
+	return g.listedFrom(listing, source, began, age), nil
 }
 
 // watchStore watches the store itself. While the whole system starts for the first time, every
 // host is notified of each server that registers: with 76 hosts that was two thirds of the
 // calls of a calm day. For the first second the cheaper stale reads are used.
 func (g *Gateway) watchStore(ctx context.Context, kind string, revision uint64, plan watchPlan) (fetched, error) {
+	began := g.now()
 	if plan.stale {
 		g.logWatch(kind, plan, readStale)
 		listing, err := g.store.Stale().Watch(ctx, kind, revision, plan.wait)
-		return g.fetched(g.peerListing(kind, listing), readStale, ""), err
+		return g.fetched(g.peerListing(kind, listing), readStale, "", began), err
 	}
 	g.logWatch(kind, plan, readStore)
-	began := g.now()
 	listing, err := g.store.Watch(ctx, kind, revision, plan.wait)
-	if err == nil {
-		g.freshness.noteStoreRead(kind, began)
-	}
-	return g.fetched(g.peerListing(kind, listing), readStore, ""), err
+	got := g.fetched(g.peerListing(kind, listing), readStore, "", began)
+	got.partial = len(listing.Objects) >= fullBatch
+	return got, err
 }
 
 // handleFollowError handles a failed call, and reports whether the watch may continue from its
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -44,22 +44,29 @@
 	// startupRelayWait is how long a host that has just started waits for a relay's
 	// confirmation before it watches the store itself.
 	startupRelayWait = 1500 * time.Millisecond
+	// minControllerWait is the minimum wait of a controller's watch.
+	minControllerWait = 100 * time.Millisecond
 	// defaultMaxChangeDelay is the time within which a change has to take effect if operators
 	// set none.
 	defaultMaxChangeDelay = 2 * time.Second
-	// confirmationShare and shortShare are shares of the time within which a change has
-	// to take effect. The first gives how long a confirmation counts after the store's answer
-	// it is based on; the second how long a watch of the store waits without a confirmation. A
-	// watch can miss changes without an error, when its connection goes silent or the store
-	// drops its history. The remaining time is for the change to reach the hosts.
+	// confirmationShare, shortShare and controllerShare are shares of the time within which a
+	// change has to take effect. The first gives how long a confirmation counts after the
+	// store's answer it is based on; the second how long a watch of the store waits without a
+	// confirmation. A watch can miss changes without an error, when its connection goes silent
+	// or the store drops its history. The remaining time is for the change to reach the hosts.
+	// controllerShare is the time from one watch of a controller to the next: its copies must
+	// be younger than a confirmation may be, by the time from one report to the next.
 	confirmationShare = 0.75
 	shortShare        = 0.6
+	controllerShare   = 0.3
 )
 
 // freshness decides where a host's watches go (the store or another host) and how long they
 // may wait, and cancels watches that have missed a change. The controller of a service watches
 // the store with short waits and tells the others, in its answers to their reports, at which
-// revision each kind last changed, so that only one host pays for frequent calls. While its
+// revision each kind last changed and how old its copy of the kind is, so that only one host pays
+// for frequent calls. A host relies on others for a kind while what they state shows its copy to be
+// complete as of a recent time, whatever it knows of other kinds. While the controller's
 // confirmation is missing, a few relays do this for the others, and a host watches the store
 // itself only if none of them answers. Without relays, 295 hosts made some 900 calls each time
 // the controller's confirmation was missed.
@@ -92,19 +99,17 @@
 
 // kindState is what is known of a kind and of its current watch.
 type kindState struct {
-	revision      uint64        // up to which this host knows the kind's objects
-	lastChange    uint64        // revision of the last listing that contained a change
-	storeReadAt   time.Duration // start of the last call to the store that brought the kind up to date
-	readFromStore bool          // there was such a call
-	// storeReadPending is set while what the last such call returned is being applied.
-	storeReadPending bool
-	cancelWatch      context.CancelFunc
-	isLong           bool   // the watch was started as a long one
-	source           string // the host that the watch asks; empty for the store
-	behindCount      int    // consecutive confirmations that showed the watch to be behind
-	bypassRelay      bool   // the source was behind repeatedly; ask the sender of the confirmation instead
-	currency         currency
-	loggedReader     reader // of the last watch that was logged
+	revision     uint64        // up to which this host knows the kind's objects
+	lastChange   uint64        // revision of the last listing that contained a change
+	storeReadAt  time.Duration // start of the last call to the store that brought the kind up to date
+	pause        time.Duration // between two watches of the kind
+	cancelWatch  context.CancelFunc
+	isLong       bool   // the watch was started as a long one
+	source       string // the host that the watch asks; empty for the store
+	behindCount  int    // consecutive confirmations that showed the watch to be behind
+	bypassRelay  bool   // the source was behind repeatedly; ask the sender of the confirmation instead
+	currency     currency
+	loggedReader reader // of the last watch that was logged
 }
 
 func newFreshness(identity Identity) freshness {
@@ -123,6 +128,11 @@
 // shortWait returns how long a watch of the store waits without a confirmation.
 func (f *freshness) shortWait() time.Duration { return time.Duration(shortShare * float64(f.maxDelay)) }
 
+// controllerWait returns how long a controller's watch of the store waits.
+func (f *freshness) controllerWait(state *kindState) time.Duration {
+	return max(time.Duration(controllerShare*float64(f.maxDelay))-state.pause, minControllerWait)
+}
+
 // kind returns the state of a kind, which it creates if needed.
 func (f *freshness) kind(name string) *kindState {
 	state := f.kinds[name]
@@ -149,29 +159,16 @@
 // isConfirmed reports whether the last confirmation still counts.
 func (f *freshness) isConfirmed(now time.Duration) bool { return f.confirmationAge(now) < f.validFor() }
 
-// age returns how old this host's view of the store may be: the smaller of the age of the
-// confirmation it has, and the time since the store itself last brought each kind up to date.
-// For a controller, it is the time since the store last confirmed its role.
+// age returns how old this host's view of the store may be: the age of its oldest copy.
 func (f *freshness) age(now time.Duration) time.Duration {
-	if f.controlling {
-		return now - f.roleConfirmedAt
-	}
-	return min(f.storeReadAge(now), f.confirmationAge(now))
-}
-
-// storeReadAge returns the time since the store itself last brought every kind up to date.
-func (f *freshness) storeReadAge(now time.Duration) time.Duration {
-	oldest := now
-	for _, state := range f.kinds {
-		if !state.readFromStore {
-			return math.MaxInt64
-		}
-		oldest = min(oldest, state.storeReadAt)
-	}
 	if len(f.kinds) == 0 {
 		return math.MaxInt64
 	}
-	return now - oldest
+	oldest := time.Duration(0)
+	for name := range f.kinds {
+		oldest = max(oldest, f.copyAgeLocked(name, now))
+	}
+	return oldest
 }
 
 // currentAge is age for callers that don't hold the lock.
@@ -181,14 +178,28 @@
 	return f.age(now)
 }
 
-// noteStoreRead records that a call to the store, started at the given time, brought a kind up
-// to date.
+// noteStoreRead records that what a call to the store returned, which was started at the given time,
+// has been applied.
 func (f *freshness) noteStoreRead(name string, began time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	state := f.kind(name)
-	state.storeReadAt, state.readFromStore = max(state.storeReadAt, began), true
-	state.storeReadPending = true
+	state.storeReadAt = max(state.storeReadAt, began)
+	state.currency.complete(began)
+}
+
+// noteCopied records that a kind was listed from another host, whose copy was complete as of a time.
+func (f *freshness) noteCopied(name string, asOf time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kind(name).currency.complete(asOf)
+}
+
+// setPause sets the pause between two watches of a kind.
+func (f *freshness) setPause(name string, pause time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kind(name).pause = pause
 }
 
 // noteRoleConfirmed records that the store confirmed this host as the controller, by a call
@@ -285,17 +296,23 @@
 	return !f.controlling && f.source == relay && f.confirmationAge(now) > reportInterval
 }
 
-// mayWaitLong reports whether a kind's watch may wait long. A controller reads its own record
-// regularly, and nobody else changes it while it is in control. A relay must not rely on
-// others while hosts rely on it.
+// mayWaitLong reports whether a kind's watch may wait long: another host keeps confirming that this
+// host's copy of the kind is complete. A controller reads its own record regularly, and nobody else
+// changes it while it is in control. A relay must not rely on others while hosts rely on it.
 func (f *freshness) mayWaitLong(name string, now time.Duration) bool {
 	if f.controlling {
 		return name == Assignments
 	}
 	if f.isRelay(now) {
-		return !f.confirmationOverdue(now)
+		return !f.confirmationOverdue(now) && f.isCurrent(name, now)
 	}
-	return f.startingUp(now) || f.isConfirmed(now)
+	return f.startingUp(now) || f.isConfirmed(now) && f.isCurrent(name, now)
+}
+
+// isCurrent reports whether this host's copy of a kind is recent enough to be confirmed by others
+// only. Nothing is asked of the copies of a process that has just started.
+func (f *freshness) isCurrent(name string, now time.Duration) bool {
+	return min(f.copyAgeLocked(name, now), now) < f.validFor()
 }
 
 // startingUp reports whether the process has just started, no confirmation has arrived yet and
@@ -311,10 +328,6 @@
 	state := f.kind(name)
 	state.revision = max(state.revision, revision)
 	state.behindCount, state.bypassRelay = 0, false
-	if state.storeReadPending {
-		state.storeReadPending = false
-		state.currency.complete(state.storeReadAt)
-	}
 	state.currency.reach(state.revision)
 	if changed {
 		state.lastChange = max(state.lastChange, revision)
@@ -339,7 +352,8 @@
 
 // confirmation is a host's confirmation of the state of the store.
 type confirmation struct {
-	// confirmedAt is when the sender last knew the state of the store, on this host's clock.
+	// confirmedAt is when the store last answered the sender, on this host's clock: a controller's
+	// role was confirmed, or a relay's oldest copy was complete. It says nothing of any other kind.
 	confirmedAt time.Duration
 	sender      string
 	// source is the host to follow: the sender, or a relay that follows the sender.
@@ -352,14 +366,15 @@
 	agesMs map[string]int64
 }
 
-// asOf returns as of when the sender's copy of a kind was complete. The sender stated its age after
-// it had been asked.
+// asOf returns as of when the sender's copy of a kind was complete; known is false if it has not
+// stated that. The sender stated its age after it had been asked.
 func (c *confirmation) asOf(kind string) (asOf time.Duration, known bool) {
-	if c.agesMs == nil {
+	if c.agesMs == nil { // a host of an earlier version
 		return c.confirmedAt, true
 	}
 	age, known := c.agesMs[kind]
-	return c.askedAt - time.Duration(age)*time.Millisecond, known
+	_, hasRevision := c.revisions[kind]
+	return c.askedAt - time.Duration(age)*time.Millisecond, known && hasRevision
 }
 
 // maxConsecutiveBehind is the number of consecutive confirmations showing a watch at a relay
@@ -378,12 +393,12 @@
 func (f *freshness) acceptConfirmation(now time.Duration, c confirmation) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteStatements(c)
 	if f.hasConfirmation && c.confirmedAt < f.confirmedAt && f.source != "" {
 		return nil
 	}
 	f.confirmedAt, f.hasConfirmation, f.source, f.sender = max(f.confirmedAt, c.confirmedAt), true, c.source, c.sender
 	f.receivedAt, f.ageOnReceipt = now, now-c.confirmedAt
-	f.noteStatements(c)
 	close(f.confirmationArrived)
 	f.confirmationArrived = make(chan struct{})
 	var behind []string
--- a/gateway/reads.go
+++ b/gateway/reads.go
@@ -20,14 +20,27 @@
 
 // fetched is what a call returned of a kind.
 type fetched struct {
-	listing    objects.Listing
-	reader     reader
-	source     string // address of the host that answered; empty for the store
-	answeredAt time.Duration
+	listing objects.Listing
+	reader  reader
+	source  string // address of the host that answered; empty for the store
+	// began is when the call was started, answeredAt when it returned.
+	began, answeredAt time.Duration
+	// partial is set if the store may have had more changes than it returned.
+	partial bool
+	// age is the age of the other host's copy when it listed it; math.MaxInt64 if it stated none.
+	age time.Duration
 }
 
-func (g *Gateway) fetched(listing objects.Listing, reader reader, source string) fetched {
-	return fetched{listing: listing, reader: reader, source: source, answeredAt: g.now()}
+// fetched returns what a call started at a time has just returned.
+func (g *Gateway) fetched(listing objects.Listing, reader reader, source string, began time.Duration) fetched {
+	return fetched{listing: listing, reader: reader, source: source, began: began, answeredAt: g.now(), age: math.MaxInt64}
+}
+
+// listedFrom returns a listing of another host's copy, by a call started at a time.
+func (g *Gateway) listedFrom(listing objects.Listing, source string, began, age time.Duration) fetched {
+	got := g.fetched(listing, readHost, source, began)
+	got.age = age
+	return got
 }
 
 // logWatch logs that a kind is read in another way than before.
@@ -53,6 +66,12 @@
 
 // noteApplied records that what a call returned has been applied.
 func (g *Gateway) noteApplied(kind string, got fetched) {
+	switch {
+	case got.reader == readStore && !got.partial:
+		g.freshness.noteStoreRead(kind, got.began)
+	case got.reader == readHost && got.age != math.MaxInt64:
+		g.freshness.noteCopied(kind, got.began-got.age)
+	}
 	if kind != g.registry.ConfigurationKind() || len(got.listing.Objects) == 0 {
 		return
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -455,7 +455,7 @@
 	objects.Listing
 	// More is set if another page follows.
 	More bool
-	// AgeMs is how old the host's view of the store may be, in milliseconds.
+	// AgeMs is the age of the host's copy of the kind, in milliseconds.
 	AgeMs int64
 }
 
@@ -484,7 +484,7 @@
 
 // listFromPeer lists a kind from another host in place of the store. The listing's revision is
 // that of the first page, so that a watch from it misses nothing that changed between two
-// pages. age is how old that host's view of the store may be.
+// pages. age is the age of that host's copy.
 func (g *Gateway) listFromPeer(ctx context.Context, source, kind string) (listing objects.Listing, age time.Duration, err error) {
 	request := listRequest{Kind: kind, Columns: true}
 	for first := true; ; first = false {
@@ -514,12 +514,13 @@
 	if !g.decodePeerRequest(w, r, &request) {
 		return
 	}
+	age := g.freshness.copyAge(request.Kind, g.now())
 	listing, more, ok := g.relayCache.page(request.Kind, request.After, listPageSize)
 	if !ok || !request.Columns {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	g.writePeerResponse(w, r, listResponse{Listing: listing, More: more, AgeMs: g.freshness.currentAge(g.now()).Milliseconds()})
+	g.writePeerResponse(w, r, listResponse{Listing: listing, More: more, AgeMs: age.Milliseconds()})
 }
 
 // watchRequest asks a host for the changes of a kind after a revision.
--- a/gateway/watchplan.go
+++ b/gateway/watchplan.go
@@ -36,8 +36,8 @@
 	case f.controlling && name == Assignments:
 		return watchPlan{wait: longWatchWait}
 	case f.controlling:
-		return watchPlan{wait: f.shortWait()}
-	case f.isRelay(now) && f.confirmationOverdue(now):
+		return watchPlan{wait: f.controllerWait(state)}
+	case f.isRelay(now) && !f.mayWaitLong(name, now):
 		if now-state.storeReadAt > 2*relayWatchWait {
 			return watchPlan{wait: probeWatchWait} // other hosts wait for this relay's confirmation
 		}
