gateway: a controller's confirmation is counted from when it was asked for

On a busy host a confirmation became younger while its answer waited: its age was subtracted from the time at which the control loop applied the answer, up to 0.5 s of the call and any pause of the loop after the controller had stated it. The host then relied on its copies for that much longer than the bound.

The age is now subtracted from the time at which the report was sent, before which the controller can't have stated it.

Evidence: TestConfirmationAgesWhileItsAnswerWaits failed before ('the age of the confirmation is 300ms', stated 300 ms, waited 700 ms). No failure of real processes was traced to this alone.

--- a/gateway/currency_test.go
+++ b/gateway/currency_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cicadarouter/host/logs"
+	"cicadarouter/keyspace"
 )
 
 // statement is a confirmation by a host that has just been asked, with the age of its copy of
@@ -57,6 +60,26 @@
 	assert.Equal(t, revisions["things"], uint64(6))
 }
 
+// Guards against confirmations that become younger while their answers wait: on a busy machine, the
+// control loop applies an answer long after the controller has stated its age.
+func TestConfirmationAgesWhileItsAnswerWaits(t *testing.T) {
+	const waited = 700 * time.Millisecond
+	g := New(Identity{}, Platform{}, logs.Discard())
+	g.clock = fixedClock(10 * time.Second)
+	c := &serviceControl{service: newService("s", Identity{}, true, g.now)}
+	to := keyspace.Controller{Host: "one", Address: "one:1", Incarnation: 7}
+	answer := loadAnswer{Incarnation: 7, Controls: true, StoreAgeMs: 300, Revisions: map[string]uint64{}, AgesMs: map[string]int64{}}
+	(&reportResult{control: c, to: to, answer: answer, askedAt: g.now() - waited}).apply(g, 0)
+	age := g.freshness.lastConfirmationAge(g.now())
+	assert.Assert(t, age >= 300*time.Millisecond+waited, "the age of the confirmation is %v", age)
+}
+
+// fixedClock is a clock that stands still.
+type fixedClock time.Duration
+
+// Now implements clock.Clock.
+func (c fixedClock) Now() time.Duration { return time.Duration(c) }
+
 func TestCurrency(t *testing.T) {
 	var c currency
 	assert.Equal(t, ageMillis(c.age(time.Second)), int64(unknownAgeMs))
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -250,11 +250,10 @@
 			g.applyReportedLeaving(c, e)
 		}
 		g.updateHostCount(e.answer.Hosts)
-		receivedAt := g.now()
-		confirmed := receivedAt - time.Duration(e.answer.StoreAgeMs)*time.Millisecond
+		confirmed := e.askedAt - time.Duration(e.answer.StoreAgeMs)*time.Millisecond
 		received := confirmation{confirmedAt: confirmed, sender: e.to.Address, source: g.sources.upstream(e.to.Address), revisions: e.answer.Revisions,
 			askedAt: e.askedAt, agesMs: e.answer.AgesMs}
-		if behind := g.acceptConfirmation(receivedAt, received); len(behind) > 0 {
+		if behind := g.acceptConfirmation(g.now(), received); len(behind) > 0 {
 			g.sources.skip(received.source)
 			g.log.Warn("watches were behind", "kinds", behind, "controller", e.to.Host, "source", received.source)
 		}
