gateway: unconfirmed watches end without the control loop

A host stops relying on another one, whose confirmation has expired, by a check in the steps of its control loop. Steps pause for four times as long as the last one took, so on a host that has little of a processor they are seconds apart, and a watch of 25 s at a host that is gone lasts as long.

A goroutine of its own checks each 0.25 s, and when the next confirmation expires.

Evidence: TestUnconfirmedWatchEndsWithoutTheControlLoop; without the call to cancel it fails (mutant). The delay itself was not seen with real processes.

--- a/gateway/currency_test.go
+++ b/gateway/currency_test.go
@@ -80,6 +80,26 @@
 // Now implements clock.Clock.
 func (c fixedClock) Now() time.Duration { return time.Duration(c) }
 
+// Guards against a watch at a host that went on although nothing confirmed it any more, because a busy
+// control loop checked it late.
+func TestUnconfirmedWatchEndsWithoutTheControlLoop(t *testing.T) {
+	f := newFreshness(Identity{})
+	f.noteRevision("things", 5, true)
+	now := 10 * time.Second
+	f.acceptConfirmation(now, statement(now, "controller", 5, 400*time.Millisecond))
+	_, watchCtx := beginTestWatch(&f, "things", now)
+	end := now + f.validFor() - 400*time.Millisecond
+	for now < end {
+		left := f.expireWatches(now)
+		assert.NilError(t, watchCtx.Err())
+		assert.Assert(t, left > 0 && left <= maxExpiryInterval)
+		now += left
+	}
+	assert.Equal(t, now, end)
+	f.expireWatches(now)
+	assert.Assert(t, watchCtx.Err() != nil)
+}
+
 func TestCurrency(t *testing.T) {
 	var c currency
 	assert.Equal(t, ageMillis(c.age(time.Second)), int64(unknownAgeMs))
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -455,6 +455,30 @@
 	f.cancelUnconfirmed(now)
 }
 
+// maxExpiryInterval is the maximum interval at which watches are checked for a confirmation that
+// still counts.
+const maxExpiryInterval = 250 * time.Millisecond
+
+// expireWatches cancels the long watches that are no longer backed by a confirmation. It returns the
+// time until the next check.
+func (f *freshness) expireWatches(now time.Duration) (next time.Duration) {
+	const minExpiryInterval = 5 * time.Millisecond
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelUnconfirmed(now)
+	next = maxExpiryInterval
+	if f.controlling || f.startingUp(now) {
+		return next // no watch depends on a confirmation
+	}
+	for name, state := range f.kinds {
+		if state.isLong && state.cancelWatch != nil {
+			oldest := max(min(f.copyAgeLocked(name, now), now), f.confirmationAge(now))
+			next = min(next, max(f.validFor()-oldest, minExpiryInterval))
+		}
+	}
+	return next
+}
+
 // cancelUnconfirmed cancels the long watches that are no longer backed by a confirmation.
 func (f *freshness) cancelUnconfirmed(now time.Duration) {
 	for name, state := range f.kinds {
--- a/gateway/watchplan.go
+++ b/gateway/watchplan.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"cicadarouter/host/clock"
 )
 
 // watchPlan describes the next watch of a kind.
@@ -60,3 +62,11 @@
 	}
 	return watchPlan{wait: longWatchWait, source: f.source}
 }
+
+// expireWatches cancels watches at other hosts whose confirmation expires. The control loop does so
+// too, but on a busy host its steps may be seconds apart.
+func (g *Gateway) expireWatches(ctx context.Context) {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, g.freshness.expireWatches(g.now()))
+	}
+}
