gateway: a controller verifies its copies by calls that return at once

A watch tells how old a copy is only when it returns, and the last one that returned began up to two waits before: 1.2 s, and 1.5 s are the limit, 0.75 s after the last report.

A controller now makes a watch of each kind without a wait every 0.6 s. If it returns nothing, the copy is complete as of then, and the revision moves on, so that the store's history still reaches back to it; else the kind's watch has missed a change and is begun again. The controller's own watches last 25 s in place of 1.2 s, unless a copy could not be verified for 0.9 s; then they return within 50 ms, so that an outage of the store is noticed as early as before. A write of a record confirms the controller's role as a read does.

TestControllerVerifiesItsCopies and three mutants.

--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -128,14 +128,15 @@
 	machine *keyspace.StateMachine
 	record  *keyspace.Record
 	stored  objects.Object
-	began   time.Duration
+	began   time.Duration // on the boot clock
+	askedAt time.Duration // the same moment on the clock that watches use
 	err     error
 }
 
 func (g *Gateway) startRecordWrite(ctx context.Context, c *serviceControl, record *keyspace.Record) {
 	machine, revision := c.machine, c.revision
 	go func() {
-		result := &recordWriteResult{control: c, machine: machine, record: record, began: g.bootClock.Now()}
+		result := &recordWriteResult{control: c, machine: machine, record: record, began: g.bootClock.Now(), askedAt: g.now()}
 		result.stored, result.err = g.putRecord(ctx, c, record, revision)
 		if result.err != nil {
 			clock.Sleep(ctx, storeRetryPause)
@@ -202,6 +203,7 @@
 		return
 	}
 	c.machine.WriteAcknowledged(e.began)
+	g.freshness.noteRoleConfirmed(e.askedAt)
 	c.revision, c.confirmStarted, c.writtenAt = e.stored.Revision, e.began, now
 	g.log.Info("assignment written", "service", c.service.name, "revision", c.revision, "ranges", len(e.record.Ranges), "last-token", e.record.LastToken)
 	if c.service.view.update(e.stored.Revision, e.record) {
@@ -262,13 +264,14 @@
 	control *serviceControl
 	record  *keyspace.Record
 	stored  objects.Object
-	began   time.Duration
+	began   time.Duration // on the boot clock
+	askedAt time.Duration // the same moment on the clock that watches use
 	err     error
 }
 
 func (g *Gateway) startClaim(ctx context.Context, c *serviceControl, record *keyspace.Record, revision uint64) {
 	go func() {
-		result := &claimResult{control: c, record: record, began: g.bootClock.Now()}
+		result := &claimResult{control: c, record: record, began: g.bootClock.Now(), askedAt: g.now()}
 		result.stored, result.err = g.putRecord(ctx, c, record, revision)
 		if result.err != nil {
 			clock.Sleep(ctx, storeRetryPause)
@@ -303,6 +306,7 @@
 		return
 	}
 	c.revision, c.confirmStarted, c.writtenAt, c.reportedAt, c.controllerSince = e.stored.Revision, e.began, now, now, now
+	g.freshness.noteRoleConfirmed(e.askedAt)
 	c.quarantine = storedQuarantine{}
 	c.members.inheritRelays(now, e.record.Controller.Relays, g.identity.PeerAddress)
 	if e.record.Term == 1 {
--- a/gateway/currency_test.go
+++ b/gateway/currency_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"cicadarouter/contract/objects"
+	"cicadarouter/contract/objects/memobjects"
 	"cicadarouter/host/logs"
 	"cicadarouter/keyspace"
 )
@@ -115,3 +117,31 @@
 	c.state(4*time.Second, 7, 8)
 	assert.Equal(t, c.age(5*time.Second), time.Second)
 }
+
+// Guards against a controller that vouches for a copy while its watch is silent, and against one whose
+// watch starts from a revision that the store's history no longer reaches.
+func TestControllerVerifiesItsCopies(t *testing.T) {
+	stored := memobjects.New()
+	g := New(Identity{}, Platform{Store: stored, Registry: kindNames{}}, logs.Discard())
+	g.freshness.setControlling(0, true)
+	const kind = "things"
+	put := func(kind, name string) {
+		_, err := stored.Put(t.Context(), objects.Object{Kind: kind, Name: name, Spec: []byte("{}")})
+		assert.NilError(t, err)
+	}
+	put(kind, "one")
+	g.freshness.noteRevision(kind, 1, true)
+	put("others", "one")
+	watchCtx, cancel, _ := g.freshness.beginWatch(t.Context(), kind, 0, false)
+	defer cancel()
+	g.verifyCopy(t.Context(), kind, 1)
+	assert.NilError(t, watchCtx.Err())
+	assert.Equal(t, g.freshness.knownRevision(kind), uint64(2))
+	assert.Assert(t, g.freshness.copyAge(kind, g.now()) < time.Minute)
+
+	put(kind, "two")
+	before := g.freshness.copyAge(kind, time.Hour)
+	g.verifyCopy(t.Context(), kind, 2)
+	assert.Assert(t, watchCtx.Err() != nil, "the watch that missed a change was not canceled")
+	assert.Equal(t, g.freshness.copyAge(kind, time.Hour), before)
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -52,11 +52,11 @@
 // follow keeps a kind up to date until the context ends.
 func (g *Gateway) follow(ctx context.Context, f follower) {
 	g.addCopyAgeMetric(f.kind)
-	g.freshness.setPause(f.kind, f.batchDelay)
 	pause := minRetryDelay
 	var known uint64
 	connected := false
 	for ctx.Err() == nil {
+		known = max(known, g.freshness.knownRevision(f.kind)) // a verification may have moved it on
 		answer, ended, err := g.fetchNext(ctx, f, connected, known)
 		listing := answer.listing
 		if ended {
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -44,28 +44,26 @@
 	// startupRelayWait is how long a host that has just started waits for a relay's
 	// confirmation before it watches the store itself.
 	startupRelayWait = 1500 * time.Millisecond
-	// minControllerWait is the minimum wait of a controller's watch.
-	minControllerWait = 100 * time.Millisecond
 	// defaultMaxChangeDelay is the time within which a change has to take effect if operators
 	// set none.
 	defaultMaxChangeDelay = 2 * time.Second
-	// confirmationShare, shortShare and controllerShare are shares of the time within which a
-	// change has to take effect. The first gives how long a confirmation counts after the
-	// store's answer it is based on; the second how long a watch of the store waits without a
+	// confirmationShare, shortShare and verifyShare are shares of the time within which a change
+	// has to take effect. The first gives how long a confirmation counts after the store's
+	// answer it is based on; the second how long a watch of the store waits without a
 	// confirmation. A watch can miss changes without an error, when its connection goes silent
 	// or the store drops its history. The remaining time is for the change to reach the hosts.
-	// controllerShare is the time from one watch of a controller to the next: its copies must
-	// be younger than a confirmation may be, by the time from one report to the next.
+	// verifyShare gives how often a controller checks that its copies are complete: what it
+	// states of them must count until the next report.
 	confirmationShare = 0.75
 	shortShare        = 0.6
-	controllerShare   = 0.3
+	verifyShare       = 0.3
 )
 
 // freshness decides where a host's watches go (the store or another host) and how long they
 // may wait, and cancels watches that have missed a change. The controller of a service watches
-// the store with short waits and tells the others, in its answers to their reports, at which
-// revision each kind last changed and how old its copy of the kind is, so that only one host pays
-// for frequent calls. A host relies on others for a kind while what they state shows its copy to be
+// the store and tells the others, in its answers to their reports, at which revision each kind last
+// changed and how old its copy of the kind is, which it verifies, so that only one host pays for
+// frequent calls. A host relies on others for a kind while what they state shows its copy to be
 // complete as of a recent time, whatever it knows of other kinds. While the controller's
 // confirmation is missing, a few relays do this for the others, and a host watches the store
 // itself only if none of them answers. Without relays, 295 hosts made some 900 calls each time
@@ -90,8 +88,8 @@
 	// queriedAt is when another host last queried this one as a relay.
 	queriedAt time.Duration
 	queried   bool
-	// roleConfirmedAt is the start of the last call in which the store confirmed this host as
-	// the controller.
+	// roleConfirmedAt is the start of the last call, a read or a write of its record, in which the
+	// store confirmed this host as the controller.
 	roleConfirmedAt     time.Duration
 	kinds               map[string]*kindState
 	confirmationArrived chan struct{} // closed when a confirmation arrives
@@ -102,7 +100,6 @@
 	revision     uint64        // up to which this host knows the kind's objects
 	lastChange   uint64        // revision of the last listing that contained a change
 	storeReadAt  time.Duration // start of the last call to the store that brought the kind up to date
-	pause        time.Duration // between two watches of the kind
 	cancelWatch  context.CancelFunc
 	isLong       bool   // the watch was started as a long one
 	source       string // the host that the watch asks; empty for the store
@@ -128,11 +125,6 @@
 // shortWait returns how long a watch of the store waits without a confirmation.
 func (f *freshness) shortWait() time.Duration { return time.Duration(shortShare * float64(f.maxDelay)) }
 
-// controllerWait returns how long a controller's watch of the store waits.
-func (f *freshness) controllerWait(state *kindState) time.Duration {
-	return max(time.Duration(controllerShare*float64(f.maxDelay))-state.pause, minControllerWait)
-}
-
 // kind returns the state of a kind, which it creates if needed.
 func (f *freshness) kind(name string) *kindState {
 	state := f.kinds[name]
@@ -195,13 +187,6 @@
 	f.kind(name).currency.complete(asOf)
 }
 
-// setPause sets the pause between two watches of a kind.
-func (f *freshness) setPause(name string, pause time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.kind(name).pause = pause
-}
-
 // noteRoleConfirmed records that the store confirmed this host as the controller, by a call
 // started at the given time.
 func (f *freshness) noteRoleConfirmed(began time.Duration) {
@@ -446,13 +431,23 @@
 	return f.controlling
 }
 
-// setControlling records whether this host is a controller, and cancels long watches that are
-// no longer backed by a confirmation.
+// setControlling records whether this host is a controller. It cancels long watches that are no
+// longer backed by a confirmation, and all when that changes.
 func (f *freshness) setControlling(now time.Duration, controlling bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	changed := f.controlling != controlling
 	f.controlling = controlling
 	f.cancelUnconfirmed(now)
+	if !changed {
+		return
+	}
+	// A controller watches the store itself and verifies its copies; other hosts don't.
+	for name, state := range f.kinds {
+		if name != Assignments && state.cancelWatch != nil {
+			state.cancelWatch()
+		}
+	}
 }
 
 // maxExpiryInterval is the maximum interval at which watches are checked for a confirmation that
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -18,6 +18,7 @@
 	tasks.Go(func() { g.runControl(ctx) })
 	tasks.Go(func() { g.queryRelays(ctx) })
 	tasks.Go(func() { g.expireWatches(ctx) })
+	tasks.Go(func() { g.verifyCopies(ctx) })
 	tasks.Go(func() { g.logStoreCalls(ctx) })
 	return &tasks
 }
--- a/gateway/watchplan.go
+++ b/gateway/watchplan.go
@@ -35,10 +35,10 @@
 // planWatch chooses the source and the wait of a watch. The caller holds the lock.
 func (f *freshness) planWatch(state *kindState, name string, now time.Duration, hasRelays bool) watchPlan {
 	switch {
-	case f.controlling && name == Assignments:
-		return watchPlan{wait: longWatchWait}
+	case f.controlling && name != Assignments && f.copyAgeLocked(name, now) > f.verifyTimeout():
+		return watchPlan{wait: probeWatchWait} // the copy could not be verified
 	case f.controlling:
-		return watchPlan{wait: f.controllerWait(state)}
+		return watchPlan{wait: longWatchWait}
 	case f.isRelay(now) && !f.mayWaitLong(name, now):
 		if now-state.storeReadAt > 2*relayWatchWait {
 			return watchPlan{wait: probeWatchWait} // other hosts wait for this relay's confirmation
--- a/tools/mutants/currency.go
+++ b/tools/mutants/currency.go
@@ -2,7 +2,7 @@
 
 // currencyMutants break the rules by which a host knows that its copy of a kind is complete.
 func currencyMutants() []mutant {
-	in := breaking("gateway", "ConfirmedRole|RelayThatIsBehind|Currency|StartEnds|AgesWhile|UnconfirmedWatch")
+	in := breaking("gateway", "ConfirmedRole|RelayThatIsBehind|Currency|StartEnds|AgesWhile|UnconfirmedWatch|Verifies")
 	return []mutant{
 		in("freshness.go", "currency: take the confirmation of a role for one of all kinds", "f.isConfirmed(now) && f.isCurrent(name, now)", "f.isConfirmed(now)"),
 		in("currency.go", "currency: take a statement for true before the copy has reached it", "	if have >= revision {\n", "	if true {\n"),
@@ -12,5 +12,8 @@
 		in("watchplan.go", "currency: let a watch outlast the start", "min(startupWatchWait, startupPeriod-now)", "startupWatchWait"),
 		in("peers.go", "currency: count a confirmation from when its answer is applied", "confirmed := e.askedAt - ", "confirmed := g.now() - "),
 		in("freshness.go", "currency: leave unconfirmed watches to the control loop", "	f.cancelUnconfirmed(now)\n	next = maxExpiryInterval\n", "	next = maxExpiryInterval\n"),
+		in("verify.go", "currency: verify nothing", "	if err == nil && len(listing.Objects) == 0 {\n", "	if err == nil {\n"),
+		in("verify.go", "currency: keep a watch that has missed a change", "	state.cancelWatch()\n	return true\n", "	return true\n"),
+		in("verify.go", "currency: let the history run out under a watch", "		g.freshness.noteRevision(kind, listing.Revision, false)\n", ""),
 	}
 }
