gateway: an old copy catches up with the host that stated the change

Cause: since hosts confirm each kind by itself, a host whose copy was older than 1.5 s as a new controller's first statement arrived went on asking the store only.

TestCopyThatIsOldCatchesUpWithTheSender; a mutant is caught.

--- a/gateway/currency.go
+++ b/gateway/currency.go
@@ -41,6 +41,11 @@
 	}
 }
 
+// awaitsChange reports whether another host has recently stated a change that the copy lacks.
+func (c *currency) awaitsChange(now, within time.Duration) bool {
+	return c.awaitedRevision > 0 && now-c.awaitedAsOf < within
+}
+
 // age returns the time since the copy was last known to be complete; math.MaxInt64 if it never was.
 func (c *currency) age(now time.Duration) time.Duration {
 	if !c.isKnown {
--- a/gateway/currency_test.go
+++ b/gateway/currency_test.go
@@ -76,6 +76,26 @@
 	assert.Assert(t, age >= 300*time.Millisecond+waited, "the age of the confirmation is %v", age)
 }
 
+// Guards against a host that never learns of a change because the store refuses its calls: its copy is
+// old, but another host has stated the change and can return it.
+func TestCopyThatIsOldCatchesUpWithTheSender(t *testing.T) {
+	f := newFreshness(Identity{})
+	now := 10 * time.Second
+	f.noteRevision("things", 5, true)
+	f.acceptConfirmation(now, statement(now, "controller", 5, 0))
+	now += 2 * time.Second
+	f.acceptConfirmation(now, statement(now, "controller", 6, 0))
+	planned, _ := beginTestWatch(&f, "things", now)
+	assert.Equal(t, planned, watchPlan{wait: relayWatchWait, source: "controller"})
+	planned, _ = beginTestWatch(&f, "things", now)
+	assert.Equal(t, planned, watchPlan{wait: f.shortWait()}, "the sender did not help")
+	planned, _ = beginTestWatch(&f, "things", now)
+	assert.Equal(t, planned, watchPlan{wait: relayWatchWait, source: "controller"})
+	f.noteRevision("things", 6, true)
+	planned, _ = beginTestWatch(&f, "things", now)
+	assert.Equal(t, planned, watchPlan{wait: longWatchWait, source: "controller"})
+}
+
 // fixedClock is a clock that stands still.
 type fixedClock time.Duration
 
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -103,6 +103,7 @@
 	cancelWatch  context.CancelFunc
 	isLong       bool   // the watch was started as a long one
 	source       string // the host that the watch asks; empty for the store
+	askedSource  bool   // the last watch asked another host
 	behindCount  int    // consecutive confirmations that showed the watch to be behind
 	bypassRelay  bool   // the source was behind repeatedly; ask the sender of the confirmation instead
 	currency     currency
--- a/gateway/watchplan.go
+++ b/gateway/watchplan.go
@@ -27,7 +27,7 @@
 	defer f.mu.Unlock()
 	state := f.kind(name)
 	plan := f.planWatch(state, name, now, hasRelays)
-	state.source, state.cancelWatch = plan.source, cancel
+	state.source, state.cancelWatch, state.askedSource = plan.source, cancel, plan.source != ""
 	state.isLong = f.mayWaitLong(name, now)
 	return ctx, cancel, plan
 }
@@ -50,6 +50,8 @@
 		return watchPlan{wait: staleReadPeriod - now, stale: true}
 	case f.startingUp(now):
 		return watchPlan{wait: min(startupWatchWait, startupPeriod-now)}
+	case !f.mayWaitLong(name, now) && f.canCatchUp(state, now):
+		return watchPlan{wait: relayWatchWait, source: f.sender}
 	case !f.mayWaitLong(name, now):
 		return watchPlan{wait: f.shortWait()}
 	case f.source == "" && hasRelays:
@@ -63,6 +65,13 @@
 	return watchPlan{wait: longWatchWait, source: f.source}
 }
 
+// canCatchUp reports whether to ask the host that has stated a change which the copy of a kind lacks:
+// it answers at once, and the store may refuse this host. If that didn't help, it is the store's turn.
+// The caller holds the lock.
+func (f *freshness) canCatchUp(state *kindState, now time.Duration) bool {
+	return f.isConfirmed(now) && f.sender != "" && state.currency.awaitsChange(now, f.validFor()) && !state.askedSource
+}
+
 // expireWatches cancels watches at other hosts whose confirmation expires. The control loop does so
 // too, but on a busy host its steps may be seconds apart.
 func (g *Gateway) expireWatches(ctx context.Context) {
--- a/tools/mutants/currency.go
+++ b/tools/mutants/currency.go
@@ -2,7 +2,7 @@
 
 // currencyMutants break the rules by which a host knows that its copy of a kind is complete.
 func currencyMutants() []mutant {
-	in := breaking("gateway", "ConfirmedRole|RelayThatIsBehind|Currency|StartEnds|AgesWhile|UnconfirmedWatch|Verifies")
+	in := breaking("gateway", "ConfirmedRole|RelayThatIsBehind|Currency|StartEnds|AgesWhile|UnconfirmedWatch|Verifies|CatchesUp")
 	return []mutant{
 		in("freshness.go", "currency: take the confirmation of a role for one of all kinds", "f.isConfirmed(now) && f.isCurrent(name, now)", "f.isConfirmed(now)"),
 		in("currency.go", "currency: take a statement for true before the copy has reached it", "	if have >= revision {\n", "	if true {\n"),
@@ -15,5 +15,6 @@
 		in("verify.go", "currency: verify nothing", "	if err == nil && len(listing.Objects) == 0 {\n", "	if err == nil {\n"),
 		in("verify.go", "currency: keep a watch that has missed a change", "	state.cancelWatch()\n	return true\n", "	return true\n"),
 		in("verify.go", "currency: let the history run out under a watch", "		g.freshness.noteRevision(kind, listing.Revision, false)\n", ""),
+		in("watchplan.go", "currency: ask only the store for a change that another host has stated", "	case !f.mayWaitLong(name, now) && f.canCatchUp(state, now):\n", "	case false:\n"),
 	}
 }
