backendlink: an interim answer is not taken for the final one

Callers of cicada-router got a status of 1xx and no body where a server had sent an interim answer first; the final answer stayed on the connection, where it counted as unexpected bytes or stood where the answer to the next request is expected.

Cause: Do read one head, while Send, which cicada-gateway uses, skips interim answers. Both now read heads by one function.

TestInterimAnswerIsNotFinal failed before ('103 (answer.Status int) != 200').

--- a/link/backendlink/exchange.go
+++ b/link/backendlink/exchange.go
@@ -130,17 +130,12 @@
 
 // receive reads the header of the next final answer.
 func (e *Exchange) receive(request *http.Request) error {
-	for range maxInterimAnswers {
-		response, err := http.ReadResponse(e.conn.reader, request)
-		if err != nil {
-			return &SendError{Written: true, Cause: err}
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			e.Response = response
-			return nil
-		}
+	response, err := e.conn.readHead(request)
+	if err != nil {
+		return &SendError{Written: true, Cause: err}
 	}
-	return &SendError{Written: true, Cause: ErrInterim}
+	e.Response = response
+	return nil
 }
 
 // Keep returns the connection to the pool if it can be reused: the request was
--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -169,7 +169,7 @@
 	if err != nil {
 		return Answer{}, false, &SendError{Written: written > 0, Cause: err}
 	}
-	response, err := http.ReadResponse(c.reader, request)
+	response, err := c.readHead(request)
 	if err != nil {
 		return Answer{}, false, &SendError{Written: true, Cause: err}
 	}
@@ -188,6 +188,20 @@
 	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, reusable, nil
 }
 
+// readHead reads the head of the next final answer.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	for range maxInterimAnswers {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, nil
+		}
+	}
+	return nil, ErrInterim
+}
+
 // beginSend records that a request is sent on the connection.
 func (c *conn) beginSend(id requestID) {
 	c.info.Sends++
