backendlink, platform: what is read of servers, hosts and the store is bounded

A server that sends one head without end ended a host: net/http reads a head of any size into memory, and only the request's deadline ended that.

A head, with the interim answers before it, may cost 128 KiB now, where a line costs 128 bytes beyond its own. What it costs beyond 16 KiB comes from a quota of all connections of a host, a sixteenth of its memory. The caller gets 502, or another attempt where the request may be repeated: it may have run. The connection is closed, and it counts as the server's failure, not as a sign that the server has ended. A body beyond the limit of Do is no longer read on to the deadline by closing it. Answers of other hosts, of the store and to grants, releases and health checks have heads of 16 KiB at most, a health check on a new connection 32 KiB in all, a response of the store 8 MiB in place of 16, and a call that is no watch 30 s.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -273,7 +273,7 @@
 		return result
 	}
 	result := attemptResult{failed: true, outcome: balance.Failed, err: err,
-		unanswered: !errors.Is(err, errWrongRequest) && !errors.Is(err, errUnidentified) && !errors.Is(err, errUnsigned)}
+		unanswered: !errors.Is(err, errWrongRequest) && !errors.Is(err, errUnidentified) && !errors.Is(err, errUnsigned) && !errors.Is(err, backendlink.ErrHeadTooLarge)}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		result.outcome = balance.Unreachable
--- a/gateway/domainlinks.go
+++ b/gateway/domainlinks.go
@@ -181,7 +181,7 @@
 	switch {
 	case answered:
 		result = connectivity.ExchangeAnswered
-	case ctx.Err() != nil, errors.Is(err, net.ErrClosed), errors.Is(err, errWrongRequest), errors.Is(err, errUnsigned):
+	case ctx.Err() != nil, errors.Is(err, net.ErrClosed), errors.Is(err, errWrongRequest), errors.Is(err, errUnsigned), errors.Is(err, backendlink.ErrHeadTooLarge):
 		result = connectivity.ExchangeEnded
 	}
 	if s.domains.update(func(d *connectivity.Domains) bool { return d.Ended(now, sent, address, result) }) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,7 +58,7 @@
 	// been in force yet, so this host can't have an outdated one.
 	FirstStart bool
 	// ReadAheadLimit bounds the memory for response data that callers have not read yet, in
-	// bytes; 0 selects the default.
+	// bytes, and likewise that for large heads of responses; 0 selects the default.
 	ReadAheadLimit int64
 	// Incarnation is a random number, different for each start of the process.
 	Incarnation uint64
@@ -129,6 +129,7 @@
 	storeCalls      storeCalls
 	deltas          deltaCache
 	unreadBytes     byteQuota // of response data that callers have not read
+	heads           *backendlink.HeadQuota
 	peerClient      *http.Client
 	wake            chan struct{} // wakes the control loop
 }
@@ -147,6 +148,8 @@
 		g.dialer = &net.Dialer{}
 	}
 	g.unreadBytes.limit = cmp.Or(identity.ReadAheadLimit, defaultReadAheadTotalBytes)
+	g.heads = backendlink.NewHeadQuota(g.unreadBytes.limit)
+	g.metrics.set.NewGauge("cicada_large_head_bytes", func() float64 { return float64(g.heads.Used()) })
 	g.metrics.set.NewGauge("cicada_unread_answer_bytes", func() float64 { return float64(g.unreadBytes.used.Load()) })
 	g.evacuationsListed.Store(identity.EvacuateWithin == 0) // without evacuations there is nothing to read
 	g.store = newCountingStore(platform.Store, g.countStoreCall)
@@ -197,6 +200,7 @@
 func (g *Gateway) newService(name string, keyed bool) *service {
 	s := newService(name, g.identity, keyed, g.now)
 	s.dialer = trackingDialer{Dialer: g.dialer, gateway: g, service: s}
+	s.heads = g.heads
 	s.requestReservations = g.requestReservations
 	s.noteUnexpectedBytes = g.noteUnexpectedBytes
 	g.metrics.set.GetOrCreateGauge(`cicada_domains_cut_off{service="`+name+`"}`, s.domains.cutOffGauge)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -37,6 +37,8 @@
 	// maxPeerBody is the maximum size of a message between hosts, in bytes. A report has at
 	// most one entry per key.
 	maxPeerBody = 2 << 20
+	// maxPeerHeadBytes is the maximum size of the head of a host's answer, in bytes.
+	maxPeerHeadBytes = 16 << 10
 )
 
 // loadReport reports to a controller the load of keys since the host's last report, and what
@@ -146,7 +148,7 @@
 	dialer := net.Dialer{Timeout: peerTimeout}
 	const idle = 4
 	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext,
-		MaxIdleConnsPerHost: idle, IdleConnTimeout: 5 * time.Second, ReadBufferSize: 2048, WriteBufferSize: 2048}}
+		MaxIdleConnsPerHost: idle, IdleConnTimeout: 5 * time.Second, ReadBufferSize: 2048, WriteBufferSize: 2048, MaxResponseHeaderBytes: maxPeerHeadBytes}}
 }
 
 // peerStatusError reports that another host answered with a status other than 200.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -40,6 +40,7 @@
 	now    func() time.Duration
 	view   *keyView // nil for a service that is not sharded by key
 	dialer backendlink.Dialer
+	heads  *backendlink.HeadQuota // of all services together; nil for no bound
 	links  *serverLinks
 	// domains tracks the links to the servers' failure domains.
 	domains *domainLinks
@@ -213,6 +214,7 @@
 	if link == nil {
 		pool := backendlink.NewPoolWithDialer(server.Address, maxIdleConnsPerServer, maxWholeResponseBytes, s.dialer)
 		pool.OnUnexpectedBytes = func(conn backendlink.ConnInfo) { s.noteUnexpectedBytes(server.ID, conn) }
+		pool.Heads = s.heads
 		link = &serverConns{incarnation: server.Incarnation(), pool: pool}
 		s.conns[server.ID] = link
 	}
--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -8,6 +8,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -65,6 +66,9 @@
 	// OnUnexpectedBytes, if set, is called for each connection that is closed because the server
 	// sent bytes that belong to no request. It must be set before the first use.
 	OnUnexpectedBytes func(ConnInfo)
+	// Heads, if set, bounds the memory for large heads of answers together with other pools. It must
+	// be set before the first use.
+	Heads *HeadQuota
 
 	address   string
 	dialer    Dialer
@@ -101,7 +105,8 @@
 	net.Conn
 	info   ConnInfo
 	sent   sentIDs
-	reader *bufio.Reader
+	head   *headReader
+	reader *bufio.Reader // reads through head
 	opened time.Time
 	// reuseUntil is when the idle connection must not be reused any more, because the
 	// server may close it; zero if unknown.
@@ -173,7 +178,7 @@
 	if err != nil {
 		return Answer{}, false, &SendError{Written: true, Cause: err}
 	}
-	defer response.Body.Close()
+	// The body is not closed: that would read the rest of it, which may be without end.
 	body, whole, err := ReadWhole(response.Body, int(p.maxAnswer))
 	if err != nil {
 		return Answer{}, false, &SendError{Written: true, Cause: err}
@@ -190,10 +195,12 @@
 
 // readHead reads the head of the next final answer.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	c.head.begin()
+	defer c.head.end()
 	for range maxInterimAnswers {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			return nil, err
+			return nil, cmp.Or(c.head.exceeded, err) // net/http reports a head that was cut off as malformed
 		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
@@ -279,7 +286,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, info: ConnInfo{Number: lastConnNumber.Add(1)}, reader: bufio.NewReaderSize(raw, readBufferBytes), opened: time.Now()}, nil
+	head := &headReader{from: raw, quota: p.Heads}
+	return &conn{Conn: raw, info: ConnInfo{Number: lastConnNumber.Add(1)}, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), opened: time.Now()}, nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.head.release()
+	return c.Conn.Close()
 }
 
 // Connect opens a connection and keeps it idle for a later request. The error says why
@@ -295,6 +309,7 @@
 }
 
 func (p *Pool) putConn(c *conn) {
+	c.head.release()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle) >= p.maxIdle {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -60,10 +60,12 @@
 	// a processor; a store that drops its history while hosts start; and connections to the store
 	// that go silent.
 	StartFaults
+	// EndlessFaults adds servers that send responses without end.
+	EndlessFaults
 )
 
 // CurrentFaults is the version that new seeds use.
-const CurrentFaults = StartFaults
+const CurrentFaults = EndlessFaults
 
 // faults returns all kinds of faults.
 func faults() []fault {
@@ -105,6 +107,7 @@
 		{throttleFault, 3, true, StartFaults, throttleHost},
 		{historyFault, 2, false, StartFaults, dropHistoryAtStart},
 		{silenceFault, 4, false, StartFaults, silenceStoreConnection},
+		{endlessFault, 4, false, EndlessFaults, sendWithoutEnd},
 	}
 }
 
@@ -370,6 +373,29 @@
 	silenceFault  = "a connection to the store goes silent"
 )
 
+// endlessFault is the name of the fault in which servers send responses without end.
+const endlessFault = "servers send without end"
+
+// sendWithoutEnd makes one or all servers of a service send responses without end, in one form.
+func sendWithoutEnd(r *run, random *rand.Rand, length time.Duration) func(ctx context.Context) {
+	const services = 2 // servers of the two services alternate
+	forms := platformtest.EndlessForms()
+	form, first, all := forms[random.IntN(len(forms))], random.IntN(len(r.initialProxies)), random.IntN(2) == 0
+	return func(ctx context.Context) {
+		servers := r.site.Servers()[:len(r.initialProxies)]
+		setFaults := func(faults platformtest.ServerFaults) {
+			for i, server := range servers {
+				if i == first || all && i%services == first%services {
+					server.SetFaults(faults)
+				}
+			}
+		}
+		setFaults(platformtest.ServerFaults{Endless: form})
+		sleep(ctx, length)
+		setFaults(platformtest.ServerFaults{})
+	}
+}
+
 // staleness is the age of stale reads.
 const staleness = 3 * time.Second
 
--- a/soak/host.go
+++ b/soak/host.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -234,6 +235,26 @@
 	}
 }
 
+// peakResidentMB returns the peak of the process's resident memory in MB, or 0 if it is not running.
+func (h *host) peakResidentMB() int {
+	h.mu.Lock()
+	running := h.running
+	h.mu.Unlock()
+	if running == nil {
+		return 0
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", running.Process.Pid))
+	if err != nil {
+		return 0 // the process has ended
+	}
+	_, after, _ := strings.Cut(string(status), "VmHWM:")
+	var kilobytes int
+	if _, err := fmt.Sscan(after, &kilobytes); err != nil {
+		return 0 // the process is ending: it has no memory any more
+	}
+	return kilobytes >> 10
+}
+
 // uptime returns the process's uptime, or 0 if it is not running.
 func (h *host) uptime() time.Duration {
 	h.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -119,6 +119,7 @@
 	checks.Go(func() { r.load.Run(loading) })
 	checks.Go(func() { r.checkKeyHolders(loading) })
 	checks.Go(func() { r.checkVersions(loading) })
+	checks.Go(func() { r.checkMemory(loading) })
 	r.injectFaults(ctx)
 	r.checkRecovery()
 	// The last planned operations are checked too, so their time bounds have to pass
@@ -298,6 +299,23 @@
 	}
 }
 
+// maxResidentMB is the memory that a host may use, twice what its settings allow by default: the
+// kernel counts shared libraries and stacks too.
+const maxResidentMB = 256
+
+// checkMemory fails the run if a host uses more memory than it may.
+func (r *run) checkMemory(ctx context.Context) {
+	reported := map[*host]bool{}
+	for ; ctx.Err() == nil; sleep(ctx, 200*time.Millisecond) {
+		for _, h := range r.hosts {
+			if peak := h.peakResidentMB(); peak > maxResidentMB && !reported[h] {
+				reported[h] = true
+				r.addViolation(fmt.Sprintf("%s has used %d MB of memory, %d are allowed", h.name, peak, maxResidentMB))
+			}
+		}
+	}
+}
+
 // sendRequest sends one request with a key. It returns the status, or 0 if there was no response.
 func sendRequest(client *http.Client, h *host, path string, key int) int {
 	request, err := http.NewRequest(http.MethodGet, "http://"+h.callersAddress+path, nil)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -91,6 +91,9 @@
 	runFault(t, StartFaults, silenceFault, 301)
 }
 
+// Guards against servers that end hosts by responses without end.
+func TestShortSoakOfEndlessResponses(t *testing.T) { runFault(t, EndlessFaults, endlessFault, 1) }
+
 func runFault(t *testing.T, list FaultListVersion, fault string, seed uint64) {
 	t.Helper()
 	result, err := Run(context.Background(), Options{Program: buildGateway(t), Dir: t.TempDir(), Seed: seed, FaultList: list, Only: fault, Hosts: 3, Servers: 4, Callers: 6,
