httpstore, backend: cicada-controller bounds what it reads of the store and of servers

Heads are 16 KiB at most, a response of the store 64 MiB, since a list has all records in one, a report 4 MiB.

--- a/contract/backend/client.go
+++ b/contract/backend/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -62,7 +63,7 @@
 		return Report{}, &UnreachableError{Server: c.name, Cause: &StatusError{Status: response.StatusCode}}
 	}
 	var report Report
-	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&report); err != nil {
 		return Report{}, &UnreachableError{Server: c.name, Cause: err}
 	}
 	if report.Server != c.name {
@@ -71,6 +72,9 @@
 	return report, nil
 }
 
+// maxReportBytes is the maximum size of a server's report, in bytes: it names the page's shards.
+const maxReportBytes = 4 << 20
+
 // StatusError reports a control call that was not answered with status 200.
 type StatusError struct{ Status int }
 
--- a/contract/platform/httpstore/httpstore.go
+++ b/contract/platform/httpstore/httpstore.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -28,6 +29,18 @@
 // watchMargin is the time allowed for a watch in addition to its wait.
 const watchMargin = time.Second
 
+const (
+	// idleConnTimeout is how long an idle connection is kept.
+	idleConnTimeout = 90 * time.Second
+	// maxHeadBytes is the maximum size of the head of a response, in bytes.
+	maxHeadBytes = 16 << 10
+	// maxResponseBytes is the maximum size of a response, in bytes. A list has all records in one.
+	maxResponseBytes = 64 << 20
+)
+
+// errResponseTooLarge is returned for a response with more than maxResponseBytes.
+var errResponseTooLarge = eris.Errorf("response of the store has more than %d bytes", maxResponseBytes)
+
 // StatusError reports a response status that the protocol does not define.
 type StatusError struct {
 	Method, Path string
@@ -57,7 +70,8 @@
 // New returns a client for the store at address, an IP address and port. domain
 // is the failure domain of this process.
 func New(address, domain string) *Client {
-	return &Client{base: "http://" + address, domain: domain, http: &http.Client{}}
+	transport := &http.Transport{DialContext: (&net.Dialer{}).DialContext, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}
+	return &Client{base: "http://" + address, domain: domain, http: &http.Client{Transport: transport}}
 }
 
 // Get implements platform.Store.
@@ -124,7 +138,10 @@
 		return unavailableError(err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errResponseTooLarge
+	}
 	if err != nil {
 		return unavailableError(err)
 	}
--- a/host/controller.go
+++ b/host/controller.go
@@ -54,6 +54,9 @@
 // to each backend server.
 const maxIdleServerConnections = 2
 
+// maxServerHeadBytes is the maximum size of the head of a server's answer to a control call, in bytes.
+const maxServerHeadBytes = 16 << 10
+
 // newServerDialer returns a dialer whose clients share one HTTP transport.
 func newServerDialer() domain.ServerDialer {
 	const idleConnTimeout = 10 * time.Second
@@ -61,6 +64,8 @@
 		MaxIdleConnsPerHost: maxIdleServerConnections,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxServerHeadBytes,
 	}
 	return func(server record.Server) backend.Control {
 		return backend.NewClient(server.Name, server.Address, transport)
