--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -19,6 +19,7 @@
 		{2041386211, LimitFaults, "fault of the test: a limit was checked from the moment at which the server restarted, " +
 			"before the new process had announced it to any host"},
 		{1706791354, GarbledFaults, "fault of the test: a response that its server broke off while the host was being stopped counted as cut by the stop"},
+		{1008, EndlessFaults, "with 5 hosts: fault of the test: responses without end withdrew the limit that their server announced"},
 		{2114909493, InitialFaults, "fault of the test: an outgoing connection took the port of a host that was about to start"},
 	}
 }
