--- a/link/backendlink/head_test.go
+++ b/link/backendlink/head_test.go
@@ -23,7 +23,8 @@
 func TestHeadsWithoutEnd(t *testing.T) {
 	for _, form := range []platformtest.EndlessForm{platformtest.EndlessStatusLine, platformtest.EndlessField, platformtest.EndlessFields, platformtest.EndlessInterims} {
 		t.Run(form.String(), func(t *testing.T) {
-			address := serveConns(t, func(conn net.Conn) { _, _ = platformtest.WriteEndless(conn, form, "id") })
+			address, err := platformtest.ServeEndless(t.Context(), form)
+			assert.NilError(t, err)
 			pool := NewPool(address, 4, 1<<10)
 			pool.Heads = NewHeadQuota(1 << 20)
 			defer pool.Close()
@@ -47,12 +48,13 @@
 func TestBodiesWithoutEnd(t *testing.T) {
 	for _, form := range []platformtest.EndlessForm{platformtest.EndlessLength, platformtest.EndlessChunks, platformtest.EndlessChunkSize, platformtest.EndlessTrailer, platformtest.EndlessClose} {
 		t.Run(form.String(), func(t *testing.T) {
-			address := serveConns(t, func(conn net.Conn) { _, _ = platformtest.WriteEndless(conn, form, "id") })
+			address, err := platformtest.ServeEndless(t.Context(), form)
+			assert.NilError(t, err)
 			pool := NewPool(address, 4, 1<<10)
 			defer pool.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), callDeadline)
 			defer cancel()
-			_, err := pool.Do(ctx, "id", newGet(t), func() bool { return true })
+			_, err = pool.Do(ctx, "id", newGet(t), func() bool { return true })
 			var sendErr *SendError
 			assert.Assert(t, errors.As(err, &sendErr) && sendErr.Written, "%v", err)
 			assert.NilError(t, ctx.Err())
