gateway: log and measure what a host waits for when it lists a kind again

No decision changes. A host that had an outdated configuration told only that it was "not followed" and, when everything was over, that a source had not listed it. These could not be told apart: a list that waits for a host that has stopped, one that waits for a silent store, a pause between retries, a follower that waits until the store counts as available, and a list that arrives and is older than what was stated.

New lines: "kind is listed again" and "list ended" (reader, source, known revision, age of the copy, waited-ms), "waited for the store" (waited-ms), and retry-ms in "store not followed"; histogram cicada_list_seconds by reader and result.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -66,11 +66,11 @@
 			if ctx.Err() != nil {
 				return
 			}
-			connected = g.handleFollowError(f, err, connected)
+			connected = g.handleFollowError(f, err, connected, pause)
 			clock.Sleep(ctx, pause)
 			pause = min(2*pause, maxRetryDelay)
 			if !f.prober {
-				g.storeAvailability.waitAvailable(ctx)
+				g.waitStoreAvailable(ctx, f.kind)
 			}
 			continue
 		}
@@ -149,17 +149,21 @@
 	}
 	began := g.now()
 	if source := g.freshness.currentSource(began); source != "" {
+		g.logListBegins(kind, readHost, source, known)
 		listing, age, err := g.listFromPeer(ctx, source, kind)
+		g.noteListEnded(kind, readHost, source, began, err)
 		if err == nil && revision.Era(listing.Revision) < g.era.Load() {
 			err = &objects.RewoundError{Given: listing.Revision, Era: g.era.Load()}
 		}
 		if err == nil {
 			return g.listedFrom(listing, source, began, age), nil
 		}
-		g.log.Info("source did not list the objects; listing them from the store", "kind", kind, "source", source, "error", err.Error())
+		g.log.Info("source did not list the objects; listing them from the store", "kind", kind, "source", source, "waited-ms", (g.now() - began).Milliseconds(), "error", err.Error())
 	}
 	began = g.now()
+	g.logListBegins(kind, readStore, "", known)
 	listing, err := g.store.List(ctx, kind)
+	g.noteListEnded(kind, readStore, "", began, err)
 	return g.fetched(g.peerListing(kind, listing), readStore, "", began), err
 }
 
@@ -209,14 +213,14 @@
 // handleFollowError handles a failed call, and reports whether the watch may continue from its
 // revision. A watch that was cut off or refused has missed nothing; one whose history was
 // compacted has.
-func (g *Gateway) handleFollowError(f follower, err error, connected bool) bool {
+func (g *Gateway) handleFollowError(f follower, err error, connected bool, pause time.Duration) bool {
 	g.metrics.storeErrors.Inc()
 	var rewound *objects.RewoundError
 	if errors.As(err, &rewound) {
 		g.noteEra(f.kind, rewound.Era)
 	}
 	compacted := errors.Is(err, objects.ErrCompacted)
-	g.log.Warn("store not followed", "kind", f.kind, "error", err.Error(), "list-again", compacted || !connected)
+	g.log.Warn("store not followed", "kind", f.kind, "error", err.Error(), "list-again", compacted || !connected, "retry-ms", pause.Milliseconds())
 	if !compacted {
 		f.onError(err)
 	}
--- a/gateway/reads.go
+++ b/gateway/reads.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math"
 	"time"
 
@@ -54,6 +55,33 @@
 		"copy-age-ms", ageMillis(g.freshness.copyAge(kind, g.now())), "confirmed-by", sender, "confirmation-age-ms", ageMillis(confirmation))
 }
 
+// logListBegins logs that a kind, known up to a revision, is listed again.
+func (g *Gateway) logListBegins(kind string, by reader, source string, known uint64) {
+	g.log.Info("kind is listed again", "kind", kind, "reader", by, "source", source, "known", known,
+		"copy-age-ms", ageMillis(g.freshness.copyAge(kind, g.now())), "confirmation-age-ms", ageMillis(g.freshness.lastConfirmationAge(g.now())))
+}
+
+// noteListEnded records how long a list that began at a time has taken.
+func (g *Gateway) noteListEnded(kind string, by reader, source string, began time.Duration, err error) {
+	took := g.now() - began
+	result := "listed"
+	if err != nil {
+		result = "failed"
+	}
+	g.metrics.set.GetOrCreateHistogram(`cicada_list_seconds{reader="` + string(by) + `",result="` + result + `"}`).Update(took.Seconds())
+	g.log.Info("list ended", "kind", kind, "reader", by, "source", source, "waited-ms", took.Milliseconds(), "error", errorText(err))
+}
+
+// waitStoreAvailable waits until the store is available and logs for how long.
+func (g *Gateway) waitStoreAvailable(ctx context.Context, kind string) {
+	if !g.storeAvailability.isUnavailable() {
+		return
+	}
+	began := g.now()
+	g.storeAvailability.waitAvailable(ctx)
+	g.log.Info("waited for the store", "kind", kind, "waited-ms", (g.now() - began).Milliseconds())
+}
+
 // noteReader records the way in which a kind is read. It returns the way before, and who last
 // confirmed the state of the store how long ago.
 func (f *freshness) noteReader(name string, by reader, now time.Duration) (before reader, sender string, confirmation time.Duration) {
