gateway: a list does not wait for a host that has stopped

What callers saw: a host back from a cut, with the store reachable again, ran requests by a configuration that had been replaced more than 2 s before, and answered 404 for new routes.

Cause: when the store has dropped the history after a host's copy (410), the host lists the kind from the host that it follows. That call had 2 s for each page, which is as long as a change may take in all; nothing ended it, and only then was the store asked, which answers in 10 ms. Before the call came a pause that had grown to 800 ms while the store was out of reach, although the 410 is an answer. A watch is ended by news (a new source, the end of a confirmation); a list was not.

Ruled out: a silent store (10 ms), a follower that waits for the store (it waited for the source), an answer that was not in force (apply-ms 1).

Change: package gateway has one mechanism for later lists, relist. The source is asked first. When it fails, or has not listed the kind after 0.15 of the time in which changes must take effect (0.3 s), the store is asked as well; when another host confirms the state of the store, that one is asked in place of the first. The first list that arrives counts. Calls that are under way are kept, so a busy relay's or store's answer is not thrown away. A source that was too late is given up for all kinds. After a 410 the pause is 100 ms.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -52,7 +52,7 @@
 // follow keeps a kind up to date until the context ends.
 func (g *Gateway) follow(ctx context.Context, f follower) {
 	g.addCopyAgeMetric(f.kind)
-	pause := minRetryDelay
+	pause := time.Duration(0)
 	var known uint64
 	connected := false
 	for ctx.Err() == nil {
@@ -66,9 +66,9 @@
 			if ctx.Err() != nil {
 				return
 			}
+			pause = nextPause(pause, err)
 			connected = g.handleFollowError(f, err, connected, pause)
 			clock.Sleep(ctx, pause)
-			pause = min(2*pause, maxRetryDelay)
 			if !f.prober {
 				g.waitStoreAvailable(ctx, f.kind)
 			}
@@ -87,13 +87,23 @@
 		g.relayCache.update(f.kind, listing, !connected)
 		g.freshness.noteRevision(f.kind, listing.Revision, !connected || len(listing.Objects) > 0)
 		g.noteApplied(f.kind, answer)
-		connected, pause, known = true, minRetryDelay, max(known, listing.Revision)
+		connected, pause, known = true, 0, max(known, listing.Revision)
 		if f.batchDelay > 0 && len(listing.Objects) < fullBatch {
 			clock.Sleep(ctx, g.batchDelayFor(f.batchDelay))
 		}
 	}
 }
 
+// nextPause returns the pause after a failed call; previous is the one before the call, 0 after a call
+// that succeeded. Only a store that does not answer has to be spared: after ErrCompacted there is
+// something to list.
+func nextPause(previous time.Duration, err error) time.Duration {
+	if errors.Is(err, objects.ErrCompacted) {
+		return minRetryDelay
+	}
+	return min(max(2*previous, minRetryDelay), maxRetryDelay)
+}
+
 // batchDelayFor returns the pause after a call for a kind that changes often.
 func (g *Gateway) batchDelayFor(usual time.Duration) time.Duration {
 	if g.identity.FirstStart && g.now() < startupPeriod {
@@ -140,33 +150,6 @@
 	return got, true, err
 }
 
-// list lists a kind that this host knows up to a revision; 0 if it has just started. A later
-// list comes from the source that this host follows. A host that was too far behind to get the
-// changes from its source would otherwise pay the store for a page per 500 entries.
-func (g *Gateway) list(ctx context.Context, kind string, known uint64) (fetched, error) {
-	if known == 0 {
-		return g.listAtStartup(ctx, kind)
-	}
-	began := g.now()
-	if source := g.freshness.currentSource(began); source != "" {
-		g.logListBegins(kind, readHost, source, known)
-		listing, age, err := g.listFromPeer(ctx, source, kind)
-		g.noteListEnded(kind, readHost, source, began, err)
-		if err == nil && revision.Era(listing.Revision) < g.era.Load() {
-			err = &objects.RewoundError{Given: listing.Revision, Era: g.era.Load()}
-		}
-		if err == nil {
-			return g.listedFrom(listing, source, began, age), nil
-		}
-		g.log.Info("source did not list the objects; listing them from the store", "kind", kind, "source", source, "waited-ms", (g.now() - began).Milliseconds(), "error", err.Error())
-	}
-	began = g.now()
-	g.logListBegins(kind, readStore, "", known)
-	listing, err := g.store.List(ctx, kind)
-	g.noteListEnded(kind, readStore, "", began, err)
-	return g.fetched(g.peerListing(kind, listing), readStore, "", began), err
-}
-
 // listAtStartup lists a kind after the start of the process. A stale read, which costs a
 // tenth, is enough: the watch that follows returns what changed since. If the store is
 // unavailable, the host lists from another host, however old that list may be; else it would
