gateway: a list brings something newer than the copy that it replaces

Cause: a host lists a kind again from the host that it follows while that one confirms the state of the store, which says nothing of the kind. The list of an outdated copy was taken for an answer; the store was watched from its revision and returned 410 again, and the same copy was listed again, every 100 ms, until the source had a newer one. The store itself was not asked, although it answered within 10 ms.

An old but newer copy still helps a host that can't reach the store.

The test on the code before: TestListIsNotRepeatedAtOutdatedSource/outdated,_nothing_new: assertion failed: host (got.reader gateway.reader) != store .../age_unknown_to_the_host: the same After: passed.

--- a/gateway/relist.go
+++ b/gateway/relist.go
@@ -169,6 +169,9 @@
 	if err == nil && revision.Era(listing.Revision) < g.era.Load() {
 		err = &objects.RewoundError{Given: listing.Revision, Era: g.era.Load()}
 	}
+	if err == nil && age >= g.freshness.validFor() && listing.Revision <= r.known {
+		err = errStaleList // the same copy again, however often it is listed
+	}
 	return g.listedFrom(listing, call.source, call.began, age), err
 }
 
--- a/gateway/relist_test.go
+++ b/gateway/relist_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -50,6 +51,12 @@
 // startListSource starts a host that lists pages. From page silentFrom on it accepts calls and never
 // answers.
 func startListSource(t *testing.T, pages, silentFrom int) (address string) {
+	t.Helper()
+	return startAgedListSource(t, pages, silentFrom, 0)
+}
+
+// startAgedListSource is startListSource with the age of the source's copy.
+func startAgedListSource(t *testing.T, pages, silentFrom int, age time.Duration) (address string) {
 	t.Helper()
 	ended := make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -65,7 +72,7 @@
 		}
 		name := strings.Repeat("n", page+1)
 		_ = json.NewEncoder(w).Encode(listResponse{Listing: objects.Listing{Revision: 9, Objects: []objects.Object{{Kind: request.Kind, Name: name, Revision: 9, Spec: []byte(`{}`)}}},
-			More: page+1 < pages})
+			More: page+1 < pages, AgeMs: age.Milliseconds()})
 	}))
 	t.Cleanup(server.Close)
 	t.Cleanup(func() { close(ended) })
@@ -149,6 +156,29 @@
 	assert.Equal(t, got.reader, readStore)
 }
 
+// Guards against hosts that list an outdated copy from another host again and again while the store
+// answers.
+func TestListIsNotRepeatedAtOutdatedSource(t *testing.T) {
+	const sourceRevision = 9
+	for name, test := range map[string]struct {
+		known uint64
+		age   time.Duration
+		want  reader
+	}{
+		"outdated, nothing new":   {sourceRevision, 10 * time.Second, readStore},
+		"outdated, but newer":     {sourceRevision - 1, 10 * time.Second, readHost},
+		"recent, nothing new":     {sourceRevision, 0, readHost},
+		"age unknown to the host": {sourceRevision, math.MaxInt64, readStore},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newListingHost(newListingStore(t), startAgedListSource(t, 1, 1, test.age))
+			got, err := g.list(context.Background(), "configurations", test.known)
+			assert.NilError(t, err)
+			assert.Equal(t, got.reader, test.want)
+		})
+	}
+}
+
 // Guards against an answer of the store that is followed by the pause which earlier calls without an
 // answer have lengthened.
 func TestAnswerEndsLongPauses(t *testing.T) {
