gateway, platform: a list of the store does not outlast the store's silence

Cause: the store went silent while a kind was listed after a 410, and a connection on which a response was lost returns nothing further. The time for which such a list is waited for doubles after each stalled one, 1.2, 2.4 and 4.8 s, counted over all kinds together, whether the store is busy or away. The third list began before the store was back and waited 4.8 s; no answer of the store to another call ended it, and the other followers wait for the prober, which was the one in that list.

Change: while a list of the store is unanswered, the host makes a call that returns at once, each 0.3 s, bounded by 0.6 s. Once one that began after the list is answered, the list is repeated on another connection, unless its response has begun to arrive. The first call stays, so a store that takes long for lists only is not asked in vain; repetitions are spaced by 0.3, 0.6 and 1.2 s, and replace one another. A busy store's link holds back the answers to these calls as well, so it gets no more lists.

Weighed: a shorter bound for lists never succeeds at a store that takes longer than it; cancelling them on news has the same weakness; a second list after a delay without a sign of the store doubles what hundreds of hosts ask of a busy one.

--- a/gateway/relist.go
+++ b/gateway/relist.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"cicadarouter/contract/objects"
+	"cicadarouter/host/clock"
 	"cicadarouter/revision"
 )
 
@@ -13,13 +17,17 @@
 // back. News ends a watch that is behind, since the next one returns at once what is missing. A list
 // that is under way is kept: it may be all that a busy store or relay gets done. News adds a call.
 
-// sourceListShare is the share of the time within which a change has to take effect that a source
-// has for a list before the store is asked as well. Hosts answer within milliseconds.
-const sourceListShare = 0.15
-
-// maxListCalls is the number of calls of a relist that may be under way: one to a host, one to the
-// store.
-const maxListCalls = 2
+const (
+	// listWaitShare is the share of the time within which a change has to take effect for which a
+	// list may remain unanswered before another call is made. Hosts answer within milliseconds.
+	listWaitShare = 0.15
+	// maxListCalls is the number of calls of a relist that may be under way: one to a host, two to
+	// the store.
+	maxListCalls = 3
+	// maxRepeatDelay bounds the delay between two repetitions of a list at the store, and the time
+	// for which a response that has begun prevents one, as a multiple of the first delay.
+	maxRepeatDelay = 4
+)
 
 // relist lists a kind again, from the host that this one follows and from the store.
 type relist struct {
@@ -27,10 +35,13 @@
 	kind    string
 	known   uint64
 	ended   chan endedList
-	// fromHost is the call to a host that is under way, fromStore the one to the store.
-	fromHost, fromStore *listCall
-	storeAsked          bool
-	storeError          error
+	// answered receives a value when the store has answered a call that began after the lists of it.
+	answered chan struct{}
+	// fromHost is the call to a host that is under way, fromStore the first one to the store and
+	// repeated the last repetition of that.
+	fromHost, fromStore, repeated *listCall
+	storeAsked                    bool
+	storeError                    error
 }
 
 // listCall is a call of a relist.
@@ -38,6 +49,8 @@
 	source string // empty for the store
 	began  time.Duration
 	cancel context.CancelFunc
+	// firstByteAt is when the response to the call's last request began to arrive; 0 before.
+	firstByteAt atomic.Int64
 }
 
 // endedList is the result of a call of a relist.
@@ -56,7 +69,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := &relist{gateway: g, kind: kind, known: known, ended: make(chan endedList, maxListCalls)}
+	r := &relist{gateway: g, kind: kind, known: known, ended: make(chan endedList, maxListCalls), answered: make(chan struct{})}
 	return r.run(ctx)
 }
 
@@ -66,9 +79,9 @@
 	if !r.askSource(ctx) {
 		r.askStore(ctx)
 	}
-	storeDue := time.NewTimer(r.gateway.freshness.sourceListWait())
+	storeDue := time.NewTimer(r.gateway.freshness.listWait())
 	defer storeDue.Stop()
-	for r.fromHost != nil || r.fromStore != nil {
+	for r.fromHost != nil || r.fromStore != nil || r.repeated != nil {
 		select {
 		case ended := <-r.ended:
 			if ended.err == nil && r.isCurrent(ended.call) {
@@ -81,6 +94,8 @@
 		case <-storeDue.C:
 			r.giveUpSilentSource()
 			r.askStore(ctx)
+		case <-r.answered:
+			r.repeatUnanswered(ctx)
 		case <-ctx.Done():
 			return fetched{}, ctx.Err()
 		}
@@ -89,7 +104,9 @@
 }
 
 // isCurrent reports whether a call has not been replaced by another one.
-func (r *relist) isCurrent(call *listCall) bool { return call == r.fromHost || call == r.fromStore }
+func (r *relist) isCurrent(call *listCall) bool {
+	return call == r.fromHost || call == r.fromStore || call == r.repeated
+}
 
 // handleFailure handles a call that failed. The store is asked if a source could not list the kind.
 func (r *relist) handleFailure(ctx context.Context, ended endedList) {
@@ -100,6 +117,8 @@
 		r.askStore(ctx)
 	case r.fromStore:
 		r.fromStore, r.storeError = nil, ended.err
+	case r.repeated:
+		r.repeated, r.storeError = nil, ended.err
 	}
 }
 
@@ -125,14 +144,51 @@
 	if !r.storeAsked {
 		r.storeAsked = true
 		r.fromStore = r.begin(ctx, "", r.listFromStore)
+		go r.probeStore(ctx)
+	}
+}
+
+// probeStore makes calls to the store that return at once, and reports those that are answered. The
+// store returns nothing further on a connection on which a response was lost, so a list may be
+// waiting for a response that never comes although the store is back. If the store is busy instead,
+// its link also holds back the responses to these calls, or the lists are being answered.
+func (r *relist) probeStore(ctx context.Context) {
+	delay := r.gateway.freshness.listWait()
+	longest := r.maxRepeatDelay()
+	for clock.Sleep(ctx, delay); ctx.Err() == nil; clock.Sleep(ctx, delay) {
+		calling, cancel := context.WithTimeout(ctx, r.gateway.freshness.verifyInterval())
+		_, err := r.gateway.store.Watch(calling, r.kind, r.known, 0)
+		cancel()
+		if err != nil && !errors.Is(err, objects.ErrCompacted) {
+			continue
+		}
+		select {
+		case r.answered <- struct{}{}:
+			delay = min(2*delay, longest)
+		case <-ctx.Done():
+		}
 	}
 }
 
+// repeatUnanswered lists the kind from the store again, on another connection, unless a list is being
+// answered. The first call stays, for a store that takes long for lists only.
+func (r *relist) repeatUnanswered(ctx context.Context) {
+	for _, call := range []*listCall{r.fromStore, r.repeated} {
+		if call != nil && call.isBeingAnswered(r.gateway.now(), r.maxRepeatDelay()) {
+			return
+		}
+	}
+	if r.repeated != nil {
+		r.repeated.cancel()
+	}
+	r.repeated = r.begin(ctx, "", r.listFromStore)
+}
+
 // giveUpSilentSource makes the other kinds follow another host too if the source has not answered in
 // time.
 func (r *relist) giveUpSilentSource() {
 	g := r.gateway
-	if r.fromHost == nil || g.now()-r.fromHost.began < g.freshness.sourceListWait() {
+	if r.fromHost == nil || g.now()-r.fromHost.began < g.freshness.listWait() {
 		return
 	}
 	g.freshness.noteSourceFailure(r.fromHost.source)
@@ -141,6 +197,18 @@
 		"waited-ms", (g.now() - r.fromHost.began).Milliseconds())
 }
 
+// isBeingAnswered reports whether the response to the call's last request has begun to arrive within
+// a time.
+func (c *listCall) isBeingAnswered(now, within time.Duration) bool {
+	at := time.Duration(c.firstByteAt.Load())
+	return at > 0 && now-at < within
+}
+
+// maxRepeatDelay returns the maximum delay between two repetitions of a list at the store.
+func (r *relist) maxRepeatDelay() time.Duration {
+	return maxRepeatDelay * r.gateway.freshness.listWait()
+}
+
 // begin starts a call.
 func (r *relist) begin(ctx context.Context, source string, list func(context.Context, *listCall) (fetched, error)) *listCall {
 	ctx, cancel := context.WithCancel(ctx)
@@ -178,13 +246,17 @@
 // listFromStore lists the kind from the store.
 func (r *relist) listFromStore(ctx context.Context, call *listCall) (fetched, error) {
 	g := r.gateway
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest:         func(httptrace.WroteRequestInfo) { call.firstByteAt.Store(0) },
+		GotFirstResponseByte: func() { call.firstByteAt.Store(int64(g.now())) },
+	})
 	listing, err := g.store.List(ctx, r.kind)
 	return g.fetched(g.peerListing(r.kind, listing), readStore, "", call.began), err
 }
 
-// sourceListWait returns how long a source has for a list before the store is asked as well.
-func (f *freshness) sourceListWait() time.Duration {
-	return time.Duration(sourceListShare * float64(f.maxDelay))
+// listWait returns how long a list may remain unanswered before another call is made.
+func (f *freshness) listWait() time.Duration {
+	return time.Duration(listWaitShare * float64(f.maxDelay))
 }
 
 // nextConfirmation returns a channel that is closed when the next confirmation arrives.
--- a/gateway/relist_test.go
+++ b/gateway/relist_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"math"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +18,7 @@
 	"cicadarouter/contract/objects"
 	"cicadarouter/contract/objects/memobjects"
 	"cicadarouter/host/logs"
+	"cicadarouter/platform"
 )
 
 // listingStore is a store with one object of a kind, whose lists can be made to wait.
@@ -179,6 +181,105 @@
 	}
 }
 
+// lossyStore answers nothing until it is available again; calls that began before are never answered.
+type lossyStore struct {
+	*memobjects.Store
+	available chan struct{} // closed when it is available again
+	lists     atomic.Int64
+	probed    chan struct{} // receives a value for each watch
+}
+
+func (s *lossyStore) answers() bool {
+	select {
+	case <-s.available:
+		return true
+	default:
+		return false
+	}
+}
+
+// List implements objects.Store.
+func (s *lossyStore) List(ctx context.Context, kind string) (objects.Listing, error) {
+	s.lists.Add(1)
+	if s.answers() {
+		return s.Store.List(ctx, kind)
+	}
+	<-ctx.Done()
+	return objects.Listing{}, objects.ErrUnknown
+}
+
+// Watch implements objects.Store: the history is gone.
+func (s *lossyStore) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (objects.Listing, error) {
+	s.probed <- struct{}{}
+	if s.answers() {
+		return objects.Listing{}, objects.ErrCompacted
+	}
+	<-ctx.Done()
+	return objects.Listing{}, objects.ErrUnknown
+}
+
+// Guards against hosts that keep an outdated copy after the store is back because they still wait for
+// a list that it never answers.
+func TestListDoesNotOutlastSilentStore(t *testing.T) {
+	store := &lossyStore{Store: memobjects.New(), available: make(chan struct{}), probed: make(chan struct{}, 64)}
+	g := New(Identity{}, Platform{Store: store, Registry: kindNames{}}, logs.Discard())
+	listed := make(chan error, 1)
+	go func() {
+		_, err := g.list(context.Background(), "configurations", 5)
+		listed <- err
+	}()
+	for range 2 { // one call that is not answered has ended
+		select {
+		case <-store.probed:
+		case <-time.After(15 * time.Second):
+			t.Fatal("nothing shows whether the store is back")
+		}
+	}
+	assert.Equal(t, store.lists.Load(), int64(1), "lists while the store is silent")
+	close(store.available)
+	select {
+	case err := <-listed:
+		assert.NilError(t, err)
+	case <-time.After(15 * time.Second):
+		t.Fatal("the list is not repeated although the store answers")
+	}
+	assert.Equal(t, store.lists.Load(), int64(2))
+}
+
+// Guards against hosts that list again and again from a busy store, which sends long lists slowly but
+// answers other calls.
+func TestListBeingAnsweredIsNotRepeated(t *testing.T) {
+	const answeredCalls = 3
+	var lists, probes atomic.Int64
+	probed := make(chan struct{}, 64)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("watch") {
+			if probes.Add(1) > answeredCalls {
+				<-r.Context().Done()
+				return
+			}
+			w.WriteHeader(http.StatusGone)
+			probed <- struct{}{}
+			return
+		}
+		lists.Add(1)
+		_, _ = io.WriteString(w, `{"items":[`)
+		w.(http.Flusher).Flush()
+		for range 2 { // a repetition would begin after the first
+			select {
+			case <-probed:
+			case <-time.After(5 * time.Second): // no other call is made
+			}
+		}
+		_, _ = io.WriteString(w, `],"as-of":9}`)
+	}))
+	defer server.Close()
+	g := New(Identity{}, Platform{Store: platform.NewStore(strings.TrimPrefix(server.URL, "http://")), Registry: kindNames{}}, logs.Discard())
+	_, err := g.list(context.Background(), "configurations", 5)
+	assert.NilError(t, err)
+	assert.Equal(t, lists.Load(), int64(1))
+}
+
 // Guards against an answer of the store that is followed by the pause which earlier calls without an
 // answer have lengthened.
 func TestAnswerEndsLongPauses(t *testing.T) {
