gateway, router, backendlink: the target of a request goes on as it was sent

Cause: the route was chosen by URL.EscapedPath, and the request line written from URL.RequestURI. Both give the path as it was received only if each of its bytes is one that net/url would leave alone; else the path is decoded and encoded anew, so that |, ^, {, }, ", <, >, `, \, # and raw bytes from 0x80 on are encoded and each %2F becomes a slash. The identity of a request in quarantine was made from the same, so requests for different resources counted as copies. cicada-router built a URL from text, with the same result, and cut its prefix from the decoded path.

Change: backendlink.RequestTarget gives the target in origin form as it was sent, from http.Request.RequestURI. It is used for the route, the request line to servers and to other hosts, the fingerprint, and in cicada-router. backendlink writes RequestURI as it is in place of what net/url would make of the URL; a target with a space or a control byte is not written (net/http refuses these on arrival). The path of an absolute target is passed on as it was sent too.

Not changed before or after: query, //, dot segments, ";" and a trailing "?".

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -76,7 +76,7 @@
 // fingerprint returns a value that is equal for all copies of the same request.
 func (r *request) fingerprint() poison.Fingerprint {
 	if r.cachedFingerprint == nil {
-		identity := poison.Identity{Method: r.httpRequest.Method, Host: normalizeHost(r.httpRequest.Host), Target: r.httpRequest.URL.RequestURI(),
+		identity := poison.Identity{Method: r.httpRequest.Method, Host: normalizeHost(r.httpRequest.Host), Target: backendlink.RequestTarget(r.httpRequest),
 			Caller: callerCredentials(r.httpRequest.Header), Body: r.bufferedBody, Length: r.httpRequest.ContentLength}
 		mark := identity.Fingerprint()
 		r.cachedFingerprint = &mark
@@ -117,7 +117,7 @@
 	if err != nil {
 		return errorReply(http.StatusBadRequest, "bad-header", err)
 	}
-	req.route = req.configuration.Match(normalizeHost(r.Host), r.URL.EscapedPath())
+	req.route = req.configuration.Match(normalizeHost(r.Host), backendlink.TargetPath(backendlink.RequestTarget(r)))
 	if req.route == nil {
 		return errorReply(http.StatusNotFound, "no-route", nil)
 	}
@@ -374,11 +374,11 @@
 	return out
 }
 
-// newOutgoingRequest builds a request with the method, path, end-to-end headers and body of the
+// newOutgoingRequest builds a request with the method, target, end-to-end headers and body of the
 // caller's.
 func newOutgoingRequest(req *request) *http.Request {
 	in := req.httpRequest
-	out := &http.Request{Method: in.Method, URL: in.URL, Host: in.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	out := &http.Request{Method: in.Method, URL: in.URL, RequestURI: backendlink.RequestTarget(in), Host: in.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: endToEndHeaders(in.Header), ContentLength: in.ContentLength}
 	if _, given := out.Header["User-Agent"]; !given {
 		out.Header["User-Agent"] = []string{""} // otherwise net/http adds its own
--- a/link/backendlink/exchange.go
+++ b/link/backendlink/exchange.go
@@ -93,13 +93,13 @@
 	e.conn.beginSend(e.id)
 	counter := &countingWriter{to: e.conn}
 	if request.ContentLength == 0 || request.Body == nil {
-		err := request.Write(counter)
+		err := writeRequest(counter, request)
 		e.writeResult <- err
 		if err != nil {
 			return &SendError{Written: counter.n > 0, Cause: err}
 		}
 	} else {
-		go func() { e.writeResult <- request.Write(counter) }()
+		go func() { e.writeResult <- writeRequest(counter, request) }()
 	}
 	err := e.receive(request)
 	if err == nil {
--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -164,7 +164,7 @@
 
 func encode(request *http.Request) ([]byte, error) {
 	var buffer bytes.Buffer
-	err := request.Write(&buffer)
+	err := writeRequest(&buffer, request)
 	return buffer.Bytes(), err
 }
 
--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -408,3 +408,31 @@
 	*target = typed
 	return ok
 }
+
+// Guards against paths that are decoded and encoded anew on their way to the server: an encoded slash
+// becomes a real one.
+func TestPathIsPassedOnAsSent(t *testing.T) {
+	for sent, want := range map[string]string{
+		"/s/split/a%2Fb|1?c|d":               "/a%2Fb|1?c|d",
+		"/s/split/{x}//y/../%7c":             "/{x}//y/../%7c",
+		"/s/split?q|":                        "/?q|",
+		"/s/split":                           "/",
+		"http://router.example/s/split/\xff": "/\xff",
+	} {
+		received := make(chan string, 1)
+		server := startFakeServer(t, script{act: func(conn net.Conn, in *http.Request) {
+			received <- in.RequestURI
+			answer(http.StatusOK, "", "whole")(conn, in)
+		}})
+		s := startSite(t, server.address)
+		conn, err := net.Dial("tcp", s.callers.Listener.Addr().String())
+		assert.NilError(t, err)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: router.example\r\n%s: k\r\nConnection: close\r\n\r\n", sent, caller.HeaderKey)
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK, sent)
+		assert.Equal(t, <-received, want)
+	}
+}
--- a/router/front.go
+++ b/router/front.go
@@ -12,6 +12,7 @@
 
 	"cicadarouter/contract/caller"
 	"cicadarouter/dispatch"
+	"cicadarouter/link/backendlink"
 	"cicadarouter/record"
 )
 
@@ -69,8 +70,11 @@
 // parse reads and validates a caller's request. An invalid one is rejected with an
 // explanation and not forwarded.
 func (f *Front) parse(out http.ResponseWriter, in *http.Request) (*request, *requestError) {
-	rest, ok := strings.CutPrefix(in.URL.Path, servicePrefix)
-	name, _, _ := strings.Cut(rest, "/")
+	rest, ok := strings.CutPrefix(backendlink.RequestTarget(in), servicePrefix)
+	name, path := rest, ""
+	if end := strings.IndexAny(rest, "/?"); end >= 0 {
+		name, path = rest[:end], rest[end:]
+	}
 	service, known := f.r.directory.Service(name)
 	if !ok || !known {
 		return nil, &requestError{http.StatusNotFound, caller.ReasonUnknownService, "no service " + strconv.Quote(name) + "; use /s/SERVICE/PATH"}
@@ -91,7 +95,7 @@
 		service: service,
 		meta:    meta,
 		method:  in.Method,
-		path:    strings.TrimPrefix(in.URL.RequestURI(), servicePrefix+name),
+		path:    path,
 		headers: callerHeaders(in.Header),
 		body:    body,
 	}
--- a/router/headers.go
+++ b/router/headers.go
@@ -51,10 +51,11 @@
 
 // serverRequest builds the request to send to the backend server.
 func serverRequest(ctx context.Context, req *request, chosen target, address string) (*http.Request, error) {
-	out, err := http.NewRequestWithContext(ctx, req.method, "http://"+address+req.path, bytes.NewReader(req.body))
+	out, err := http.NewRequestWithContext(ctx, req.method, "http://"+address, bytes.NewReader(req.body))
 	if err != nil {
 		return nil, err
 	}
+	out.RequestURI = req.path
 	for _, header := range req.headers {
 		out.Header.Add(header.Name, header.Value)
 	}
