gateway/daemon: "OPTIONS *" gets no success that no server has sent

What callers saw: OPTIONS * was answered 200 by the daemon, without a server's signature. Cause: net/http's handler for it, which http.Server uses unless DisableGeneralOptionsHandler is set. Now it is a request without a route, 404.

The check in TestDaemonRunsAndStops on the code before: 200 (int) != 404; it passes now.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -124,7 +124,8 @@
 	gatewayCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	callers := &http.Server{Handler: d.gateway, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: updateConnState, ErrorLog: d.log.StandardLog()}
+		MaxHeaderBytes: maxHeaderBytes, ConnState: updateConnState, ErrorLog: d.log.StandardLog(),
+		DisableGeneralOptionsHandler: true} // net/http would answer "OPTIONS *" with a success that no server has sent
 	ready := d.newServer(d.readinessHandler())
 	peers := d.newServer(d.gateway.PeerHandler())
 	metrics := d.newServer(d.metricsHandler())
--- a/gateway/daemon/daemon_test.go
+++ b/gateway/daemon/daemon_test.go
@@ -80,6 +80,7 @@
 		assert.Assert(t, time.Since(begin) < timeout, "the daemon did not become ready")
 	}
 	assert.Assert(t, respondsOK(addresses[3], "/metrics"))
+	checkOptionsNotAnswered(t, addresses[0])
 	stop()
 	select {
 	case err := <-result:
@@ -89,6 +90,18 @@
 	}
 }
 
+// checkOptionsNotAnswered guards against successes that the daemon gives in place of a server.
+func checkOptionsNotAnswered(t *testing.T, address string) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodOptions, "http://"+address, nil)
+	assert.NilError(t, err)
+	request.URL.Opaque = "*"
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusNotFound)
+}
+
 func respondsOK(address, path string) bool {
 	response, err := http.Get("http://" + address + path)
 	if err != nil {
