soak, platformtest: the store loses its history within other faults

The soak paused hosts, dropped the history and cut hosts off from the store, but each for itself: never a pause of the host that is followed, or a silence of the store, within the second in which the others list again, with routes that move meanwhile. Its stand-in answered a watch in flight at the loss of the history with nothing in place of 410, and it could not be silent.

New faults, from series 11 on: the controller is paused as the others list again; the store goes silent for 1.5 to 5.5 s as hosts list again. Every host is probed each 25 ms and judged without margin from 3 s after the fault on; a pause of one host excuses no other one.

Silence is 1.5 to 5.5 s since: the stalled lists of three kinds had doubled the timeout twice by the first repetition already, so a shorter silence leaves the longest wait after its end.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -62,10 +62,13 @@
 	StartFaults
 	// EndlessFaults adds servers that send responses without end.
 	EndlessFaults
+	// HistoryFaults adds a store that discards its history while routes move and, within that, a
+	// controller that is paused or a store that goes silent.
+	HistoryFaults
 )
 
 // CurrentFaults is the version that new seeds use.
-const CurrentFaults = EndlessFaults
+const CurrentFaults = HistoryFaults
 
 // faults returns all kinds of faults.
 func faults() []fault {
@@ -108,6 +111,8 @@
 		{historyFault, 2, false, StartFaults, dropHistoryAtStart},
 		{silenceFault, 4, false, StartFaults, silenceStoreConnection},
 		{endlessFault, 4, false, EndlessFaults, sendWithoutEnd},
+		{frozenSourceFault, 4, false, HistoryFaults, pauseSourceAfterLostHistory},
+		{silentStoreFault, 4, false, HistoryFaults, silenceStoreAfterLostHistory},
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -94,6 +94,20 @@
 // Guards against servers that end hosts by responses without end.
 func TestShortSoakOfEndlessResponses(t *testing.T) { runFault(t, EndlessFaults, endlessFault, 1) }
 
+// Guards against hosts that wait for a paused host with a list of what the store has dropped from its
+// history, and meanwhile handle requests by a replaced configuration.
+func TestShortSoakOfPausedSource(t *testing.T) { runFault(t, HistoryFaults, frozenSourceFault, 704) }
+
+// Guards against hosts that wait for a list which a silent store has left unanswered although the store
+// is back.
+func TestShortSoakOfSilentStore(t *testing.T) {
+	result, err := Run(context.Background(), Options{Program: buildGateway(t), Dir: t.TempDir(), Seed: 616, FaultList: HistoryFaults, Only: silentStoreFault, Hosts: 6, Servers: 4, Callers: 12,
+		FaultDuration: 24 * time.Second, MeanInterval: 12 * time.Second, Print: func(line string) { t.Log(line) }})
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Violations), 0, "%v", result.Violations)
+	assert.Assert(t, result.Statuses[200] > 0)
+}
+
 func runFault(t *testing.T, list FaultListVersion, fault string, seed uint64) {
 	t.Helper()
 	result, err := Run(context.Background(), Options{Program: buildGateway(t), Dir: t.TempDir(), Seed: seed, FaultList: list, Only: fault, Hosts: 3, Servers: 4, Callers: 6,
