--- a/gateway/relist.go
+++ b/gateway/relist.go
@@ -224,7 +224,7 @@
 		r.gateway.noteListEnded(r.kind, by, source, call.began, err)
 		select {
 		case r.ended <- endedList{call: call, got: got, err: err}:
-		case <-ctx.Done(): // another call has succeeded
+		case <-ctx.Done(): // another call has succeeded or replaced this one
 		}
 	}()
 	return call
