gateway: log and measure what a kind's followers wait for in an outage

A host that is late after an outage of the store has waited for calls, for pauses, for the prober or for another host, and no line told which: "store not followed" gave neither the length of the call nor when the store was found to be available again, nor by whom.

No decision changes.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -55,8 +55,10 @@
 	pause := time.Duration(0)
 	var known uint64
 	connected := false
+	var lost outage
 	for ctx.Err() == nil {
 		known = max(known, g.freshness.knownRevision(f.kind)) // a verification may have moved it on
+		began := g.now()
 		answer, ended, err := g.fetchNext(ctx, f, connected, known)
 		listing := answer.listing
 		if ended {
@@ -67,16 +69,19 @@
 				return
 			}
 			pause = nextPause(pause, err)
-			connected = g.handleFollowError(f, err, connected, pause)
+			lost.addCall(began, g.now())
+			connected = g.handleFollowError(f, err, connected, pause, g.now()-began)
 			clock.Sleep(ctx, pause)
+			lost.pauses += pause
 			if !f.prober {
-				g.waitStoreAvailable(ctx, f.kind)
+				lost.waits += g.waitStoreAvailable(ctx, f.kind)
 			}
 			continue
 		}
 		if f.prober {
-			g.storeAvailability.markAvailable()
+			g.markStoreAvailable(answer.reader, answer.source)
 		}
+		g.noteFollowedAgain(f.kind, &lost, began, answer)
 		g.noteEra(f.kind, revision.Era(listing.Revision))
 		if !connected {
 			g.log.Info("store followed", "kind", f.kind, "revision", listing.Revision, "objects", len(listing.Objects), "reader", answer.reader, "source", answer.source)
@@ -196,14 +201,14 @@
 // handleFollowError handles a failed call, and reports whether the watch may continue from its
 // revision. A watch that was cut off or refused has missed nothing; one whose history was
 // compacted has.
-func (g *Gateway) handleFollowError(f follower, err error, connected bool, pause time.Duration) bool {
+func (g *Gateway) handleFollowError(f follower, err error, connected bool, pause, waited time.Duration) bool {
 	g.metrics.storeErrors.Inc()
 	var rewound *objects.RewoundError
 	if errors.As(err, &rewound) {
 		g.noteEra(f.kind, rewound.Era)
 	}
 	compacted := errors.Is(err, objects.ErrCompacted)
-	g.log.Warn("store not followed", "kind", f.kind, "error", err.Error(), "list-again", compacted || !connected, "retry-ms", pause.Milliseconds())
+	g.log.Warn("store not followed", "kind", f.kind, "error", err.Error(), "list-again", compacted || !connected, "call-ms", waited.Milliseconds(), "retry-ms", pause.Milliseconds())
 	if !compacted {
 		f.onError(err)
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -239,7 +239,7 @@
 		c.answeredAt = min(c.answeredAt, now-controllerTimeout)
 	default:
 		c.answeredAt = now
-		g.storeAvailability.markAvailable() // what this host can't read from the store, it gets from the controller
+		g.markStoreAvailable(readHost, e.to.Address) // what this host can't read from the store, it gets from the controller
 		g.sources.updateFromController(e.answer.Relays, e.answer.FollowRelays)
 		c.service.setKeyShares(e.answer.Shares)
 		g.applyAdmission(c, e)
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // storeAvailability tracks whether the store is available to this host. While it is not, only
@@ -12,6 +13,7 @@
 type storeAvailability struct {
 	mu             sync.Mutex
 	unavailable    bool
+	since          time.Time     // when it was found unavailable
 	availableAgain chan struct{} // closed when the store is available again
 }
 
@@ -20,18 +22,29 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.unavailable {
-		r.unavailable, r.availableAgain = true, make(chan struct{})
+		r.unavailable, r.since, r.availableAgain = true, time.Now(), make(chan struct{})
 	}
 }
 
 // markAvailable records that the store is available again: the prober's call succeeded, or
-// another host passes on what the store holds.
-func (r *storeAvailability) markAvailable() {
+// another host passes on what the store holds. It returns for how long the store had been unavailable;
+// 0 if it was not.
+func (r *storeAvailability) markAvailable() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.unavailable {
-		r.unavailable = false
-		close(r.availableAgain)
+	if !r.unavailable {
+		return 0
+	}
+	r.unavailable = false
+	close(r.availableAgain)
+	return time.Since(r.since)
+}
+
+// markStoreAvailable records and logs that the store is available again, as shown by a call of this
+// host or by another host.
+func (g *Gateway) markStoreAvailable(by reader, source string) {
+	if unavailable := g.storeAvailability.markAvailable(); unavailable > 0 {
+		g.log.Info("store is available again", "shown-by", by, "source", source, "unavailable-ms", unavailable.Milliseconds())
 	}
 }
 
--- a/gateway/reads.go
+++ b/gateway/reads.go
@@ -72,14 +72,16 @@
 	g.log.Info("list ended", "kind", kind, "reader", by, "source", source, "waited-ms", took.Milliseconds(), "error", errorText(err))
 }
 
-// waitStoreAvailable waits until the store is available and logs for how long.
-func (g *Gateway) waitStoreAvailable(ctx context.Context, kind string) {
+// waitStoreAvailable waits until the store is available, logs for how long and returns it.
+func (g *Gateway) waitStoreAvailable(ctx context.Context, kind string) (waited time.Duration) {
 	if !g.storeAvailability.isUnavailable() {
-		return
+		return 0
 	}
 	began := g.now()
 	g.storeAvailability.waitAvailable(ctx)
-	g.log.Info("waited for the store", "kind", kind, "waited-ms", (g.now() - began).Milliseconds())
+	waited = g.now() - began
+	g.log.Info("waited for the store", "kind", kind, "waited-ms", waited.Milliseconds())
+	return waited
 }
 
 // noteReader records the way in which a kind is read. It returns the way before, and who last
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -237,7 +237,7 @@
 			continue
 		}
 		g.sources.resetMisses()
-		g.storeAvailability.markAvailable() // the relay passes on what this host can't read from the store
+		g.markStoreAvailable(readHost, address) // the relay passes on what this host can't read from the store
 		behind := g.acceptConfirmation(g.now(), confirmation{confirmedAt: now - age, sender: address, source: address, revisions: answer.Revisions,
 			askedAt: now, agesMs: answer.AgesMs})
 		if following != address || len(behind) > 0 {
