soak: a store that loses its history and falls silent again and again

What was missing, in order of weight:

- the route of the newest version was probed too seldom: a host that was 2.6 s late on a busy machine was not found, since two moves lead back to the same service and one probe in sixteen asked for that route.
It is now one in three;
- the same processes through five losses.

The silence has five forms: lost responses, responses that stop in the middle, connections that stay silent, connections that are not accepted, data that arrives late. A server that has been acknowledged as leaving is checked without margin, by the request's own time. Hosts may get a share of a processor for the whole run. Each run prints the largest lateness and the smallest margin.

--- a/cmd/cicada-soak/main.go
+++ b/cmd/cicada-soak/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -24,11 +25,14 @@
 	Fresh   int           `long:"fresh" description:"number of additional random seeds"`
 	Kept    bool          `long:"kept" description:"run the regression seeds, which have failed before"`
 	Hosts   int           `long:"hosts" default:"4" description:"number of hosts"`
+	Domains int           `long:"domains" default:"1" description:"number of failure domains of the hosts"`
 	Servers int           `long:"servers" default:"4" description:"number of backend servers of each of the two services"`
 	Callers int           `long:"callers" default:"12" description:"number of callers"`
 	Length  time.Duration `long:"length" default:"15s" description:"time during which faults are started"`
 	Every   time.Duration `long:"every" default:"700ms" description:"mean time between the starts of two faults"`
 	Only    string        `long:"only" description:"inject only faults whose names contain this text"`
+	Share   float64       `long:"processor-share" description:"share of a processor that each host gets; default is no quota"`
+	Repeat  int           `long:"repetitions" description:"how often the faults that repeat themselves do so; default is 5"`
 	Quiet   bool          `long:"quiet" description:"don't print each fault"`
 	Logs    bool          `long:"keep-logs" description:"keep the logs of seeds that passed, too"`
 }
@@ -71,12 +75,16 @@
 		if opts.Quiet {
 			print = func(string) {}
 		}
-		result, err := soak.Run(ctx, soak.Options{Program: opts.Program, Dir: dir, Seed: seed, FaultList: run.FaultList, Only: opts.Only, Hosts: opts.Hosts, Servers: opts.Servers,
-			Callers: opts.Callers, FaultDuration: opts.Length, MeanInterval: opts.Every, Print: print})
+		kept := run.Options
+		result, err := soak.Run(ctx, soak.Options{Program: opts.Program, Dir: dir, Seed: seed, FaultList: run.FaultList, Only: cmp.Or(kept.Only, opts.Only),
+			Hosts: cmp.Or(kept.Hosts, opts.Hosts), Domains: cmp.Or(kept.Domains, opts.Domains), Servers: cmp.Or(kept.Servers, opts.Servers),
+			Callers: cmp.Or(kept.Callers, opts.Callers), ProcessorShare: opts.Share, Repetitions: cmp.Or(kept.Repetitions, opts.Repeat),
+			FaultDuration: cmp.Or(kept.FaultDuration, opts.Length), MeanInterval: cmp.Or(kept.MeanInterval, opts.Every), Print: print})
 		if err != nil {
 			return failed, eris.Wrapf(err, "seed %d; logs in %s", seed, dir)
 		}
-		fmt.Printf("seed %d: %d faults, %d requests, answers by status %v, %d servers ended by requests, %d broken\n", seed, result.Faults, result.Requests, result.Statuses, result.TerminatedServers, len(result.Violations))
+		fmt.Printf("seed %d: %d faults, %d requests, answers by status %v, %d servers ended by requests, configurations %d ms late at most, margin %d ms (%s at %.1f s), %d broken\n", seed, result.Faults, result.Requests, result.Statuses, result.TerminatedServers,
+			result.Lateness.AfterAcknowledgement.Milliseconds(), result.Lateness.Margin.Milliseconds(), result.Lateness.Host, result.Lateness.At.Seconds(), len(result.Violations))
 		for _, violation := range result.Violations {
 			fmt.Println("  BROKEN", violation)
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -19,7 +19,8 @@
 // that a seed always gives the same sequence of faults.
 type fault struct {
 	name string
-	// weight is the relative probability of drawing the fault.
+	// weight is the relative probability of drawing the fault. Faults with weight 0 are drawn only if
+	// Options.Only is set.
 	weight int
 	// harmless faults do not suspend the checks of time bounds. They are planned
 	// operations whose own time bounds are checked; as disturbances they would suspend
@@ -113,6 +114,11 @@
 		{endlessFault, 4, false, EndlessFaults, sendWithoutEnd},
 		{frozenSourceFault, 4, false, HistoryFaults, pauseSourceAfterLostHistory},
 		{silentStoreFault, 4, false, HistoryFaults, silenceStoreAfterLostHistory},
+		{repeatedSilenceFault + "responses are lost", 0, true, HistoryFaults, repeatSilence(loseResponses)},
+		{repeatedSilenceFault + "responses stop in the middle", 0, true, HistoryFaults, repeatSilence(stopResponses)},
+		{repeatedSilenceFault + "connections stay silent", 0, true, HistoryFaults, repeatSilence(silenceConnections)},
+		{repeatedSilenceFault + "connections are not accepted", 0, true, HistoryFaults, repeatSilence(refuseConnections)},
+		{repeatedSilenceFault + "data arrives late", 0, true, HistoryFaults, repeatSilence(holdData)},
 	}
 }
 
@@ -128,7 +134,11 @@
 		if kind.firstVersion > version || !strings.Contains(kind.name, only) {
 			continue
 		}
-		for range kind.weight {
+		weight := kind.weight
+		if only != "" {
+			weight = max(weight, 1)
+		}
+		for range weight {
 			s.pool = append(s.pool, kind)
 		}
 	}
@@ -439,7 +449,11 @@
 func throttleHost(r *run, random *rand.Rand, length time.Duration) func(ctx context.Context) {
 	const minShare, shareRange = 0.15, 0.2
 	h, share := r.hosts[random.IntN(len(r.hosts))], minShare+shareRange*random.Float64()
-	return func(context.Context) { h.throttle(length, share) }
+	return func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, length)
+		defer cancel()
+		h.throttle(ctx, share)
+	}
 }
 
 // silenceStoreConnection makes one open connection of a controller to the store go silent for good,
--- a/soak/host.go
+++ b/soak/host.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -57,7 +58,7 @@
 // to start.
 const firstPort = 21000
 
-func newHost(name, program, dir, ip, storeAddress string, firstStart bool) (*host, error) {
+func newHost(name, program, dir, ip, domain, storeAddress string, firstStart bool) (*host, error) {
 	store, err := NewProxy(storeAddress)
 	if err != nil {
 		return nil, err
@@ -68,8 +69,8 @@
 		addresses = append(addresses, fmt.Sprintf("%s:%d", ip, firstPort+n))
 	}
 	h.callersAddress, h.readyAddress, h.peersAddress = addresses[0], addresses[1], addresses[2]
-	h.settings = fmt.Sprintf("[host]\nname = %s\ndomain = a\n%%s[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[store]\naddress = %s\n[changes]\nevacuate-within = %v\n[stop]\nleave-for = 500ms\nwithin = %v\n",
-		name, addresses[0], addresses[1], addresses[2], addresses[3], store.Address(), evacuateWithin, stopGrace)
+	h.settings = fmt.Sprintf("[host]\nname = %s\ndomain = %s\n%%s[listen]\ncallers = %s\nready = %s\npeers = %s\nmetrics = %s\n[store]\naddress = %s\n[changes]\nevacuate-within = %v\n[stop]\nleave-for = 500ms\nwithin = %v\n",
+		name, domain, addresses[0], addresses[1], addresses[2], addresses[3], store.Address(), evacuateWithin, stopGrace)
 	return h, h.writeSettings(firstStart)
 }
 
@@ -222,10 +223,10 @@
 }
 
 // throttle gives the process a share of a processor as a quota: it runs for that share of each period
-// and then not at all.
-func (h *host) throttle(length time.Duration, share float64) {
+// and then not at all. It ends with the context, or with the process.
+func (h *host) throttle(ctx context.Context, share float64) {
 	const period = 100 * time.Millisecond
-	for end := time.Now().Add(length); time.Now().Before(end); {
+	for ctx.Err() == nil {
 		if _, ok := h.signal(syscall.SIGSTOP, false); !ok {
 			return
 		}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,6 +19,9 @@
 	// CutTo and CutFrom hold back data to or from the target, like a network partition:
 	// connections stay open, and the data is delivered when the cut ends.
 	CutTo, CutFrom bool
+	// Lost discards data in both directions. A connection on which some was discarded passes on
+	// nothing further, also when the condition has ended.
+	Lost bool
 }
 
 // Proxy is a TCP proxy on loopback that injects network faults. It is safe for concurrent
@@ -31,6 +36,8 @@
 	openConns map[net.Conn]bool
 	accepted  []net.Conn        // the open connections of clients, the earliest first
 	silent    map[net.Conn]bool // connections of clients on which nothing is passed on
+	paused    chan struct{}     // closed by ResumeAccepting; nil unless StopAccepting was called
+	fillers   []net.Conn        // fill the queue of connections meanwhile
 }
 
 // NewProxy returns a proxy on a free port.
@@ -78,9 +85,22 @@
 	}
 }
 
-func (p *Proxy) isSilent(client net.Conn) bool {
+// SilenceAll makes all open connections silent for good.
+func (p *Proxy) SilenceAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, client := range p.accepted {
+		p.silent[client] = true
+	}
+}
+
+// losesData reports whether data on a client's connection is discarded. From then on it always is.
+func (p *Proxy) losesData(client net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.condition.Lost {
+		p.silent[client] = true
+	}
 	return p.silent[client]
 }
 
@@ -97,6 +117,12 @@
 		if err != nil {
 			return // closed
 		}
+		p.mu.Lock()
+		paused := p.paused
+		p.mu.Unlock()
+		if paused != nil {
+			<-paused
+		}
 		go p.serve(client)
 	}
 }
@@ -109,10 +135,10 @@
 	}
 	p.track(client, target)
 	defer p.closeAndUntrack(client, target)
-	silent := func() bool { return p.isSilent(client) }
+	lost := func() bool { return p.losesData(client) }
 	var copying sync.WaitGroup
-	copying.Go(func() { p.copyDirection(target, client, silent, func(l LinkCondition) bool { return l.CutTo }) })
-	copying.Go(func() { p.copyDirection(client, target, silent, func(l LinkCondition) bool { return l.CutFrom }) })
+	copying.Go(func() { p.copyDirection(target, client, lost, func(l LinkCondition) bool { return l.CutTo }) })
+	copying.Go(func() { p.copyDirection(client, target, lost, func(l LinkCondition) bool { return l.CutFrom }) })
 	copying.Wait()
 }
 
@@ -137,7 +163,7 @@
 // copyDirection copies one direction until it ends and then closes both connections. Data that a
 // cut holds back is lost if its sender resets the connection meanwhile, as on a real link:
 // a client that has abandoned a call relies on the call not arriving later.
-func (p *Proxy) copyDirection(to, from net.Conn, silent func() bool, cut func(LinkCondition) bool) {
+func (p *Proxy) copyDirection(to, from net.Conn, lost func() bool, cut func(LinkCondition) bool) {
 	defer func() { _, _ = to.Close(), from.Close() }()
 	chunks, reset := make(chan []byte, maxBufferedChunks), make(chan struct{})
 	go readChunks(from, chunks, reset)
@@ -145,7 +171,7 @@
 		if !p.waitForLink(cut, reset) {
 			return
 		}
-		if silent() {
+		if lost() {
 			continue
 		}
 		if _, err := to.Write(chunk); err != nil {
@@ -199,3 +225,51 @@
 		}
 	}
 }
+
+// StopAccepting leaves the opening packets of new connections unanswered, until ResumeAccepting.
+func (p *Proxy) StopAccepting() error {
+	p.mu.Lock()
+	p.paused = make(chan struct{})
+	p.mu.Unlock()
+	if err := p.setBacklog(0); err != nil {
+		return err
+	}
+	// The kernel drops opening packets once the queue of accepted connections is full.
+	const fillers = 4
+	for range fillers {
+		conn, err := net.DialTimeout("tcp", p.Address(), 50*time.Millisecond)
+		if err != nil {
+			return nil // full
+		}
+		p.fillers = append(p.fillers, conn)
+	}
+	return eris.Errorf("proxy %s still accepts connections", p.Address())
+}
+
+// ResumeAccepting ends StopAccepting.
+func (p *Proxy) ResumeAccepting() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paused == nil {
+		return
+	}
+	_ = p.setBacklog(defaultBacklog) // the smaller one works too
+	for _, conn := range p.fillers {
+		_ = conn.Close()
+	}
+	close(p.paused)
+	p.paused, p.fillers = nil, nil
+}
+
+// defaultBacklog is the length of the queue of connections that are not accepted yet.
+const defaultBacklog = 128
+
+func (p *Proxy) setBacklog(length int) error {
+	raw, err := p.listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return eris.Wrap(err, "listener of a proxy")
+	}
+	var listenErr error
+	err = raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), length) })
+	return eris.Wrap(errors.Join(err, listenErr), "changing the backlog of a proxy")
+}
--- a/soak/routes.go
+++ b/soak/routes.go
@@ -17,6 +17,10 @@
 // outdated version still serves the route of that one.
 const probedVersions = 8
 
+// probeKinds is the number of kinds of probes, which take turns: of the route that moves, of the newest
+// version's route, and of that of any of the newest versions.
+const probeKinds = 3
+
 // probeInterval is the interval at which each host is probed for the configuration in force there.
 const probeInterval = 25 * time.Millisecond
 
@@ -65,8 +69,12 @@
 	defer client.CloseIdleConnections()
 	for n := int64(0); ctx.Err() == nil; n++ {
 		p := probe{host: h, path: platformtest.TurnPath + "x"}
-		if versions := r.knownVersions(); n%2 > 0 && len(versions) > 0 {
-			p.version = versions[len(versions)-1-rand.IntN(min(len(versions), probedVersions))].number
+		if versions := r.knownVersions(); n%probeKinds > 0 && len(versions) > 0 {
+			age := 0 // a host with any earlier version does not know the newest route
+			if n%probeKinds > 1 {
+				age = rand.IntN(min(len(versions), probedVersions))
+			}
+			p.version = versions[len(versions)-1-age].number
 			p.path = platformtest.VersionPath(p.version) + "x"
 		}
 		p.send(client, n)
@@ -144,19 +152,23 @@
 // It returns "" if a version that may have been in force allows what happened.
 func (p *probe) violation(versions []version, ranBy []string) string {
 	due := p.sent.Add(-configureWithin)
-	var newest *version // that had to be in force
-	var allowed []version
+	newest := -1 // that had to be in force
 	for i := range versions {
 		if !versions[i].at.After(due) {
-			newest, allowed = &versions[i], nil
-		}
-		if newest != nil && versions[i].sent.Before(p.answered) {
-			allowed = append(allowed, versions[i])
+			newest = i
 		}
 	}
-	if newest == nil {
+	if newest < 0 {
 		return ""
 	}
+	return p.outdated(versions[newest:], ranBy)
+}
+
+// outdated describes how the probe was handled by a version older than all of the given ones, of which
+// the first had to be in force. It returns "" if one of them allows what happened.
+func (p *probe) outdated(versions []version, ranBy []string) string {
+	newest := versions[0]
+	allowed := slices.DeleteFunc(slices.Clone(versions), func(v version) bool { return !v.sent.Before(p.answered) })
 	late := fmt.Sprintf("although version %d was acknowledged %.3f s before", newest.number, p.sent.Sub(newest.at).Seconds())
 	for _, service := range ranBy {
 		if p.version == 0 && !slices.ContainsFunc(allowed, func(v version) bool { return v.turnService == service }) {
@@ -172,16 +184,76 @@
 	return ""
 }
 
+// Lateness is how late versions of the configuration took effect.
+type Lateness struct {
+	// AfterAcknowledgement is the longest time from the acknowledgement of a version, or from the end
+	// of a fault of the store after that, until the last request that a host handled without it.
+	AfterAcknowledgement time.Duration
+	// Margin is the shortest time from such a request until the version had to be in force.
+	Margin time.Duration
+	Host   string
+	At     time.Duration // since the start of the run
+}
+
+// lateness returns how late versions took effect after faults of the store only.
+func (r *run) lateness() Lateness {
+	services, versions := r.servicesByRequest(), r.knownVersions()
+	latest := Lateness{Margin: configureWithin}
+	for i := range r.probes {
+		p := &r.probes[i]
+		first := slices.IndexFunc(versions, func(v version) bool { return v.at.Before(p.sent) })
+		for ; first >= 0 && first < len(versions) && versions[first].at.Before(p.sent); first++ {
+			if p.outdated(versions[first:], services[p.id]) != "" {
+				break
+			}
+		}
+		if first < 0 || first == len(versions) || !versions[first].at.Before(p.sent) || !p.host.undisturbed(p.sent.Add(-quietPeriod), p.answered) {
+			continue
+		}
+		since, due := versions[first].at, versions[first].at.Add(configureWithin)
+		inFault := false
+		for _, fault := range r.storeFaults {
+			inFault = inFault || fault.overlaps(p.sent, p.answered)
+			if fault.from.Before(p.sent) && fault.to.Before(p.sent) {
+				due = latestOf(due, fault.to.Add(quietPeriod))
+				since = latestOf(since, fault.to)
+			}
+		}
+		if inFault {
+			continue
+		}
+		latest.AfterAcknowledgement = max(latest.AfterAcknowledgement, p.sent.Sub(since))
+		if margin := due.Sub(p.sent); margin < latest.Margin {
+			latest.Margin, latest.Host, latest.At = margin, p.host.name, p.sent.Sub(r.began)
+		}
+	}
+	return latest
+}
+
+func latestOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // inTouch reports whether the time bounds applied to a host from a time until another: it had been
 // started quietPeriod before, and since then nothing had been done to its process, to its link to
 // the store or to the store. Faults of other hosts are no excuse.
 func (r *run) inTouch(h *host, from, to time.Time) bool {
 	from = from.Add(-quietPeriod)
-	h.mu.Lock()
-	disturbed := slices.ContainsFunc(h.starts, func(start time.Time) bool { return start.After(from) && start.Before(to) }) || anyOverlaps(h.plannedStops, from, to) || anyOverlaps(h.disturbances, from, to) ||
-		anyOverlaps(h.overdueStops, from, to) || anyOverlaps(h.linkFaults, from, to)
-	h.mu.Unlock()
+	undisturbed := h.undisturbed(from, to)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !disturbed && !anyOverlaps(r.storeFaults, from, to)
+	return undisturbed && !anyOverlaps(r.storeFaults, from, to)
+}
+
+// undisturbed reports whether the host was not started in an interval and nothing was done to its
+// process or to its link to the store.
+func (h *host) undisturbed(from, to time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	started := slices.ContainsFunc(h.starts, func(start time.Time) bool { return start.After(from) && start.Before(to) })
+	return !started && !anyOverlaps(h.plannedStops, from, to) && !anyOverlaps(h.disturbances, from, to) &&
+		!anyOverlaps(h.overdueStops, from, to) && !anyOverlaps(h.linkFaults, from, to)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,6 +42,13 @@
 	// Hosts is the number of processes, Servers the number of fake servers of each of two
 	// services, and Callers the number of concurrent callers.
 	Hosts, Servers, Callers int
+	// Domains is the number of failure domains of the hosts; 0 for one.
+	Domains int
+	// ProcessorShare is the share of a processor that each host has as a quota from the end of its start on;
+	// 0 for no quota.
+	ProcessorShare float64
+	// Repetitions is how often the faults that repeat themselves do so; 0 for 5 times.
+	Repetitions int
 	// FaultDuration is the time during which faults are started.
 	FaultDuration time.Duration
 	// MeanInterval is the mean time between two faults.
@@ -58,6 +65,8 @@
 	Statuses map[int]int
 	// TerminatedServers is how many servers were terminated by deadly requests.
 	TerminatedServers int
+	// Lateness is how late versions of the configuration took effect.
+	Lateness Lateness
 	// Violations lists the violations of guarantees.
 	Violations []string
 }
@@ -120,6 +129,11 @@
 	checks.Go(func() { r.checkKeyHolders(loading) })
 	checks.Go(func() { r.checkVersions(loading) })
 	checks.Go(func() { r.checkMemory(loading) })
+	if share := r.options.ProcessorShare; share > 0 {
+		for _, h := range r.hosts {
+			checks.Go(func() { h.throttle(loading, share) })
+		}
+	}
 	r.injectFaults(ctx)
 	r.checkRecovery()
 	// The last planned operations are checked too, so their time bounds have to pass
@@ -163,7 +177,7 @@
 	r.initialProxies = slices.Clone(r.proxies)
 	r.load = &platformtest.Load{Callers: r.options.Callers, Pause: 5 * time.Millisecond}
 	for i := range r.options.Hosts {
-		h, err := newHost(fmt.Sprintf("host-%d", i), r.options.Program, r.options.Dir, fmt.Sprintf("%s.%d", network, i+2), storeAddress, r.playsStarts())
+		h, err := newHost(fmt.Sprintf("host-%d", i), r.options.Program, r.options.Dir, fmt.Sprintf("%s.%d", network, i+2), siteDomain(i, r.options.Domains), storeAddress, r.playsStarts())
 		if err != nil {
 			return err
 		}
@@ -187,6 +201,9 @@
 	return nil
 }
 
+// siteDomain returns the failure domain of the nth host.
+func siteDomain(n, domains int) string { return string(rune('a' + n%max(domains, 1))) }
+
 func (r *run) close() {
 	for _, h := range r.hosts {
 		h.close()
@@ -376,6 +393,7 @@
 	violations = append(violations, r.site.Overlaps()...)
 	violations = append(violations, r.plannedStopViolations(runs)...)
 	violations = append(violations, r.leavingViolations()...)
+	violations = append(violations, r.acknowledgedLeavingViolations()...)
 	violations = append(violations, r.evacuationViolations()...)
 	violations = append(violations, r.site.ColdOverruns()...)
 	violations = append(violations, r.versionViolations()...)
@@ -383,7 +401,7 @@
 	violations = append(violations, r.leavingNoticeViolations()...)
 	violations = append(violations, r.backoffViolations()...)
 	late, ended := r.deadlyCopyViolations()
-	return Result{Seed: r.options.Seed, Faults: r.faultCount, Requests: report.Sent, Statuses: report.Statuses, TerminatedServers: ended, Violations: append(violations, late...)}
+	return Result{Seed: r.options.Seed, Faults: r.faultCount, Requests: report.Sent, Statuses: report.Statuses, TerminatedServers: ended, Lateness: r.lateness(), Violations: append(violations, late...)}
 }
 
 // limitViolations returns a violation for each server that received more requests than the
@@ -510,6 +528,34 @@
 	return violations
 }
 
+// acknowledgedLeavingViolations returns a violation for each server that received a request which its
+// caller sent later than leaveWithin after the store had acknowledged that the server is leaving, by way
+// of a host that the time bounds applied to. No margin is added. The acknowledgement counts if the store
+// had had no fault for quietPeriod.
+func (r *run) acknowledgedLeavingViolations() []string {
+	var violations []string
+	for _, server := range r.site.Servers() {
+		left := r.site.LeavingSince(server)
+		if left.IsZero() || !r.storeWasStable(left) {
+			continue
+		}
+		for _, late := range server.ArrivalsSentAfter(left.Add(leaveWithin)) {
+			if h := r.hostAt(late.Host); h != nil && r.inTouch(h, late.Sent, late.At) {
+				violations = append(violations, fmt.Sprintf("request %s reached %s, sent %v after the store had acknowledged that it leaves", late.ID, server.ID, late.Sent.Sub(left)))
+				break
+			}
+		}
+	}
+	return violations
+}
+
+// storeWasStable reports whether the store had had no fault for quietPeriod at a time.
+func (r *run) storeWasStable(at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !anyOverlaps(r.storeFaults, at.Add(-quietPeriod), at)
+}
+
 // evacuationViolations returns a violation for each server of an evacuated failure domain that
 // received a request later than allowed.
 func (r *run) evacuationViolations() []string {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -108,6 +108,16 @@
 	assert.Assert(t, result.Statuses[200] > 0)
 }
 
+// Guards against hosts that keep an outdated configuration after a silence of the store because they wait
+// for calls that it has lost, one after the other.
+func TestShortSoakOfRepeatedSilence(t *testing.T) {
+	result, err := Run(context.Background(), Options{Program: buildGateway(t), Dir: t.TempDir(), Seed: 301, FaultList: HistoryFaults, Only: repeatedSilenceFault + "responses are lost",
+		Hosts: 8, Domains: 3, Servers: 8, Callers: 4, Repetitions: 2, FaultDuration: time.Second, MeanInterval: time.Hour, Print: func(line string) { t.Log(line) }})
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Violations), 0, "%v", result.Violations)
+	assert.Assert(t, result.Statuses[200] > 0)
+}
+
 func runFault(t *testing.T, list FaultListVersion, fault string, seed uint64) {
 	t.Helper()
 	result, err := Run(context.Background(), Options{Program: buildGateway(t), Dir: t.TempDir(), Seed: seed, FaultList: list, Only: fault, Hosts: 3, Servers: 4, Callers: 6,
@@ -218,3 +228,47 @@
 	got, _ := io.ReadAll(target)
 	assert.Equal(t, string(got), "")
 }
+
+// A connection on which data was lost passes nothing on any more, and others do.
+func TestProxyLosesData(t *testing.T) {
+	proxy, err := NewProxy(startEchoServer(t))
+	assert.NilError(t, err)
+	defer proxy.Close()
+	echoes := func(conn net.Conn) bool {
+		_, err := conn.Write([]byte("ab"))
+		assert.NilError(t, err)
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+		_, err = io.ReadFull(conn, make([]byte, 2))
+		return err == nil
+	}
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", proxy.Address())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	losing, idle := dial(), dial()
+	assert.Assert(t, echoes(losing) && echoes(idle))
+	proxy.SetCondition(LinkCondition{Lost: true})
+	assert.Assert(t, !echoes(losing))
+	proxy.SetCondition(LinkCondition{})
+	assert.Assert(t, !echoes(losing), "a connection on which data was lost")
+	assert.Assert(t, echoes(idle))
+	proxy.SilenceAll()
+	assert.Assert(t, !echoes(idle))
+	assert.Assert(t, echoes(dial()))
+}
+
+// Connections are not opened while a proxy does not accept them, and are opened again after that.
+func TestProxyStopsAccepting(t *testing.T) {
+	proxy, err := NewProxy(startEchoServer(t))
+	assert.NilError(t, err)
+	defer proxy.Close()
+	assert.NilError(t, proxy.StopAccepting())
+	_, err = net.DialTimeout("tcp", proxy.Address(), 100*time.Millisecond)
+	assert.ErrorContains(t, err, "timeout")
+	proxy.ResumeAccepting()
+	conn, err := net.DialTimeout("tcp", proxy.Address(), 5*time.Second)
+	assert.NilError(t, err)
+	_ = conn.Close()
+}
