gateway: what a silence of the store has lost is found by one call, not by their timeouts

After a silence a follower waited for its call (1.05 s, or 2.2 s for a watch begun before), then for a pause (0.8 s), other kinds for that follower besides, a list for probes of its own kind with pauses that doubled; neither the store's answer to another call nor the end of the silence ended any of these waits.

Cause: each call found out for itself, by its own timeout, that its response was lost, although one answered call that began later shows that for all of them.

Now the answers to all calls of a host to the store are noted by when the call began. A call that is overdue, a pause after a call without a response and a list wait for an answer to a later call; while any of them waits, the host makes a call that returns at once each 0.4 s, and these overlap. The bounds are shares of the time in which a change has to take effect, in one place: after a silence that the host knows of 0.4 + 0.1 + 0.3 = 0.8 s, 1.9 s if its watch was lost in a silence that it does not know of yet.

TestDelaysAfterSilenceKeepTheirSum plays every phase in simulated time; before, 292 of its plays fail, the worst with: assertion failed: delay is greater than total(parts) + tolerance: 2.671s after the end of a silence. TestBoundsAfterSilenceAddUp adds the parts up. Each new bound has a mutant; all are caught.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -71,8 +71,9 @@
 			pause = nextPause(pause, err)
 			lost.addCall(began, g.now())
 			connected = g.handleFollowError(f, err, connected, pause, g.now()-began)
-			clock.Sleep(ctx, pause)
-			lost.pauses += pause
+			paused := g.now()
+			g.pauseAfterFailure(ctx, f.kind, began, pause, err)
+			lost.pauses += g.now() - paused
 			if !f.prober {
 				lost.waits += g.waitStoreAvailable(ctx, f.kind)
 			}
@@ -137,6 +138,7 @@
 		plan.wait = min(plan.wait, probeWatchWait)
 	}
 	if plan.source == "" {
+		go g.cancelIfLost(watchCtx, cancel, kind, plan.wait)
 		got, err = g.watchStore(watchCtx, kind, revision, plan)
 		return got, err != nil && watchCtx.Err() != nil && ctx.Err() == nil, err
 	}
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -47,16 +47,6 @@
 	// defaultMaxChangeDelay is the time within which a change has to take effect if operators
 	// set none.
 	defaultMaxChangeDelay = 2 * time.Second
-	// confirmationShare, shortShare and verifyShare are shares of the time within which a change
-	// has to take effect. The first gives how long a confirmation counts after the store's
-	// answer it is based on; the second how long a watch of the store waits without a
-	// confirmation. A watch can miss changes without an error, when its connection goes silent
-	// or the store drops its history. The remaining time is for the change to reach the hosts.
-	// verifyShare gives how often a controller checks that its copies are complete: what it
-	// states of them must count until the next report.
-	confirmationShare = 0.75
-	shortShare        = 0.6
-	verifyShare       = 0.3
 )
 
 // freshness decides where a host's watches go (the store or another host) and how long they
@@ -69,8 +59,7 @@
 // itself only if none of them answers. Without relays, 295 hosts made some 900 calls each time
 // the controller's confirmation was missed.
 type freshness struct {
-	// maxDelay is the time in which a change has to take effect.
-	maxDelay time.Duration
+	bounds
 	// firstStart is set if the whole system starts for the first time.
 	firstStart bool
 
@@ -115,17 +104,9 @@
 	if within <= 0 {
 		within = defaultMaxChangeDelay
 	}
-	return freshness{maxDelay: within, firstStart: identity.FirstStart, kinds: map[string]*kindState{}, confirmationArrived: make(chan struct{})}
+	return freshness{bounds: bounds{maxDelay: within}, firstStart: identity.FirstStart, kinds: map[string]*kindState{}, confirmationArrived: make(chan struct{})}
 }
 
-// validFor returns how long another host's confirmation counts.
-func (f *freshness) validFor() time.Duration {
-	return time.Duration(confirmationShare * float64(f.maxDelay))
-}
-
-// shortWait returns how long a watch of the store waits without a confirmation.
-func (f *freshness) shortWait() time.Duration { return time.Duration(shortShare * float64(f.maxDelay)) }
-
 // kind returns the state of a kind, which it creates if needed.
 func (f *freshness) kind(name string) *kindState {
 	state := f.kinds[name]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,7 @@
 	freshness           freshness
 	sources             *sources
 	storeAvailability   storeAvailability
+	storeAnswers        storeAnswers
 	terminations        terminationTracker
 	serverLimits        noticeLedger[float64] // in requests per second
 	leavingServers      noticeLedger[bool]
@@ -152,7 +153,7 @@
 	g.metrics.set.NewGauge("cicada_large_head_bytes", func() float64 { return float64(g.heads.Used()) })
 	g.metrics.set.NewGauge("cicada_unread_answer_bytes", func() float64 { return float64(g.unreadBytes.used.Load()) })
 	g.evacuationsListed.Store(identity.EvacuateWithin == 0) // without evacuations there is nothing to read
-	g.store = newCountingStore(platform.Store, g.countStoreCall)
+	g.store = newObservedStore(platform.Store, g.observeStoreCall)
 	g.metrics.set.NewGauge("cicada_in_flight", g.inFlight)
 	g.metrics.set.NewGauge("cicada_hosts", func() float64 { return float64(g.hosts.value()) })
 	g.metrics.set.NewGauge("cicada_limited_servers", g.serverLimits.count)
--- a/gateway/relist.go
+++ b/gateway/relist.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
@@ -18,9 +17,6 @@
 // that is under way is kept: it may be all that a busy store or relay gets done. News adds a call.
 
 const (
-	// listWaitShare is the share of the time within which a change has to take effect for which a
-	// list may remain unanswered before another call is made. Hosts answer within milliseconds.
-	listWaitShare = 0.15
 	// maxListCalls is the number of calls of a relist that may be under way: one to a host, two to
 	// the store.
 	maxListCalls = 3
@@ -41,7 +37,10 @@
 	// repeated the last repetition of that.
 	fromHost, fromStore, repeated *listCall
 	storeAsked                    bool
-	storeError                    error
+	// fromStoreBegan is when the store was first asked. It is not repeated again before repeatDue, after
+	// repeatDelay.
+	fromStoreBegan, repeatDue, repeatDelay time.Duration
+	storeError                             error
 }
 
 // listCall is a call of a relist.
@@ -79,7 +78,7 @@
 	if !r.askSource(ctx) {
 		r.askStore(ctx)
 	}
-	storeDue := time.NewTimer(r.gateway.freshness.listWait())
+	storeDue := time.NewTimer(r.gateway.freshness.overdue())
 	defer storeDue.Stop()
 	for r.fromHost != nil || r.fromStore != nil || r.repeated != nil {
 		select {
@@ -144,43 +143,39 @@
 	if !r.storeAsked {
 		r.storeAsked = true
 		r.fromStore = r.begin(ctx, "", r.listFromStore)
-		go r.probeStore(ctx)
+		r.fromStoreBegan = r.fromStore.began
+		go r.reportAnswers(ctx)
 	}
 }
 
-// probeStore makes calls to the store that return at once, and reports those that are answered. The
-// store returns nothing further on a connection on which a response was lost, so a list may be
-// waiting for a response that never comes although the store is back. If the store is busy instead,
-// its link also holds back the responses to these calls, or the lists are being answered.
-func (r *relist) probeStore(ctx context.Context) {
-	delay := r.gateway.freshness.listWait()
-	longest := r.maxRepeatDelay()
-	for clock.Sleep(ctx, delay); ctx.Err() == nil; clock.Sleep(ctx, delay) {
-		calling, cancel := context.WithTimeout(ctx, r.gateway.freshness.verifyInterval())
-		_, err := r.gateway.store.Watch(calling, r.kind, r.known, 0)
-		cancel()
-		if err != nil && !errors.Is(err, objects.ErrCompacted) {
-			continue
-		}
+// reportAnswers reports that the store has answered a call which began after the lists of it.
+func (r *relist) reportAnswers(ctx context.Context) {
+	clock.Sleep(ctx, r.gateway.freshness.overdue())
+	for listed := r.fromStoreBegan; r.gateway.awaitAnswer(ctx, listed); listed = r.gateway.now() {
 		select {
 		case r.answered <- struct{}{}:
-			delay = min(2*delay, longest)
 		case <-ctx.Done():
 		}
 	}
 }
 
 // repeatUnanswered lists the kind from the store again, on another connection, unless a list is being
-// answered. The first call stays, for a store that takes long for lists only.
+// answered or has just begun. The first call stays, for a store that takes long for lists only.
 func (r *relist) repeatUnanswered(ctx context.Context) {
+	now := r.gateway.now()
+	if now < r.repeatDue {
+		return
+	}
 	for _, call := range []*listCall{r.fromStore, r.repeated} {
-		if call != nil && call.isBeingAnswered(r.gateway.now(), r.maxRepeatDelay()) {
+		if call != nil && call.isBeingAnswered(now, r.maxRepeatDelay()) {
 			return
 		}
 	}
 	if r.repeated != nil {
 		r.repeated.cancel()
 	}
+	r.repeatDelay = min(max(2*r.repeatDelay, r.gateway.freshness.overdue()), r.maxRepeatDelay())
+	r.repeatDue = now + r.repeatDelay
 	r.repeated = r.begin(ctx, "", r.listFromStore)
 }
 
@@ -188,7 +183,7 @@
 // time.
 func (r *relist) giveUpSilentSource() {
 	g := r.gateway
-	if r.fromHost == nil || g.now()-r.fromHost.began < g.freshness.listWait() {
+	if r.fromHost == nil || g.now()-r.fromHost.began < g.freshness.overdue() {
 		return
 	}
 	g.freshness.noteSourceFailure(r.fromHost.source)
@@ -206,7 +201,7 @@
 
 // maxRepeatDelay returns the maximum delay between two repetitions of a list at the store.
 func (r *relist) maxRepeatDelay() time.Duration {
-	return maxRepeatDelay * r.gateway.freshness.listWait()
+	return maxRepeatDelay * r.gateway.freshness.overdue()
 }
 
 // begin starts a call.
@@ -254,11 +249,6 @@
 	return g.fetched(g.peerListing(r.kind, listing), readStore, "", call.began), err
 }
 
-// listWait returns how long a list may remain unanswered before another call is made.
-func (f *freshness) listWait() time.Duration {
-	return time.Duration(listWaitShare * float64(f.maxDelay))
-}
-
 // nextConfirmation returns a channel that is closed when the next confirmation arrives.
 func (f *freshness) nextConfirmation() <-chan struct{} {
 	f.mu.Lock()
--- a/gateway/storecalls.go
+++ b/gateway/storecalls.go
@@ -15,6 +15,9 @@
 // store.
 const storeCallLogInterval = 10 * time.Second
 
+// staleSuffix marks stale reads among the calls to the store.
+const staleSuffix = "-stale"
+
 // storeCalls counts a host's calls to the store. Each call is billed, and which host makes
 // which calls shows whether it follows another host as it should.
 type storeCalls struct {
@@ -41,58 +44,71 @@
 	return counts
 }
 
-// countingReader is a reader that counts its calls. suffix marks the calls of a stale reader.
-type countingReader struct {
+// observeCall observes a call that begins. The function that it returns observes how the call ended.
+type observeCall func(call, kind string) (ended func(error))
+
+// observedReader is a reader whose calls are observed. suffix marks the calls of a stale reader.
+type observedReader struct {
 	objects.Reader
-	count  func(call, kind string)
-	suffix string
+	observe observeCall
+	suffix  string
 }
 
 // List implements objects.Reader.
-func (r countingReader) List(ctx context.Context, kind string) (objects.Listing, error) {
-	r.count("list"+r.suffix, kind)
-	return r.Reader.List(ctx, kind)
+func (r observedReader) List(ctx context.Context, kind string) (objects.Listing, error) {
+	ended := r.observe("list"+r.suffix, kind)
+	listing, err := r.Reader.List(ctx, kind)
+	ended(err)
+	return listing, err
 }
 
 // Watch implements objects.Reader.
-func (r countingReader) Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (objects.Listing, error) {
-	r.count("watch"+r.suffix, kind)
-	return r.Reader.Watch(ctx, kind, revision, wait)
+func (r observedReader) Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (objects.Listing, error) {
+	ended := r.observe("watch"+r.suffix, kind)
+	listing, err := r.Reader.Watch(ctx, kind, revision, wait)
+	ended(err)
+	return listing, err
 }
 
-// countingStore is a store that counts its calls.
-type countingStore struct {
-	countingReader
+// observedStore is a store whose calls are observed.
+type observedStore struct {
+	observedReader
 	store objects.Store
 }
 
-var _ objects.Store = (*countingStore)(nil)
+var _ objects.Store = (*observedStore)(nil)
 
-func newCountingStore(store objects.Store, note func(call, kind string)) *countingStore {
-	return &countingStore{countingReader: countingReader{Reader: store, count: note}, store: store}
+func newObservedStore(store objects.Store, observe observeCall) *observedStore {
+	return &observedStore{observedReader: observedReader{Reader: store, observe: observe}, store: store}
 }
 
 // Stale implements objects.Store.
-func (s *countingStore) Stale() objects.Reader {
-	return countingReader{Reader: s.store.Stale(), count: s.count, suffix: "-stale"}
+func (s *observedStore) Stale() objects.Reader {
+	return observedReader{Reader: s.store.Stale(), observe: s.observe, suffix: staleSuffix}
 }
 
 // Get implements objects.Store.
-func (s *countingStore) Get(ctx context.Context, kind, name string) (objects.Object, error) {
-	s.count("get", kind)
-	return s.store.Get(ctx, kind, name)
+func (s *observedStore) Get(ctx context.Context, kind, name string) (objects.Object, error) {
+	ended := s.observe("get", kind)
+	object, err := s.store.Get(ctx, kind, name)
+	ended(err)
+	return object, err
 }
 
 // Put implements objects.Store.
-func (s *countingStore) Put(ctx context.Context, object objects.Object) (objects.Object, error) {
-	s.count("put", object.Kind)
-	return s.store.Put(ctx, object)
+func (s *observedStore) Put(ctx context.Context, object objects.Object) (objects.Object, error) {
+	ended := s.observe("put", object.Kind)
+	written, err := s.store.Put(ctx, object)
+	ended(err)
+	return written, err
 }
 
 // Delete implements objects.Store.
-func (s *countingStore) Delete(ctx context.Context, kind, name string, revision uint64) error {
-	s.count("delete", kind)
-	return s.store.Delete(ctx, kind, name, revision)
+func (s *observedStore) Delete(ctx context.Context, kind, name string, revision uint64) error {
+	ended := s.observe("delete", kind)
+	err := s.store.Delete(ctx, kind, name, revision)
+	ended(err)
+	return err
 }
 
 // countStoreCall counts a call to the store.
--- a/gateway/verify.go
+++ b/gateway/verify.go
@@ -14,11 +14,6 @@
 // returns. So a controller verifies its copies by calls of their own, which return at once: they show
 // that nothing is missing, or that a watch has missed a change.
 
-// verifyInterval is the interval at which a controller verifies its copies.
-func (f *freshness) verifyInterval() time.Duration {
-	return time.Duration(verifyShare * float64(f.maxDelay))
-}
-
 // verifyTimeout is the age from which on a copy counts as one that could not be verified.
 func (f *freshness) verifyTimeout() time.Duration { return f.verifyInterval() * 3 / 2 }
 
--- a/tools/mutants/lists.go
+++ b/tools/mutants/lists.go
@@ -3,6 +3,7 @@
 // listMutants return mutants of the rules on lists of a kind that a host already knows.
 func listMutants() []mutant {
 	in := breaking("gateway", "TestList(DoesNot|Moves|FromSource|IsNot|Being)|TestAnswerEndsLongPauses")
+	silence := breaking("gateway", "TestBoundsAfterSilence|TestDelaysAfter|TestCallsToSilentStore|TestOnlyLaterAnswers|TestListsOfBusyStore")
 	wire := breaking("platform", "TestTimeoutOfListsGrowsAfterStall")
 	return []mutant{
 		in("relist.go", "lists: wait for a source that has stopped", "			r.giveUpSilentSource()\n			r.askStore(ctx)\n", ""),
@@ -12,10 +13,23 @@
 		in("relist.go", "lists: list from a host that is in an earlier era", "revision.Era(listing.Revision) < g.era.Load()", "revision.Era(listing.Revision) > g.era.Load()"),
 		in("relist.go", "lists: list an outdated copy again", "listing.Revision <= r.known {", "false {"),
 		in("relist.go", "lists: refuse a newer copy because it is old", "age >= g.freshness.validFor() && listing.Revision <= r.known", "age >= g.freshness.validFor()"),
-		in("relist.go", "lists: wait for a store that was silent", "		go r.probeStore(ctx)\n", ""),
-		in("relist.go", "lists: wait for a call that shows that the store is back", "context.WithTimeout(ctx, r.gateway.freshness.verifyInterval())", "context.WithTimeout(ctx, maxRetryDelay*100)"),
-		in("relist.go", "lists: repeat a list while the store is silent", "		if err != nil && !errors.Is(err, objects.ErrCompacted) {\n", "		if err != nil && !errors.Is(err, objects.ErrCompacted) && delay < 0 {\n"),
+		in("relist.go", "lists: wait for a store that was silent", "		go r.reportAnswers(ctx)\n", ""),
+		in("storeanswers.go", "lists: make no call that shows that the store is back", "		go g.probeStore()\n", ""),
+		in("storeanswers.go", "lists: repeat a list while the store is silent", "	return err == nil || errors.Is(err, objects.ErrCompacted)", "	return true || errors.Is(err, objects.ErrCompacted)"),
+		silence("relist.go", "lists: repeat a list each time the store answers", "	r.repeatDue = now + r.repeatDelay\n", ""),
 		in("relist.go", "lists: repeat a list that is being answered", "call != nil && call.isBeingAnswered(", "call != nil && call.source != \"\" && call.isBeingAnswered("),
+		silence("bounds.go", "silences: call a silent store less often", "	probeShare = 0.2\n", "	probeShare = 0.5\n"),
+		silence("bounds.go", "silences: watch for longer without a confirmation", "	shortShare = 0.6\n", "	shortShare = 0.9\n"),
+		silence("bounds.go", "silences: wait longer for calls that are overdue", "	overdueShare = 0.15\n", "	overdueShare = 0.3\n"),
+		silence("follow.go", "silences: wait for a watch that was lost", "		go g.cancelIfLost(watchCtx, cancel, kind, plan.wait)\n", ""),
+		silence("storeanswers.go", "silences: pause although the store answers", "	g.awaitAnswer(ctx, began)\n}", "	<-ctx.Done()\n}"),
+		silence("storeanswers.go", "silences: take a rejection for an answer", "	return err == nil || errors.Is(err, objects.ErrCompacted)", "	return err == nil || errors.Is(err, objects.ErrRefused) || errors.Is(err, objects.ErrCompacted)"),
+		silence("storeanswers.go", "silences: end pauses whatever the error", "	if !errors.Is(err, objects.ErrUnknown) || ", "	if "),
+		silence("storeanswers.go", "silences: wait for one call before the next", "		go g.callStore()\n", "		g.callStore()\n"),
+		silence("storeanswers.go", "silences: wait for calls without a bound", "context.WithTimeout(g.background, g.freshness.verifyInterval())", "context.WithTimeout(g.background, 100*maxRetryDelay)"),
+		silence("storeanswers.go", "silences: go on calling a store that answers", "	a.probing = a.waiting > 0\n", "	a.probing = true\n"),
+		silence("storeanswers.go", "silences: end a pause by an answer before the call that failed", "	g.awaitAnswer(ctx, began)\n}", "	g.awaitAnswer(ctx, 0)\n}"),
+		silence("storeanswers.go", "silences: take a watch for lost because of an answer before it was due", "g.awaitAnswer(ctx, due)", "g.awaitAnswer(ctx, 0)"),
 		wire("store.go", "lists: let the lists of one kind lengthen those of others", "	return c.byKind[kind]\n", "	return len(c.byKind)\n"),
 		in("follow.go", "lists: pause after an answer as after none", "	if errors.Is(err, objects.ErrCompacted) {\n		return minRetryDelay\n	}\n", ""),
 	}
