--- a/tools/mutants/lists.go
+++ b/tools/mutants/lists.go
@@ -4,6 +4,7 @@
 func listMutants() []mutant {
 	in := breaking("gateway", "TestList(DoesNot|Moves|FromSource|IsNot|Being)|TestAnswerEndsLongPauses")
 	silence := breaking("gateway", "TestBoundsAfterSilence|TestDelaysAfter|TestCallsToSilentStore|TestOnlyLaterAnswers|TestListsOfBusyStore")
+	controller := breaking("domain", "TestLostCallsDoNotDelayRecords")
 	wire := breaking("platform", "TestTimeoutOfListsGrowsAfterStall")
 	return []mutant{
 		in("relist.go", "lists: wait for a source that has stopped", "			r.giveUpSilentSource()\n			r.askStore(ctx)\n", ""),
@@ -30,6 +31,11 @@
 		silence("storeanswers.go", "silences: go on calling a store that answers", "	a.probing = a.waiting > 0\n", "	a.probing = true\n"),
 		silence("storeanswers.go", "silences: end a pause by an answer before the call that failed", "	g.awaitAnswer(ctx, began)\n}", "	g.awaitAnswer(ctx, 0)\n}"),
 		silence("storeanswers.go", "silences: take a watch for lost because of an answer before it was due", "g.awaitAnswer(ctx, due)", "g.awaitAnswer(ctx, 0)"),
+		controller("lostcalls.go", "silences: wait for a call that was lost", "func() { cancel(errResponseLost) }", "func() {}"),
+		controller("lostcalls.go", "silences: wait longer for calls that are overdue", "storeOverdue = 300 * time.Millisecond", "storeOverdue = 3 * time.Second"),
+		controller("lostcalls.go", "silences: call a silent store less often", "storeProbeInterval = 400 * time.Millisecond", "storeProbeInterval = 2 * time.Second"),
+		controller("watch.go", "silences: watch a store that does not answer for long", "		wait = min(wait, unreachableWatchWait) //", "		_ = unreachableWatchWait //"),
+		controller("watch.go", "silences: pause for long between calls to a silent store", "maxStoreRetryDelay = 400 * time.Millisecond", "maxStoreRetryDelay = 4 * time.Second"),
 		wire("store.go", "lists: let the lists of one kind lengthen those of others", "	return c.byKind[kind]\n", "	return len(c.byKind)\n"),
 		in("follow.go", "lists: pause after an answer as after none", "	if errors.Is(err, objects.ErrCompacted) {\n		return minRetryDelay\n	}\n", ""),
 	}
