gateway: a controller can return with the store before others take over

Up to 5 hosts took over from each other within 6 s ("claiming controller role"), and 661 reports found no controller that answered.

Cause, the same on a related path: the controller's role is confirmed by a call of its own, which the silence had lost and which was waited for until its timeout, 1.2 s, or behind a write of 1.5 s; others claim 0 to 0.7 s after they find the store available. They used to find that out late themselves.

Confirmations and writes of records end as soon as a later call is answered; a confirmation is made again at once. A claim waits until the controller has had time for its next call and for the next report to it, 0.4 + 0.5 s.

TestLostConfirmationIsRepeated and TestControllerMayReturnWithTheStore; without the change the mutants of both rules are these tests' failures.

--- a/gateway/bounds.go
+++ b/gateway/bounds.go
@@ -40,6 +40,10 @@
 // probeInterval returns the interval between two calls to a store that does not answer.
 func (b bounds) probeInterval() time.Duration { return b.share(probeShare) }
 
+// controllerReturn returns how long it takes after a silence of the store until other hosts hear from a
+// controller whose role the store has confirmed: its next call, and the next report to it.
+func (b bounds) controllerReturn() time.Duration { return b.probeInterval() + reportInterval }
+
 // delayPart is a part of the time from the end of a silence of the store until what it holds is in force.
 type delayPart struct {
 	name string
--- a/gateway/bounds_test.go
+++ b/gateway/bounds_test.go
@@ -105,6 +105,19 @@
 	return listing, err
 }
 
+// Get implements objects.Store.
+func (s *silentStore) Get(ctx context.Context, kind, name string) (objects.Object, error) {
+	const timeout = 1200 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	silences := s.begin()
+	object, err := s.Store.Get(ctx, kind, name)
+	if lost := s.respond(ctx, silences); lost != nil {
+		return objects.Object{}, lost
+	}
+	return object, err
+}
+
 // Stale implements objects.Store.
 func (s *silentStore) Stale() objects.Reader { return s }
 
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -155,6 +155,7 @@
 	}
 	writing, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	go g.cancelIfLost(writing, cancel, "put", Assignments, 0)
 	stored, err := g.store.Put(writing, objects.Object{Kind: Assignments, Name: c.service.name, Revision: revision, Spec: spec})
 	var conflict *objects.ConflictError
 	if errors.As(err, &conflict) && sameRecord(conflict.Current, record) {
@@ -225,8 +226,15 @@
 func (g *Gateway) startConfirm(ctx context.Context, c *serviceControl) {
 	machine := c.machine
 	go func() {
-		result := &confirmResult{control: c, machine: machine, began: g.bootClock.Now(), askedAt: g.now()}
-		result.object, result.err = g.store.Get(ctx, Assignments, c.service.name)
+		result := &confirmResult{control: c, machine: machine}
+		for lost := true; lost; {
+			calling, cancel := context.WithCancel(ctx)
+			go g.cancelIfLost(calling, cancel, "get", Assignments, 0)
+			result.began, result.askedAt = g.bootClock.Now(), g.now()
+			result.object, result.err = g.store.Get(calling, Assignments, c.service.name)
+			lost = result.err != nil && calling.Err() != nil && ctx.Err() == nil
+			cancel()
+		}
 		g.postEvent(ctx, result)
 	}()
 }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -286,9 +286,9 @@
 
 // claimWhenDue claims the controller role once the claim has been due for the given delay.
 func (g *Gateway) claimWhenDue(ctx context.Context, c *serviceControl, now time.Duration, record *keyspace.Record, revision uint64, delay time.Duration) {
-	if g.storeAvailability.isUnavailable() {
+	if !g.storeAvailability.hasBeenAvailable(g.freshness.bounds.controllerReturn()) {
 		// The claim would fail as the last call did. Once the store is reachable again, the
-		// controller has until the end of the delay to show that it is alive.
+		// controller has this time and the delay to show that it is alive.
 		c.claimDueSince = 0
 		return
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -138,7 +138,7 @@
 		plan.wait = min(plan.wait, probeWatchWait)
 	}
 	if plan.source == "" {
-		go g.cancelIfLost(watchCtx, cancel, kind, plan.wait)
+		go g.cancelIfLost(watchCtx, cancel, "watch", kind, plan.wait)
 		got, err = g.watchStore(watchCtx, kind, revision, plan)
 		return got, err != nil && watchCtx.Err() != nil && ctx.Err() == nil, err
 	}
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -116,6 +117,46 @@
 	assert.Equal(t, c.claimDueSince, time.Duration(0), "the delay starts again when the store is back")
 }
 
+// Guards against hosts that take over one after the other as the store comes back, before its controller
+// has been confirmed: each of them would move keys, renew leases and answer all hosts.
+func TestControllerMayReturnWithTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Identity{Host: "one"}, Platform{}, logs.Discard())
+		c := &serviceControl{service: newService("s", Identity{Incarnation: 1}, true, g.now), claimDueSince: time.Second}
+		g.storeAvailability.markUnavailable()
+		g.storeAvailability.markAvailable()
+		time.Sleep(g.freshness.probeInterval() + reportInterval - time.Millisecond)
+		g.claimWhenDue(context.Background(), c, time.Hour, &keyspace.Record{}, 0, time.Minute)
+		assert.Equal(t, c.claimDueSince, time.Duration(0), "the delay starts when the controller has had time to return")
+		time.Sleep(time.Millisecond)
+		g.claimWhenDue(context.Background(), c, time.Hour, &keyspace.Record{}, 0, time.Minute)
+		assert.Equal(t, c.claimDueSince, time.Hour)
+	})
+}
+
+// Guards against a controller whose role is not confirmed for over a second after a silence of the store
+// because it waits for a confirmation that the silence has lost.
+func TestLostConfirmationIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &silentStore{Store: memobjects.New()}
+		record, err := json.Marshal(&keyspace.Record{})
+		assert.NilError(t, err)
+		_, err = store.Put(context.Background(), objects.Object{Kind: Assignments, Name: "s", Spec: record})
+		assert.NilError(t, err)
+		g := New(Identity{Host: "one"}, Platform{Store: store, Registry: kindNames{}}, logs.Discard())
+		c := &serviceControl{service: newService("s", Identity{Incarnation: 1}, true, g.now)}
+		store.setSilent(true)
+		g.startConfirm(context.Background(), c)
+		time.Sleep(time.Second)
+		store.setSilent(false)
+		end := time.Now()
+		confirmed := (<-g.control.events.Out()).(*confirmResult)
+		assert.NilError(t, confirmed.err)
+		assert.Assert(t, time.Since(end) <= g.freshness.probeInterval(), "%v after the end of the silence", time.Since(end))
+		g.endBackground()
+	})
+}
+
 // Guards against a host that learns of no change of servers or assignments for up to 25 s
 // after an outage. All followers fail and wait for the prober; the store comes back, and the
 // controller confirms freshness again. If the prober's next watch then waited 25 s at the
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -13,7 +13,7 @@
 type storeAvailability struct {
 	mu             sync.Mutex
 	unavailable    bool
-	since          time.Time     // when it was found unavailable
+	since          time.Time     // when it was found unavailable, or available again
 	availableAgain chan struct{} // closed when the store is available again
 }
 
@@ -35,9 +35,17 @@
 	if !r.unavailable {
 		return 0
 	}
-	r.unavailable = false
+	unavailableFor := time.Since(r.since)
+	r.unavailable, r.since = false, time.Now()
 	close(r.availableAgain)
-	return time.Since(r.since)
+	return unavailableFor
+}
+
+// hasBeenAvailable reports whether the store has been available for a duration.
+func (r *storeAvailability) hasBeenAvailable(during time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.unavailable && time.Since(r.since) >= during
 }
 
 // markStoreAvailable records and logs that the store is available again, as shown by a call of this
--- a/gateway/storeanswers.go
+++ b/gateway/storeanswers.go
@@ -132,13 +132,13 @@
 	return err == nil || errors.Is(err, objects.ErrCompacted) || errors.Is(err, objects.ErrNotFound) || errors.As(err, &conflict)
 }
 
-// cancelIfLost cancels a watch of the store, which begins now and waits for a time, once it is overdue and
+// cancelIfLost cancels a call to the store, which begins now and waits for a time, once it is overdue and
 // a later call has been answered.
-func (g *Gateway) cancelIfLost(ctx context.Context, cancel context.CancelFunc, kind string, wait time.Duration) {
+func (g *Gateway) cancelIfLost(ctx context.Context, cancel context.CancelFunc, call, kind string, wait time.Duration) {
 	due := g.now() + wait
 	clock.Sleep(ctx, wait+g.freshness.bounds.overdue())
 	if ctx.Err() == nil && g.awaitAnswer(ctx, due) {
-		g.log.Info("watch is begun again: its response was lost", "kind", kind, "overdue-ms", (g.now() - due).Milliseconds())
+		g.log.Info("call is given up: its response was lost", "call", call, "kind", kind, "overdue-ms", (g.now() - due).Milliseconds())
 		cancel()
 	}
 }
--- a/tools/mutants/lists.go
+++ b/tools/mutants/lists.go
@@ -3,7 +3,7 @@
 // listMutants return mutants of the rules on lists of a kind that a host already knows.
 func listMutants() []mutant {
 	in := breaking("gateway", "TestList(DoesNot|Moves|FromSource|IsNot|Being)|TestAnswerEndsLongPauses")
-	silence := breaking("gateway", "TestBoundsAfterSilence|TestDelaysAfter|TestCallsToSilentStore|TestOnlyLaterAnswers|TestListsOfBusyStore")
+	silence := breaking("gateway", "TestBoundsAfterSilence|TestDelaysAfter|TestCallsToSilentStore|TestOnlyLaterAnswers|TestListsOfBusyStore|TestControllerMayReturn|TestLostConfirmation")
 	controller := breaking("domain", "TestLostCallsDoNotDelayRecords")
 	wire := breaking("platform", "TestTimeoutOfListsGrowsAfterStall")
 	return []mutant{
@@ -22,7 +22,7 @@
 		silence("bounds.go", "silences: call a silent store less often", "	probeShare = 0.2\n", "	probeShare = 0.5\n"),
 		silence("bounds.go", "silences: watch for longer without a confirmation", "	shortShare = 0.6\n", "	shortShare = 0.9\n"),
 		silence("bounds.go", "silences: wait longer for calls that are overdue", "	overdueShare = 0.15\n", "	overdueShare = 0.3\n"),
-		silence("follow.go", "silences: wait for a watch that was lost", "		go g.cancelIfLost(watchCtx, cancel, kind, plan.wait)\n", ""),
+		silence("follow.go", "silences: wait for a watch that was lost", "		go g.cancelIfLost(watchCtx, cancel, \"watch\", kind, plan.wait)\n", ""),
 		silence("storeanswers.go", "silences: pause although the store answers", "	g.awaitAnswer(ctx, began)\n}", "	<-ctx.Done()\n}"),
 		silence("storeanswers.go", "silences: take a rejection for an answer", "	return err == nil || errors.Is(err, objects.ErrCompacted)", "	return err == nil || errors.Is(err, objects.ErrRefused) || errors.Is(err, objects.ErrCompacted)"),
 		silence("storeanswers.go", "silences: end pauses whatever the error", "	if !errors.Is(err, objects.ErrUnknown) || ", "	if "),
@@ -31,6 +31,8 @@
 		silence("storeanswers.go", "silences: go on calling a store that answers", "	a.probing = a.waiting > 0\n", "	a.probing = true\n"),
 		silence("storeanswers.go", "silences: end a pause by an answer before the call that failed", "	g.awaitAnswer(ctx, began)\n}", "	g.awaitAnswer(ctx, 0)\n}"),
 		silence("storeanswers.go", "silences: take a watch for lost because of an answer before it was due", "g.awaitAnswer(ctx, due)", "g.awaitAnswer(ctx, 0)"),
+		silence("calls.go", "silences: wait for a confirmation that was lost", "			go g.cancelIfLost(calling, cancel, \"get\", Assignments, 0)\n", ""),
+		silence("control.go", "silences: take over before the controller can return", "!g.storeAvailability.hasBeenAvailable(g.freshness.bounds.controllerReturn())", "g.storeAvailability.isUnavailable()"),
 		controller("lostcalls.go", "silences: wait for a call that was lost", "func() { cancel(errResponseLost) }", "func() {}"),
 		controller("lostcalls.go", "silences: wait longer for calls that are overdue", "storeOverdue = 300 * time.Millisecond", "storeOverdue = 3 * time.Second"),
 		controller("lostcalls.go", "silences: call a silent store less often", "storeProbeInterval = 400 * time.Millisecond", "storeProbeInterval = 2 * time.Second"),
