gateway: a test that calls to a silent store end

With a call each 0.6 s the mutant that takes their bound away survived: the store's client ends them after 1 s, and no more of them were under way at a time than without it. The test adds up their time as well; the mutant is caught.

--- a/gateway/bounds_test.go
+++ b/gateway/bounds_test.go
@@ -282,10 +282,11 @@
 	}
 }
 
-// countingSilentStore is a silentStore that counts the calls and those under way.
+// countingSilentStore is a silentStore that counts the calls and those under way, and adds up their time in
+// nanoseconds.
 type countingSilentStore struct {
 	*silentStore
-	calls, underWay, mostUnderWay atomic.Int64
+	calls, underWay, mostUnderWay, callTime atomic.Int64
 }
 
 // Watch implements objects.Reader.
@@ -293,6 +294,8 @@
 	s.calls.Add(1)
 	underWay := s.underWay.Add(1)
 	defer s.underWay.Add(-1)
+	began := time.Now()
+	defer func() { s.callTime.Add(int64(time.Since(began))) }()
 	s.mostUnderWay.Store(max(s.mostUnderWay.Load(), underWay))
 	return s.silentStore.Watch(ctx, kind, revision, wait)
 }
@@ -312,11 +315,15 @@
 		store.setSilent(true)
 		time.Sleep(2 * time.Second) // for the first call to fail
 		store.calls.Store(0)
+		store.callTime.Store(0)
 		time.Sleep(during)
 		followed := during/(probeWatchWait+time.Second+maxRetryDelay) + 1
 		probed := during/g.freshness.probeInterval() + 1
 		assert.Check(t, store.calls.Load() <= int64(followed+probed), "%d calls in %v", store.calls.Load(), during)
 		assert.Check(t, store.mostUnderWay.Load() <= maxUnderWay, "%d calls under way", store.mostUnderWay.Load())
+		const meanUnderWay = 2 // one of the follower, one to find out whether the store is back
+		callTime := time.Duration(store.callTime.Load())
+		assert.Check(t, callTime <= meanUnderWay*during, "calls took %v within %v", callTime, during)
 		store.setSilent(false)
 		time.Sleep(3 * time.Second)
 		store.calls.Store(0)
