gateway: a call to the store is not given up while it is sent or answered

Found by reading the change again: a watch or a write counted as lost 0.3 s after it was due if another call was answered meanwhile, also while its response was arriving or its record was being sent. On a link of 10 Mbit/s 1 MB takes 0.8 s, so such a call was made again and again. TestWatchBeingAnsweredIsNotGivenUp failed with: error is not nil: GET configurations?wait-ms=50&watch=5: ... context canceled.

A call counts as lost only if it has been sent, and if no response has begun to arrive within 1.2 s, as for lists. TestWriteBeingSentIsNotGivenUp and TestLostWriteIsGivenUp play writes; the latter had no test. Stale reads are told apart by their own observer, not by a suffix.

--- a/gateway/bounds.go
+++ b/gateway/bounds.go
@@ -16,6 +16,9 @@
 	// overdueShare is how long a call may remain unanswered before another one is made, besides the time
 	// that it was asked to wait. Hosts and the store answer within milliseconds.
 	overdueShare = 0.15
+	// answerShare is how long a response that has begun to arrive may take before the call counts as
+	// one that is overdue.
+	answerShare = 0.6
 	// probeShare is the interval between two calls to a store that does not answer.
 	probeShare = 0.3
 )
@@ -37,6 +40,9 @@
 // overdue returns how long a call may remain unanswered before another one is made.
 func (b bounds) overdue() time.Duration { return b.share(overdueShare) }
 
+// answerWait returns how long a response that has begun to arrive may take before another call is made.
+func (b bounds) answerWait() time.Duration { return b.share(answerShare) }
+
 // probeInterval returns the interval between two calls to a store that does not answer.
 func (b bounds) probeInterval() time.Duration { return b.share(probeShare) }
 
--- a/gateway/bounds_test.go
+++ b/gateway/bounds_test.go
@@ -15,112 +15,70 @@
 	"cicadarouter/contract/objects"
 	"cicadarouter/contract/objects/memobjects"
 	"cicadarouter/host/logs"
+	"cicadarouter/internal/silence"
 	"cicadarouter/routing"
 )
 
-// silentStore is a store that loses responses in silences: calls that it has accepted, and those that it
-// accepts meanwhile, are never answered. Callers give up as platform.Store does.
+// silentStore is a store that loses responses in silences. Callers give up as platform.Store does.
 type silentStore struct {
 	*memobjects.Store
-	mu        sync.Mutex
-	silent    bool
-	silences  int
-	compacted uint64
+	silence   silence.Silence
+	compacted atomic.Uint64
 	lists     atomic.Int64
 }
 
-func (s *silentStore) setSilent(silent bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silent = silent
-	if silent {
-		s.silences++
-	}
-}
-
 // loseHistory makes watches from earlier revisions fail.
 func (s *silentStore) loseHistory(t *testing.T) {
 	listing, err := s.Store.List(context.Background(), "configurations")
 	assert.NilError(t, err)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.compacted = listing.Revision
-}
-
-// respond returns once a call that began after a number of silences is answered, or given up.
-func (s *silentStore) respond(ctx context.Context, silences int) error {
-	s.mu.Lock()
-	lost := s.silent || s.silences != silences
-	s.mu.Unlock()
-	if !lost {
-		return nil
-	}
-	<-ctx.Done()
-	return objects.ErrUnknown
-}
-
-// begin returns the number of silences before a call that begins now.
-func (s *silentStore) begin() (silences int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.silent {
-		return s.silences - 1
-	}
-	return s.silences
-}
-
-func (s *silentStore) isCompacted(revision uint64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return revision < s.compacted
+	s.compacted.Store(listing.Revision)
 }
 
 // List implements objects.Reader.
 func (s *silentStore) List(ctx context.Context, kind string) (objects.Listing, error) {
-	const timeout = 1200 * time.Millisecond
 	s.lists.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	silences := s.begin()
-	listing, err := s.Store.List(ctx, kind)
-	if lost := s.respond(ctx, silences); lost != nil {
-		return objects.Listing{}, lost
-	}
-	return listing, err
+	return answer(ctx, s, silentTimeout, func(ctx context.Context) (objects.Listing, error) { return s.Store.List(ctx, kind) })
 }
 
 // Watch implements objects.Reader.
 func (s *silentStore) Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (objects.Listing, error) {
 	const grace = time.Second
-	ctx, cancel := context.WithTimeout(ctx, wait+grace)
-	defer cancel()
-	silences := s.begin()
-	listing, err := objects.Listing{}, objects.ErrCompacted
-	if !s.isCompacted(revision) {
-		listing, err = s.Store.Watch(ctx, kind, revision, wait)
-	}
-	if lost := s.respond(ctx, silences); lost != nil {
-		return objects.Listing{}, lost
-	}
-	return listing, err
+	return answer(ctx, s, wait+grace, func(ctx context.Context) (objects.Listing, error) {
+		if revision < s.compacted.Load() {
+			return objects.Listing{}, objects.ErrCompacted
+		}
+		return s.Store.Watch(ctx, kind, revision, wait)
+	})
 }
 
 // Get implements objects.Store.
 func (s *silentStore) Get(ctx context.Context, kind, name string) (objects.Object, error) {
-	const timeout = 1200 * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	silences := s.begin()
-	object, err := s.Store.Get(ctx, kind, name)
-	if lost := s.respond(ctx, silences); lost != nil {
-		return objects.Object{}, lost
-	}
-	return object, err
+	return answer(ctx, s, silentTimeout, func(ctx context.Context) (objects.Object, error) { return s.Store.Get(ctx, kind, name) })
+}
+
+// Put implements objects.Store. A write whose response is lost takes effect.
+func (s *silentStore) Put(ctx context.Context, object objects.Object) (objects.Object, error) {
+	return answer(ctx, s, silentTimeout, func(ctx context.Context) (objects.Object, error) { return s.Store.Put(ctx, object) })
 }
 
 // Stale implements objects.Store.
 func (s *silentStore) Stale() objects.Reader { return s }
 
+// silentTimeout is how long callers wait for a response.
+const silentTimeout = 1200 * time.Millisecond
+
+// answer makes a call and returns its result, unless the response is lost.
+func answer[T any](ctx context.Context, s *silentStore, timeout time.Duration, call func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	accepted := s.silence.Accept()
+	result, err := call(ctx)
+	if s.silence.IsLost(ctx, accepted) {
+		return *new(T), objects.ErrUnknown
+	}
+	return result, err
+}
+
 // revisionsAsVersions is a registry whose configurations have the revisions of their objects as versions.
 type revisionsAsVersions struct{ kindNames }
 
@@ -136,17 +94,17 @@
 	return nil, request.Context().Err()
 }
 
-// silence is a silence of the store that begins at some time, with its history lost some time before it
+// silencePlay is a silence of the store that begins at some time, with its history lost some time before it
 // or, if that is negative, within it. A second silence of the length again, if not 0, begins gap later.
-type silence struct{ begins, lossBefore, length, gap, again time.Duration }
+type silencePlay struct{ begins, lossBefore, length, gap, again time.Duration }
 
 // silenceDelay returns the time from the end of the last silence until the configuration that the store holds
 // then is in force at a host whose source has stopped.
-func silenceDelay(t *testing.T, play silence) (delay time.Duration) {
+func silenceDelay(t *testing.T, play silencePlay) (delay time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &silentStore{Store: memobjects.New()}
 		put := func(object objects.Object) objects.Object {
-			written, err := store.Put(context.Background(), object)
+			written, err := store.Store.Put(context.Background(), object)
 			assert.NilError(t, err)
 			return written
 		}
@@ -172,17 +130,17 @@
 			store.loseHistory(t)
 			time.Sleep(play.lossBefore)
 		}
-		store.setSilent(true)
+		store.silence.Set(true)
 		time.Sleep(play.length)
 		if play.again > 0 {
-			store.setSilent(false)
+			store.silence.Set(false)
 			time.Sleep(play.gap)
-			store.setSilent(true)
+			store.silence.Set(true)
 			time.Sleep(play.again)
 		}
 		object = put(object)
 		store.loseHistory(t)
-		store.setSilent(false)
+		store.silence.Set(false)
 		end := time.Now()
 		for g.configuration.Current() == nil || g.configuration.Current().Version < object.Revision {
 			time.Sleep(time.Millisecond)
@@ -257,7 +215,7 @@
 		for _, lossBefore := range []time.Duration{-1, 0, 100 * time.Millisecond, 250 * time.Millisecond, 450 * time.Millisecond} {
 			t.Run(fmt.Sprintf("silence of %v, history lost %v before", length, lossBefore), func(t *testing.T) {
 				for begins := time.Duration(0); begins < 2*b.shortWait(); begins += step {
-					delay := silenceDelay(t, silence{begins: begins, lossBefore: lossBefore, length: length})
+					delay := silenceDelay(t, silencePlay{begins: begins, lossBefore: lossBefore, length: length})
 					assert.Check(t, delay <= total(parts)+tolerance, "%v after the end of a silence that began %v after a watch; the parts are %v", delay, begins, parts)
 				}
 			})
@@ -274,7 +232,7 @@
 		for _, again := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 1300 * time.Millisecond, 3 * time.Second} {
 			t.Run(fmt.Sprintf("silence of %v, then of %v", length, again), func(t *testing.T) {
 				for gap := step; gap < 1500*time.Millisecond; gap += step {
-					delay := silenceDelay(t, silence{begins: gap, lossBefore: -1, length: length, gap: gap, again: again})
+					delay := silenceDelay(t, silencePlay{begins: gap, lossBefore: -1, length: length, gap: gap, again: again})
 					assert.Check(t, delay <= total(parts)+tolerance, "%v after the end of a silence that began %v after another; the parts are %v", delay, gap, parts)
 				}
 			})
@@ -305,14 +263,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		const during, maxUnderWay = 20 * time.Second, 3 // one of the follower, two to find out whether it is back
 		store := &countingSilentStore{silentStore: &silentStore{Store: memobjects.New()}}
-		_, err := store.Put(context.Background(), objects.Object{Kind: "configurations", Name: "main", Spec: []byte(`{}`)})
+		_, err := store.Store.Put(context.Background(), objects.Object{Kind: "configurations", Name: "main", Spec: []byte(`{}`)})
 		assert.NilError(t, err)
 		g := New(Identity{}, Platform{Store: store, Registry: revisionsAsVersions{}}, logs.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
 		var following sync.WaitGroup
 		following.Go(func() { g.followConfiguration(ctx) })
 		time.Sleep(2 * startupPeriod)
-		store.setSilent(true)
+		store.silence.Set(true)
 		time.Sleep(2 * time.Second) // for the first call to fail
 		store.calls.Store(0)
 		store.callTime.Store(0)
@@ -324,7 +282,7 @@
 		const meanUnderWay = 2 // one of the follower, one to find out whether the store is back
 		callTime := time.Duration(store.callTime.Load())
 		assert.Check(t, callTime <= meanUnderWay*during, "calls took %v within %v", callTime, during)
-		store.setSilent(false)
+		store.silence.Set(false)
 		time.Sleep(3 * time.Second)
 		store.calls.Store(0)
 		time.Sleep(during)
@@ -350,7 +308,7 @@
 		assert.Equal(t, pause(objects.ErrRefused), maxRetryDelay)
 		assert.Equal(t, pause(objects.ErrCompacted), maxRetryDelay)
 		assert.Equal(t, pause(objects.ErrUnknown), minRetryDelay, "the store answers at once")
-		store.setSilent(true)
+		store.silence.Set(true)
 		assert.Equal(t, pause(objects.ErrUnknown), maxRetryDelay, "the store has answered before")
 		assert.Assert(t, !isAnswer(objects.ErrRefused) && !isAnswer(objects.ErrUnknown))
 		g.endBackground()
@@ -383,7 +341,7 @@
 		_, err := g.list(context.Background(), "configurations", 5)
 		assert.NilError(t, err)
 		const first, doubling = 1, 2 // the list, and the repetitions before their delay has reached its maximum
-		repetitions := int64(store.listFor / (maxRepeatDelay * g.freshness.overdue()))
+		repetitions := int64(store.listFor / g.freshness.answerWait())
 		assert.Check(t, store.lists.Load() <= first+doubling+repetitions, "%d lists", store.lists.Load())
 		g.endBackground()
 	})
@@ -393,7 +351,7 @@
 func TestListIsNotRepeatedInSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &silentStore{Store: memobjects.New()}
-		store.setSilent(true)
+		store.silence.Set(true)
 		g := New(Identity{}, Platform{Store: store, Registry: kindNames{}}, logs.Discard())
 		_, err := g.list(context.Background(), "configurations", 5)
 		assert.ErrorIs(t, err, objects.ErrUnknown)
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -155,7 +155,8 @@
 	}
 	writing, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	go g.cancelIfLost(writing, cancel, "put", Assignments, 0)
+	writing, cancelLost := g.withLossDetected(writing, "put", Assignments, 0)
+	defer cancelLost()
 	stored, err := g.store.Put(writing, objects.Object{Kind: Assignments, Name: c.service.name, Revision: revision, Spec: spec})
 	var conflict *objects.ConflictError
 	if errors.As(err, &conflict) && sameRecord(conflict.Current, record) {
@@ -228,8 +229,7 @@
 	go func() {
 		result := &confirmResult{control: c, machine: machine}
 		for lost := true; lost; {
-			calling, cancel := context.WithCancel(ctx)
-			go g.cancelIfLost(calling, cancel, "get", Assignments, 0)
+			calling, cancel := g.withLossDetected(ctx, "get", Assignments, 0)
 			result.began, result.askedAt = g.bootClock.Now(), g.now()
 			result.object, result.err = g.store.Get(calling, Assignments, c.service.name)
 			lost = result.err != nil && calling.Err() != nil && ctx.Err() == nil
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -138,9 +138,10 @@
 		plan.wait = min(plan.wait, probeWatchWait)
 	}
 	if plan.source == "" {
-		go g.cancelIfLost(watchCtx, cancel, "watch", kind, plan.wait)
-		got, err = g.watchStore(watchCtx, kind, revision, plan)
-		return got, err != nil && watchCtx.Err() != nil && ctx.Err() == nil, err
+		calling, cancelLost := g.withLossDetected(watchCtx, "watch", kind, plan.wait)
+		defer cancelLost()
+		got, err = g.watchStore(calling, kind, revision, plan)
+		return got, err != nil && calling.Err() != nil && ctx.Err() == nil, err
 	}
 	g.logWatch(kind, plan, readHost)
 	began := g.now()
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -142,15 +142,15 @@
 			store := &silentStore{Store: memobjects.New()}
 			record, err := json.Marshal(&keyspace.Record{})
 			assert.NilError(t, err)
-			_, err = store.Put(context.Background(), objects.Object{Kind: Assignments, Name: "s", Spec: record})
+			_, err = store.Store.Put(context.Background(), objects.Object{Kind: Assignments, Name: "s", Spec: record})
 			assert.NilError(t, err)
 			g := New(Identity{Host: "one"}, Platform{Store: store, Registry: kindNames{}}, logs.Discard())
 			defer g.endBackground()
 			c := &serviceControl{service: newService("s", Identity{Incarnation: 1}, true, g.now)}
-			store.setSilent(true)
+			store.silence.Set(true)
 			g.startConfirm(context.Background(), c)
 			time.Sleep(length)
-			store.setSilent(false)
+			store.silence.Set(false)
 			end := time.Now()
 			confirmed := (<-g.control.events.Out()).(*confirmResult)
 			assert.NilError(t, confirmed.err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -153,7 +153,7 @@
 	g.metrics.set.NewGauge("cicada_large_head_bytes", func() float64 { return float64(g.heads.Used()) })
 	g.metrics.set.NewGauge("cicada_unread_answer_bytes", func() float64 { return float64(g.unreadBytes.used.Load()) })
 	g.evacuationsListed.Store(identity.EvacuateWithin == 0) // without evacuations there is nothing to read
-	g.store = newObservedStore(platform.Store, g.observeStoreCall)
+	g.store = newObservedStore(platform.Store, g.observeStoreCall, g.observeStaleRead)
 	g.metrics.set.NewGauge("cicada_in_flight", g.inFlight)
 	g.metrics.set.NewGauge("cicada_hosts", func() float64 { return float64(g.hosts.value()) })
 	g.metrics.set.NewGauge("cicada_limited_servers", g.serverLimits.count)
--- a/gateway/relist.go
+++ b/gateway/relist.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"cicadarouter/contract/objects"
@@ -20,9 +18,6 @@
 	// maxListCalls is the number of calls of a relist that may be under way: one to a host, two to
 	// the store.
 	maxListCalls = 3
-	// maxRepeatDelay bounds the delay between two repetitions of a list at the store, and the time
-	// for which a response that has begun prevents one, as a multiple of the first delay.
-	maxRepeatDelay = 4
 )
 
 // relist lists a kind again, from the host that this one follows and from the store.
@@ -37,8 +32,8 @@
 	// repeated the last repetition of that.
 	fromHost, fromStore, repeated *listCall
 	storeAsked                    bool
-	// fromStoreBegan is when the store was first asked. It is not repeated again before repeatDue, after
-	// repeatDelay.
+	// fromStoreBegan is when the store was first asked. The list is not repeated before repeatDue, which
+	// is repeatDelay after the last repetition.
 	fromStoreBegan, repeatDue, repeatDelay time.Duration
 	storeError                             error
 }
@@ -48,8 +43,7 @@
 	source string // empty for the store
 	began  time.Duration
 	cancel context.CancelFunc
-	// firstByteAt is when the response to the call's last request began to arrive; 0 before.
-	firstByteAt atomic.Int64
+	callProgress
 }
 
 // endedList is the result of a call of a relist.
@@ -192,17 +186,8 @@
 		"waited-ms", (g.now() - r.fromHost.began).Milliseconds())
 }
 
-// isBeingAnswered reports whether the response to the call's last request has begun to arrive within
-// a time.
-func (c *listCall) isBeingAnswered(now, within time.Duration) bool {
-	at := time.Duration(c.firstByteAt.Load())
-	return at > 0 && now-at < within
-}
-
 // maxRepeatDelay returns the maximum delay between two repetitions of a list at the store.
-func (r *relist) maxRepeatDelay() time.Duration {
-	return maxRepeatDelay * r.gateway.freshness.overdue()
-}
+func (r *relist) maxRepeatDelay() time.Duration { return r.gateway.freshness.answerWait() }
 
 // begin starts a call.
 func (r *relist) begin(ctx context.Context, source string, list func(context.Context, *listCall) (fetched, error)) *listCall {
@@ -241,11 +226,7 @@
 // listFromStore lists the kind from the store.
 func (r *relist) listFromStore(ctx context.Context, call *listCall) (fetched, error) {
 	g := r.gateway
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteRequest:         func(httptrace.WroteRequestInfo) { call.firstByteAt.Store(0) },
-		GotFirstResponseByte: func() { call.firstByteAt.Store(int64(g.now())) },
-	})
-	listing, err := g.store.List(ctx, r.kind)
+	listing, err := g.store.List(call.trace(ctx, g.clock), r.kind)
 	return g.fetched(g.peerListing(r.kind, listing), readStore, "", call.began), err
 }
 
--- a/gateway/storeanswers.go
+++ b/gateway/storeanswers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,7 +16,7 @@
 // the store is busy instead, that later call is held up as well.
 //
 // While anything waits for an answer, the host makes a call that returns at once at each
-// probeInterval. They overlap, so that one which is lost delays nothing.
+// probeInterval, whether or not the one before has been answered.
 type storeAnswers struct {
 	mu sync.Mutex
 	// latest is the start of the latest call that was answered.
@@ -118,13 +117,19 @@
 	g.countStoreCall(call, kind)
 	began := g.now()
 	return func(err error) {
-		if isAnswer(err) && !strings.HasSuffix(call, staleSuffix) { // stale reads may be served by a copy of the store
+		if isAnswer(err) {
 			g.storeAnswers.note(began)
 			g.markStoreAvailable(readStore, "")
 		}
 	}
 }
 
+// observeStaleRead counts a stale read. It shows nothing, since a copy of the store may have answered it.
+func (g *Gateway) observeStaleRead(call, kind string) (ended func(error)) {
+	g.countStoreCall(call+"-stale", kind)
+	return func(error) {}
+}
+
 // isAnswer reports whether a call that ended with an error, or without one, shows that the store serves
 // this host.
 func isAnswer(err error) bool {
@@ -132,12 +137,23 @@
 	return err == nil || errors.Is(err, objects.ErrCompacted) || errors.Is(err, objects.ErrNotFound) || errors.As(err, &conflict)
 }
 
-// cancelIfLost cancels a call to the store, which begins now and waits for a time, once it is overdue and
-// a later call has been answered.
-func (g *Gateway) cancelIfLost(ctx context.Context, cancel context.CancelFunc, call, kind string, wait time.Duration) {
+// withLossDetected returns the context of a call to the store that begins now and waits for a time. It is
+// canceled once the call is overdue, a later call has been answered, and this one is not under way.
+func (g *Gateway) withLossDetected(ctx context.Context, call, kind string, wait time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	progress := &callProgress{}
+	go g.cancelIfLost(ctx, cancel, progress, call, kind, wait)
+	return progress.trace(ctx, g.clock), cancel
+}
+
+// cancelIfLost cancels the context of withLossDetected.
+func (g *Gateway) cancelIfLost(ctx context.Context, cancel context.CancelFunc, progress *callProgress, call, kind string, wait time.Duration) {
 	due := g.now() + wait
 	clock.Sleep(ctx, wait+g.freshness.overdue())
-	if ctx.Err() == nil && g.awaitAnswer(ctx, due) {
+	for since := due; ctx.Err() == nil && g.awaitAnswer(ctx, since); since = g.now() {
+		if progress.isUnderWay(g.now(), g.freshness.answerWait()) {
+			continue
+		}
 		g.log.Info("call is given up: its response was lost", "call", call, "kind", kind, "overdue-ms", (g.now() - due).Milliseconds())
 		cancel()
 	}
--- a/gateway/storecalls.go
+++ b/gateway/storecalls.go
@@ -15,9 +15,6 @@
 // store.
 const storeCallLogInterval = 10 * time.Second
 
-// staleSuffix marks stale reads among the calls to the store.
-const staleSuffix = "-stale"
-
 // storeCalls counts a host's calls to the store. Each call is billed, and which host makes
 // which calls shows whether it follows another host as it should.
 type storeCalls struct {
@@ -47,16 +44,15 @@
 // observeCall observes a call that begins. The function that it returns observes how the call ended.
 type observeCall func(call, kind string) (ended func(error))
 
-// observedReader is a reader whose calls are observed. suffix marks the calls of a stale reader.
+// observedReader is a reader whose calls are observed.
 type observedReader struct {
 	objects.Reader
 	observe observeCall
-	suffix  string
 }
 
 // List implements objects.Reader.
 func (r observedReader) List(ctx context.Context, kind string) (objects.Listing, error) {
-	ended := r.observe("list"+r.suffix, kind)
+	ended := r.observe("list", kind)
 	listing, err := r.Reader.List(ctx, kind)
 	ended(err)
 	return listing, err
@@ -64,7 +60,7 @@
 
 // Watch implements objects.Reader.
 func (r observedReader) Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (objects.Listing, error) {
-	ended := r.observe("watch"+r.suffix, kind)
+	ended := r.observe("watch", kind)
 	listing, err := r.Reader.Watch(ctx, kind, revision, wait)
 	ended(err)
 	return listing, err
@@ -73,18 +69,19 @@
 // observedStore is a store whose calls are observed.
 type observedStore struct {
 	observedReader
-	store objects.Store
+	store        objects.Store
+	observeStale observeCall
 }
 
 var _ objects.Store = (*observedStore)(nil)
 
-func newObservedStore(store objects.Store, observe observeCall) *observedStore {
-	return &observedStore{observedReader: observedReader{Reader: store, observe: observe}, store: store}
+func newObservedStore(store objects.Store, observe, observeStale observeCall) *observedStore {
+	return &observedStore{observedReader: observedReader{Reader: store, observe: observe}, store: store, observeStale: observeStale}
 }
 
 // Stale implements objects.Store.
 func (s *observedStore) Stale() objects.Reader {
-	return observedReader{Reader: s.store.Stale(), observe: s.observe, suffix: staleSuffix}
+	return observedReader{Reader: s.store.Stale(), observe: s.observeStale}
 }
 
 // Get implements objects.Store.
--- a/tools/mutants/lists.go
+++ b/tools/mutants/lists.go
@@ -3,7 +3,7 @@
 // listMutants return mutants of the rules on lists of a kind that a host already knows.
 func listMutants() []mutant {
 	in := breaking("gateway", "TestList(DoesNot|Moves|FromSource|IsNot|Being)|TestAnswerEndsLongPauses")
-	silence := breaking("gateway", "TestBoundsAfterSilence|TestDelaysAfter|TestCallsToSilentStore|TestOnlyLaterAnswers|TestListsOfBusyStore|TestControllerMayReturn|TestLostConfirmation")
+	silence := breaking("gateway", "TestBoundsAfterSilence|TestDelaysAfter|TestCallsToSilentStore|TestOnlyLaterAnswers|TestListsOfBusyStore|TestControllerMayReturn|TestLostConfirmation|TestLostWrite|TestWatchBeingAnswered|TestWriteBeingSent")
 	controller := breaking("domain", "TestLostCallsDoNotDelayRecords")
 	wire := breaking("platform", "TestTimeoutOfListsGrowsAfterStall")
 	return []mutant{
@@ -22,7 +22,7 @@
 		silence("bounds.go", "silences: call a silent store less often", "	probeShare = 0.3\n", "	probeShare = 0.5\n"),
 		silence("bounds.go", "silences: watch for longer without a confirmation", "	shortShare = 0.6\n", "	shortShare = 0.9\n"),
 		silence("bounds.go", "silences: wait longer for calls that are overdue", "	overdueShare = 0.15\n", "	overdueShare = 0.3\n"),
-		silence("follow.go", "silences: wait for a watch that was lost", "		go g.cancelIfLost(watchCtx, cancel, \"watch\", kind, plan.wait)\n", ""),
+		silence("follow.go", "silences: wait for a watch that was lost", "		calling, cancelLost := g.withLossDetected(watchCtx, \"watch\", kind, plan.wait)\n", "		calling, cancelLost := context.WithCancel(watchCtx)\n"),
 		silence("storeanswers.go", "silences: pause although the store answers", "	g.awaitAnswer(ctx, began)\n}", "	<-ctx.Done()\n}"),
 		silence("storeanswers.go", "silences: take a rejection for an answer", "	return err == nil || errors.Is(err, objects.ErrCompacted)", "	return err == nil || errors.Is(err, objects.ErrRefused) || errors.Is(err, objects.ErrCompacted)"),
 		silence("storeanswers.go", "silences: end pauses whatever the error", "	if !errors.Is(err, objects.ErrUnknown) || ", "	if "),
@@ -30,12 +30,13 @@
 		silence("storeanswers.go", "silences: wait for calls without a bound", "context.WithTimeout(g.background, g.freshness.verifyInterval())", "context.WithTimeout(g.background, 100*maxRetryDelay)"),
 		silence("storeanswers.go", "silences: go on calling a store that answers", "	a.probing = a.waiting > 0\n", "	a.probing = true\n"),
 		silence("storeanswers.go", "silences: end a pause by an answer before the call that failed", "	g.awaitAnswer(ctx, began)\n}", "	g.awaitAnswer(ctx, 0)\n}"),
-		silence("storeanswers.go", "silences: take a watch for lost because of an answer before it was due", "g.awaitAnswer(ctx, due)", "g.awaitAnswer(ctx, 0)"),
-		silence("calls.go", "silences: wait for a confirmation that was lost", "			go g.cancelIfLost(calling, cancel, \"get\", Assignments, 0)\n", ""),
+		silence("storeanswers.go", "silences: take a watch for lost because of an answer before it was due", "for since := due; ", "for since := time.Duration(0); "),
+		silence("calls.go", "silences: wait for a confirmation that was lost", "			calling, cancel := g.withLossDetected(ctx, \"get\", Assignments, 0)\n", "			calling, cancel := context.WithCancel(ctx)\n"),
+		silence("calls.go", "silences: wait for a write that was lost", "	writing, cancelLost := g.withLossDetected(writing, \"put\", Assignments, 0)\n", "	writing, cancelLost := context.WithCancel(writing)\n"),
+		silence("callprogress.go", "silences: give up a call that is being sent", "	return p.sending.Load() || p", "	return p"),
+		silence("callprogress.go", "silences: give up a call that is being answered", "	return p.sending.Load() || p.isBeingAnswered(now, within)", "	return p.sending.Load()"),
 		silence("control.go", "silences: take over before the controller can return", "!g.storeAvailability.hasBeenAvailable(g.freshness.controllerReturn())", "g.storeAvailability.isUnavailable()"),
-		controller("lostcalls.go", "silences: wait for a call that was lost", "func() { cancel(errResponseLost) }", "func() {}"),
-		controller("lostcalls.go", "silences: wait longer for calls that are overdue", "storeOverdue = 300 * time.Millisecond", "storeOverdue = 3 * time.Second"),
-		controller("lostcalls.go", "silences: call a silent store less often", "storeProbeInterval = 400 * time.Millisecond", "storeProbeInterval = 2 * time.Second"),
+		controller("controller.go", "silences: watch for longer", "watchTimeout  = 2 * time.Second", "watchTimeout  = 3 * time.Second"),
 		controller("watch.go", "silences: watch a store that does not answer for long", "		wait = min(wait, unreachableWatchWait) //", "		_ = unreachableWatchWait //"),
 		controller("watch.go", "silences: pause for long between calls to a silent store", "maxStoreRetryDelay = 400 * time.Millisecond", "maxStoreRetryDelay = 4 * time.Second"),
 		wire("store.go", "lists: let the lists of one kind lengthen those of others", "	return c.byKind[kind]\n", "	return len(c.byKind)\n"),
