backendlink: a reset while a request is written is no end of its answer

A server answered a long upload early, with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a whole answer with status 200.

The kernel reports a reset to one system call. While a body is being written that is often the write; the read then returns an end of stream, which is how an answer without a length ends. The result of the write was looked at only to decide whether the connection can be used again.

Reads and writes of a connection go through lossDetector. At an end of stream it interrupts a write in progress, waits for its result, and returns the error that the write got in place of the read. The wait ends at once, since the write's deadline has passed and no answer can follow an end of stream. It is on no path of an answer with a length or in chunks. An end of stream that a reset follows stays whole: it arrives behind all data, and the kernel then reports EPIPE to the write, not ECONNRESET (TestEarlyAnswerThatEndsIsWhole: read on, read no more, closed, reset). The answer is one that its server broke off: 502 or another attempt, the server's failure, with the reason in the log.

--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -103,11 +103,12 @@
 
 type conn struct {
 	net.Conn
-	info   ConnInfo
-	sent   sentIDs
-	head   *headReader
-	reader *bufio.Reader // reads through head
-	opened time.Time
+	checked *lossDetector // reads and writes Conn
+	info    ConnInfo
+	sent    sentIDs
+	head    *headReader   // reads through checked
+	reader  *bufio.Reader // reads through head
+	opened  time.Time
 	// reuseUntil is when the idle connection must not be reused any more, because the
 	// server may close it; zero if unknown.
 	reuseUntil time.Time
@@ -286,10 +287,14 @@
 	if err != nil {
 		return nil, err
 	}
-	head := &headReader{from: raw, quota: p.Heads}
-	return &conn{Conn: raw, info: ConnInfo{Number: lastConnNumber.Add(1)}, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), opened: time.Now()}, nil
+	checked := &lossDetector{conn: raw}
+	head := &headReader{from: checked, quota: p.Heads}
+	return &conn{Conn: raw, checked: checked, info: ConnInfo{Number: lastConnNumber.Add(1)}, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), opened: time.Now()}, nil
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(data []byte) (int, error) { return c.checked.Write(data) }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.head.release()
--- a/tools/mutants/heads.go
+++ b/tools/mutants/heads.go
@@ -11,3 +11,15 @@
 		in("pool.go", "heads: take an interim answer for the final one", "response.StatusCode >= http.StatusOK ||", "true ||"),
 	}
 }
+
+// resetMutants break the rule that a reset is no end of an answer.
+func resetMutants() []mutant {
+	in := breaking("link/backendlink", "Reset|Early")
+	return []mutant{
+		in("reset.go", "resets: take a reset for an end of stream", "	if isConnectionLoss(d.writeErr) {\n", "	if false {\n"),
+		in("reset.go", "resets: forget how a write failed", "		d.writeErr = err\n", "		d.writeErr = nil\n"),
+		in("reset.go", "resets: take a reset after an end of stream for a loss", "!errors.Is(err, syscall.EPIPE)", "!errors.Is(err, syscall.ENOSYS)"),
+		in("reset.go", "resets: take an interrupted write for a loss", "!errors.Is(err, os.ErrDeadlineExceeded)", "!errors.Is(err, os.ErrInvalid)"),
+		in("reset.go", "resets: wait for a write without interrupting it", "d.conn.SetWriteDeadline(time.Unix(1, 0))", "d.conn.SetWriteDeadline(time.Time{})"),
+	}
+}
