backendlink: an HTTP/1.0 answer with a transfer coding reaches no caller

Found while the forms of heads were listed: an HTTP/1.0 answer with "Transfer-Encoding: chunked" reached the caller with the framing of the chunks in its body. net/http ignores the coding of HTTP/1.0 and removes the field.

On the code before, TestTransferCodingOfHTTP10IsRefused fails for a coding alone, beside a length, behind a field larger than the read buffer and behind an interim answer: body "5\r\nfirst\r\n0\r\n\r\n" in place of "first".

RFC 9112, section 6.1, calls the framing of such an answer faulty, so it is refused. The head of an HTTP/1.0 answer is kept while it is read, within the bounds of heads, and looked at once more; of other answers nothing is kept. HTTP/1.0 answers without a coding pass as before, also byte by byte.

--- a/link/backendlink/fields_test.go
+++ b/link/backendlink/fields_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"strconv"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -104,3 +107,39 @@
 		}
 	}
 }
+
+// Guards against the framing of chunks that is taken for a part of an HTTP/1.0 answer's body.
+func TestTransferCodingOfHTTP10IsRefused(t *testing.T) {
+	const first, old, chunks = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", "HTTP/1.0 200 OK\r\n", "5\r\nfirst\r\n0\r\n\r\n"
+	large := "X-Large: " + strings.Repeat("a", 2*readBufferBytes) + "\r\n"
+	for name, test := range map[string]struct {
+		answer string
+		valid  bool
+	}{
+		"a transfer coding":                            {old + "Transfer-Encoding: chunked\r\n\r\n" + chunks, false},
+		"a transfer coding and a length":               {old + "transfer-encoding: chunked\r\nContent-Length: 5\r\n\r\nfirst", false},
+		"a transfer coding behind a large field":       {old + large + "Transfer-Encoding: chunked\r\n\r\n" + chunks, false},
+		"a transfer coding behind an interim answer":   {first + old + "Transfer-Encoding: chunked\r\n\r\n" + chunks, false},
+		"no transfer coding":                           {old + "\r\nfirst", true},
+		"no transfer coding, with a length":            {old + "Content-Length: 5\r\n\r\nfirst", true},
+		"no transfer coding, with a large field":       {old + large + "\r\nfirst", true},
+		"no transfer coding, behind an interim answer": {first + old + "\r\nfirst", true},
+		"a transfer coding of HTTP/1.1":                {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, atOnce := range []bool{true, false} {
+				pool := NewPool(serveConns(t, func(conn net.Conn) {
+					if atOnce {
+						_, _ = io.WriteString(conn, test.answer)
+						return
+					}
+					for i := range test.answer {
+						_, _ = io.WriteString(conn, test.answer[i:i+1])
+					}
+				}), 0, 1<<10)
+				_, body, err := fetchBothWays(t, pool, "/")
+				assert.Check(t, (err == nil) == test.valid && (err != nil || body == "first"), "at once %t: body %q, %v", atOnce, body, err)
+			}
+		})
+	}
+}
--- a/link/backendlink/head.go
+++ b/link/backendlink/head.go
@@ -63,6 +63,7 @@
 	cost     int64
 	exceeded error        // why the last head was cut off
 	reserved atomic.Int64 // of the quota
+	recorder oldHeadRecorder
 }
 
 // begin begins the head of an answer, with its interim answers.
@@ -83,7 +84,7 @@
 	if !r.reading || n == 0 {
 		return n, err
 	}
-	r.cost += int64(n) + headLineCost*int64(bytes.Count(into[:n], []byte{'\n'}))
+	r.cost += int64(n) + int64(r.recorder.add(into[:n])) + headLineCost*int64(bytes.Count(into[:n], []byte{'\n'}))
 	if r.exceeded = r.reserve(); r.exceeded != nil {
 		return 0, r.exceeded
 	}
--- a/link/backendlink/pool.go
+++ b/link/backendlink/pool.go
@@ -202,11 +202,14 @@
 	c.head.begin()
 	defer c.head.end()
 	for range maxInterimAnswers {
+		if err := c.recordHead(); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, cmp.Or(c.head.exceeded, err) // net/http reports a head that was cut off as malformed
 		}
-		if err := responsehead.Check(response); err != nil {
+		if err := cmp.Or(responsehead.Check(response), c.head.recorder.check()); err != nil {
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
@@ -216,6 +219,13 @@
 	return nil, ErrInterim
 }
 
+// recordHead makes the recorder keep the next head, of which a part may be buffered.
+func (c *conn) recordHead() error {
+	received, err := c.reader.Peek(c.reader.Buffered())
+	c.head.recorder.begin(received)
+	return err
+}
+
 // beginSend records that a request is sent on the connection.
 func (c *conn) beginSend(id requestID) {
 	c.info.Sends++
--- a/tools/mutants/heads.go
+++ b/tools/mutants/heads.go
@@ -14,12 +14,14 @@
 
 // malformedMutants break the rules that a head of an answer must follow.
 func malformedMutants() []mutant {
-	in := breaking("link/backendlink", "Status|Fields")
+	in := breaking("link/backendlink", "Status|Fields|HTTP10")
 	return []mutant{
-		in("pool.go", "malformed: check no heads", "		if err := responsehead.Check(response); err != nil {\n", "		if err := responsehead.Check(response); false {\n"),
+		in("pool.go", "malformed: check no heads", "cmp.Or(responsehead.Check(response), c.head", "cmp.Or(responsehead.Check(&http.Response{Status: \"200\", StatusCode: 200}), c.head"),
 		in("../../internal/responsehead/responsehead.go", "malformed: accept low statuses", "response.Status[:statusDigits] != strconv.Itoa(status)", "len(strconv.Itoa(status)) > statusDigits"),
 		in("../../internal/responsehead/responsehead.go", "malformed: accept high statuses", " || status > maxStatus:", ":"),
 		in("../../internal/responsehead/responsehead.go", "malformed: accept a switch of protocols", "	case status == http.StatusSwitchingProtocols:\n", "	case status == http.StatusContinue:\n"),
+		in("oldhead.go", "malformed: accept a transfer coding of HTTP/1.0", "found := fields[\"Transfer-Encoding\"]", "found := fields[\"X-Absent\"]"),
+		in("pool.go", "malformed: forget what is buffered of an HTTP/1.0 head", "c.head.recorder.begin(received)", "c.head.recorder.begin(received[:0])"),
 		in("../../internal/responsehead/responsehead.go", "malformed: accept any name", "!httpguts.ValidHeaderFieldName(name)", `name == ""`),
 		in("../../internal/responsehead/responsehead.go", "malformed: check no fields", "	return checkFields(response.Header)\n", "	return checkFields(nil)\n"),
 	}
