platform, gateway, contract: what the store, hosts and servers send under a malformed head counts for nothing

The other readers of answers used net/http as it is. Statuses were safe: each reader names those it knows. A blank in a field's name was not: a grant counted as accepted, a list of the store or of another host was applied, a connection was taken for proven, although the field might have been the era, the handoff, the server's ID or a length.

The raw servers of these tests share platformtest.ServeRaw.

--- a/contract/backend/client.go
+++ b/contract/backend/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"cicadarouter/internal/responsehead"
 	"cicadarouter/ownership"
 )
 
@@ -26,7 +27,7 @@
 // NewClient returns a client for the named server at an IP address and port.
 // The transport is shared between the clients of one process.
 func NewClient(name, address string, transport http.RoundTripper) *Client {
-	return &Client{name: name, base: "http://" + address, http: &http.Client{Transport: transport}}
+	return &Client{name: name, base: "http://" + address, http: &http.Client{Transport: responsehead.Transport{RoundTripper: transport}}}
 }
 
 // Grant implements Control.
--- a/contract/platform/httpstore/httpstore.go
+++ b/contract/platform/httpstore/httpstore.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"cicadarouter/contract/platform"
+	"cicadarouter/internal/responsehead"
 	"cicadarouter/record"
 )
 
@@ -71,7 +72,7 @@
 // is the failure domain of this process.
 func New(address, domain string) *Client {
 	transport := &http.Transport{DialContext: (&net.Dialer{}).DialContext, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}
-	return &Client{base: "http://" + address, domain: domain, http: &http.Client{Transport: transport}}
+	return &Client{base: "http://" + address, domain: domain, http: &http.Client{Transport: responsehead.Transport{RoundTripper: transport}}}
 }
 
 // Get implements platform.Store.
--- a/gateway/malformedhead_test.go
+++ b/gateway/malformedhead_test.go
@@ -1,10 +1,7 @@
 package gateway_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -17,31 +14,14 @@
 // listenAnswering starts a server that answers requests with the given text, in which ID stands for the
 // request's ID and SIGNED for a field with the server's signature. It answers health checks properly.
 func (s *site) listenAnswering(text string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(s.t, err)
-	s.t.Cleanup(func() { _ = listener.Close() })
-	serve := func(conn net.Conn) {
-		defer conn.Close()
-		request, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return
-		}
-		answer := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-		if request.URL.Path != "/healthz" {
-			answer = strings.NewReplacer("ID", request.Header.Get("X-Request-Id"), "SIGNED", platformtest.SignatureHeader+": s").Replace(text)
-		}
-		_, _ = io.WriteString(conn, answer) // the host may have disconnected
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
+	address, err := platformtest.ServeRaw(s.t.Context(), func(request *http.Request, _ int) (string, bool) {
+		if request.URL.Path == "/healthz" {
+			return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false
 		}
-	}()
-	return listener.Addr().String()
+		return strings.NewReplacer("ID", request.Header.Get("X-Request-Id"), "SIGNED", platformtest.SignatureHeader+": s").Replace(text), false
+	})
+	assert.NilError(s.t, err)
+	return address
 }
 
 // wholeAnswer is an answer that a host would pass on.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -14,6 +14,7 @@
 
 	"cicadarouter/balance"
 	"cicadarouter/fleet"
+	"cicadarouter/internal/responsehead"
 	"cicadarouter/keyspace"
 	"cicadarouter/notice"
 	"cicadarouter/poison"
@@ -147,8 +148,8 @@
 func newPeerClient() *http.Client {
 	dialer := net.Dialer{Timeout: peerTimeout}
 	const idle = 4
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext,
-		MaxIdleConnsPerHost: idle, IdleConnTimeout: 5 * time.Second, ReadBufferSize: 2048, WriteBufferSize: 2048, MaxResponseHeaderBytes: maxPeerHeadBytes}}
+	return &http.Client{Transport: responsehead.Transport{RoundTripper: &http.Transport{DialContext: dialer.DialContext,
+		MaxIdleConnsPerHost: idle, IdleConnTimeout: 5 * time.Second, ReadBufferSize: 2048, WriteBufferSize: 2048, MaxResponseHeaderBytes: maxPeerHeadBytes}}}
 }
 
 // peerStatusError reports that another host answered with a status other than 200.
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -72,3 +72,20 @@
 const maxQuotedBytes = 80
 
 func quoted(value string) string { return value[:min(len(value), maxQuotedBytes)] }
+
+// Transport refuses responses whose heads are malformed.
+type Transport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper. The error is an *Error if the head of the response is malformed;
+// the connection of a response with a body is then closed.
+func (t Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.RoundTripper.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(response); err != nil {
+		_ = response.Body.Close() // the error about the head says more
+		return nil, err
+	}
+	return response, nil
+}
--- a/link/backendlink/status_test.go
+++ b/link/backendlink/status_test.go
@@ -1,16 +1,16 @@
 package backendlink
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"cicadarouter/platform/platformtest"
 )
 
 // secondAnswer follows the answer that is played, and belongs to no request unless that one is interim.
@@ -19,24 +19,9 @@
 // serveText answers each request with the bytes that text returns for its path, and closes the connection.
 func serveText(t *testing.T, text func(path string) string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := platformtest.ServeRaw(t.Context(), func(request *http.Request, _ int) (string, bool) { return text(request.URL.Path), false })
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, text(request.URL.Path)) // the client may have disconnected
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return address
 }
 
 // fetchBothWays sends a request by Do and as an exchange, and checks that both have the same result.
