platform, httpstore: a deeply nested object does not stop a host from following the store

An entry that another writer had nested more than 10,000 levels deep made each list and watch of its kind unreadable: a host that followed the store stopped following it, and one that started never became ready.

encoding/json refuses a document of more than 10,000 levels as a whole, before an object is looked at. Everything else that is odd in one object (numbers too large, a port out of range, no object, invalid UTF-8, 1 MiB) was already skipped with a log line; the stand-in encodes objects anew and can't hold one that is nested that deeply.

On the code before, TestOddObjectDoesNotAffectOthers fails 103 times: "response is unreadable: ... exceeded max depth" for lists, watches, reads and conflicts with such an object in its spec, metadata or status, at a depth of 9,996 to 500,000 levels. TestNestedObjectDoesNotStopFollowing fails with "condition was not met in time: the host is ready". The store of cicada-controller and cicada-router has the same fault: TestNestedRecordDoesNotAffectOthers.

If a response can't be decoded, arrays and objects deeper than 1,100 levels are replaced by null, in one pass without recursion, and it is decoded again. A spec of more than 1,000 levels becomes one that no decoder accepts, whatever stands beside it in the response, so that its object is skipped with the log line of an odd one; it is also what hosts hand on to each other. Other responses cost nothing more. A property test compares the pass with the same on decoded values. 5 mutants, all caught.

--- a/contract/platform/httpstore/httpstore.go
+++ b/contract/platform/httpstore/httpstore.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"cicadarouter/contract/platform"
+	"cicadarouter/internal/nesting"
 	"cicadarouter/internal/responsehead"
 	"cicadarouter/record"
 )
@@ -188,20 +189,34 @@
 		if out == nil {
 			return nil
 		}
-		if err := json.Unmarshal(body, out); err != nil {
-			return unavailableError(err)
-		}
-		return nil
+		return readObjects(body, out)
 	case http.StatusNotFound:
 		return &platform.NotFoundError{Ref: ref}
 	case http.StatusGone:
 		return platform.ErrCompacted
 	case http.StatusConflict:
 		conflict := &platform.ConflictError{Ref: ref, Expected: version}
-		if err := json.Unmarshal(body, &conflict.Current); err != nil {
-			return unavailableError(err)
+		if err := readObjects(body, &conflict.Current); err != nil {
+			return err
 		}
 		return conflict
 	}
 	return &StatusError{Method: request.Method, Path: request.URL.Path, Status: status, Body: string(body)}
 }
+
+// readObjects decodes the body of a response. A spec that is nested too deeply is replaced by one that no
+// decoder of records accepts.
+func readObjects(body []byte, into any) error {
+	if err := nesting.Unmarshal(body, into); err != nil {
+		return unavailableError(err)
+	}
+	switch found := into.(type) {
+	case *platform.Object:
+		found.Spec = nesting.Readable(found.Spec)
+	case *platform.Snapshot:
+		for i := range found.Objects {
+			found.Objects[i].Spec = nesting.Readable(found.Objects[i].Spec)
+		}
+	}
+	return nil
+}
--- a/tools/mutants/heads.go
+++ b/tools/mutants/heads.go
@@ -48,3 +48,16 @@
 		in("reset.go", "resets: wait for a write without interrupting it", "d.conn.SetWriteDeadline(time.Unix(1, 0))", "d.conn.SetWriteDeadline(time.Time{})"),
 	}
 }
+
+// nestingMutants let one deeply nested object make all unreadable.
+func nestingMutants() []mutant {
+	in := breaking("internal/nesting", ".")
+	followers := breaking("platform", "OddObject")
+	return []mutant{
+		in("nesting.go", "nesting: cut one level too late", "depth == levels+1 {\n				limited", "depth == levels+2 {\n				limited"),
+		in("nesting.go", "nesting: take brackets in strings for levels", "			inString = char != '\"' || escaped\n", "			inString = false\n"),
+		in("nesting.go", "nesting: end strings at an escaped quote", " || escaped\n", "\n"),
+		followers("../internal/nesting/nesting.go", "nesting: give up a response with a nested object", "	if !cut {\n		return err", "	if true || cut {\n		return err"),
+		followers("../internal/nesting/nesting.go", "nesting: use what is left of a nested spec", "	if _, cut := limit(spec, maxSpecLevels); cut {\n", "	if _, cut := limit(spec, maxSpecLevels); false && cut {\n"),
+	}
+}
