gateway: a truncated response to a caller of HTTP/1.0 does not look complete

Found while the framings of broken-off answers were listed: a caller of HTTP/1.0 gets a long response without a length, which ends with its connection. If the server broke the response off, the host closed that connection as after a whole one, so the caller took the first part for all.

The host resets the connection of a truncated response to such a caller, so that reading ends with an error. Callers of HTTP/1.1 miss the last chunk, as before.

--- a/gateway/daemon/daemon_test.go
+++ b/gateway/daemon/daemon_test.go
@@ -162,6 +162,23 @@
 	assert.Assert(t, recorded.last.IsZero())
 }
 
+// Callers' connections can be reset: the host finds the TCP connection.
+func TestCallerConnectionsAreTCP(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer caller.Close()
+	conn, err := callerListener{Listener: listener}.Accept()
+	assert.NilError(t, err)
+	defer conn.Close()
+	wrapper, ok := conn.(interface{ NetConn() net.Conn })
+	assert.Assert(t, ok)
+	_, ok = wrapper.NetConn().(*net.TCPConn)
+	assert.Assert(t, ok)
+}
+
 // deadlineRecorder records the last read deadline set on a connection.
 type deadlineRecorder struct {
 	net.Conn
--- a/gateway/daemon/listener.go
+++ b/gateway/daemon/listener.go
@@ -39,6 +39,9 @@
 	return &callerConn{Conn: conn, limits: l.limits}, nil
 }
 
+// NetConn returns the connection that is wrapped.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // SetReadDeadline implements net.Conn. It replaces a future deadline by the one that the limits in
 // force give: the server sets deadlines only when it starts to wait for the header of a request or
 // for the next request.
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -135,9 +137,36 @@
 	}
 	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		answer.cause = err
-		// A truncated response must not look complete: close the connection.
-		panic(http.ErrAbortHandler)
+		g.abortResponse(w, r)
+	}
+}
+
+// abortResponse closes the caller's connection and ends the handler. The truncated response must not look
+// complete: one of HTTP/1.0 without a length ends with its connection, which is therefore reset.
+func (g *Gateway) abortResponse(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		if err := resetConnection(w); err != nil {
+			g.log.Warn("the connection of a truncated response can't be reset", "error", err.Error())
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection closes the connection of a response with a reset.
+func resetConnection(w http.ResponseWriter) error {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	if wrapper, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = wrapper.NetConn()
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return fmt.Errorf("a %T has no reset", conn)
 	}
+	return tcp.SetLinger(0)
 }
 
 // streamRemaining forwards the rest of a long response, unless writing the first part failed with
--- a/tools/mutants/heads.go
+++ b/tools/mutants/heads.go
@@ -40,7 +40,9 @@
 // resetMutants break the rule that a reset is no end of an answer.
 func resetMutants() []mutant {
 	in := breaking("link/backendlink", "Reset|Early")
+	toCallers := breaking("gateway", "HTTP10")
 	return []mutant{
+		toCallers("reply.go", "resets: end a truncated response of HTTP/1.0 like a whole one", "tcp.SetLinger(0)", "tcp.SetLinger(-1)"),
 		in("reset.go", "resets: take a reset for an end of stream", "	if isConnectionLoss(d.writeErr) {\n", "	if false {\n"),
 		in("reset.go", "resets: forget how a write failed", "		d.writeErr = err\n", "		d.writeErr = nil\n"),
 		in("reset.go", "resets: take a reset after an end of stream for a loss", "!errors.Is(err, syscall.EPIPE)", "!errors.Is(err, syscall.ENOSYS)"),
