platform: a write whose response does not hold the object is not known to be done

Found while the readers of answers were gone through: a 200 to a write without a body, as a broken-off response without a length has it, counted as a write done as of revision 0, and so did one with another object. A controller would have gone on as if its record were in the store.

Responses that were cut off in the middle of the object were safe, since JSON ends with its last bracket, and so were early ones that a reset follows.

The store answers a write with the object, its name and its new revision.

--- a/tools/mutants/heads.go
+++ b/tools/mutants/heads.go
@@ -37,6 +37,15 @@
 	}
 }
 
+// writeMutants take any successful response for that to a write.
+func writeMutants() []mutant {
+	in := breaking("platform", "WriteWhose")
+	return []mutant{
+		in("store.go", "writes: accept another object", "written.Metadata.Name != object.Name || ", ""),
+		in("store.go", "writes: accept no revision", " || written.Metadata.Revision == 0 {", " {"),
+	}
+}
+
 // resetMutants break the rule that a reset is no end of an answer.
 func resetMutants() []mutant {
 	in := breaking("link/backendlink", "Reset|Early")
