gateway: a host that stops sends no request that has waited too long

A host that shuts down accepts each request for half of its grace, and after that those whose deadline is before its end. A request that was accepted and waited for a server was sent however late it was then: at the end of the process its server was still at work, and it was cut off with an answer of the host's own, also one that may run once.

On the code before, TestRequestsThatWaitTooLongInShutdownAreNotSent fails with "200 != 503": after the end of the grace the server began a request that had waited since its beginning, of a route whose target latency allows the wait. For a forwarded request, TestForwardedRequestThatWaitsTooLongInShutdownIsDeclined fails with "{"outcome":"answered","sends":1}".

After half of the grace, requests that wait and whose deadline is after the end are rejected at once: 503, not run, with the Retry-After of a stop. A forwarded request is declined, so that the host that sent it offers it to another one.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -227,7 +227,7 @@
 		}
 		waiter := &balance.Waiter{Keyed: req.service.view != nil, Key: req.Key, Priority: req.route.Priority,
 			Arrived: req.arrivedAt, Deadline: req.deadline, Objective: req.route.TargetLatency, Timeout: req.Timeout, Tried: req.triedServers, Admission: req.admission, Ready: make(chan struct{})}
-		server, link, err := req.service.acquireServer(ctx, links.Done(), waiter)
+		server, link, err := req.service.acquireServer(ctx, links.Done(), &g.stop, waiter)
 		req.admission = waiter.Admission
 		if errors.Is(err, errLinksLost) {
 			continue
@@ -300,7 +300,10 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return rejection(string(balance.Expired), defaultRetryAfter)
 	}
-	if g.stop.requestsEnded() {
+	if errors.Is(err, errHostStopping) && req.forwarded != nil && req.sendCount == req.forwarded.Sends {
+		return declined(outcomeStopping)
+	}
+	if errors.Is(err, errHostStopping) || g.stop.requestsEnded() {
 		return stoppingReply()
 	}
 	return &reply{outcome: outcomeCallerDisconnected}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -300,21 +300,17 @@
 var errLinksLost = errors.New("the links to all servers were lost")
 
 // acquireServer waits for a server and occupies one of its slots. The error is a
-// *balance.RejectedError, the context's error, or errLinksLost if the channel is closed first.
-func (s *service) acquireServer(ctx context.Context, linksLost <-chan struct{}, waiter *balance.Waiter) (*balance.Server, *backendlink.Pool, error) {
+// *balance.RejectedError, the context's error, errLinksLost if the channel is closed first, or
+// errHostStopping if a shutdown leaves too little time for the request.
+func (s *service) acquireServer(ctx context.Context, linksLost <-chan struct{}, stop *shutdown, waiter *balance.Waiter) (*balance.Server, *backendlink.Pool, error) {
 	s.mu.Lock()
 	s.pool.Enqueue(s.now(), waiter)
 	s.reserveForWaiting()
 	s.scheduleDispatch()
 	s.mu.Unlock()
-	select {
-	case <-waiter.Ready:
-	case <-ctx.Done():
+	if err := s.awaitServer(ctx, linksLost, stop, waiter); err != nil {
 		s.cancelWaiter(waiter)
-		return nil, nil, ctx.Err()
-	case <-linksLost:
-		s.cancelWaiter(waiter)
-		return nil, nil, errLinksLost
+		return nil, nil, err
 	}
 	if waiter.Rejected != nil {
 		return nil, nil, waiter.Rejected
@@ -329,6 +325,30 @@
 	return waiter.Server, link, nil
 }
 
+// awaitServer waits until a request has a server or is rejected. The error says why it need not wait any
+// longer.
+func (s *service) awaitServer(ctx context.Context, linksLost <-chan struct{}, stop *shutdown, waiter *balance.Waiter) error {
+	selective := stop.selective.Done()
+	for {
+		select {
+		case <-waiter.Ready:
+			if waiter.Rejected == nil && stop.rejects(s.now(), waiter.Deadline) {
+				return errHostStopping
+			}
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-linksLost:
+			return errLinksLost
+		case <-selective:
+			if stop.rejects(s.now(), waiter.Deadline) {
+				return errHostStopping
+			}
+			selective = nil // the request may end in time
+		}
+	}
+}
+
 // cancelWaiter removes a request from the queue, and releases the server that it may have been assigned
 // meanwhile.
 func (s *service) cancelWaiter(waiter *balance.Waiter) {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// errHostStopping ends the wait of a request for a server: sent now, it might still run at the end of the
+// process.
+var errHostStopping = errors.New("the host is stopping, too early for the request's deadline")
+
 // errStopped is the cause of the final reply to requests that are in progress when the
 // process ends.
 var errStopped = errors.New("the host has stopped")
@@ -35,20 +39,29 @@
 // request is told at once that it has not run; an accepted one that has no response at
 // the end may run without its caller learning the result.
 func (p shutdownPlan) accepts(now, deadline time.Duration) bool {
-	acceptAllUntil := p.from + time.Duration(acceptAllFraction*float64(p.end-p.from))
-	return now < acceptAllUntil || deadline <= p.end
+	return now < p.from+p.acceptAllFor() || deadline <= p.end
+}
+
+// acceptAllFor returns for how long every request is accepted.
+func (p shutdownPlan) acceptAllFor() time.Duration {
+	return time.Duration(acceptAllFraction * float64(p.end-p.from))
 }
 
 // shutdown is the state of a host's shutdown.
 type shutdown struct {
-	plan  atomic.Pointer[shutdownPlan] // nil until the shutdown begins
-	ended context.Context              // done when requests in progress must end
-	end   context.CancelFunc
+	plan atomic.Pointer[shutdownPlan] // nil until the shutdown begins
+	// selective is done when requests whose deadline is after the end are no longer accepted, nor sent if
+	// they wait for a server.
+	selective      context.Context
+	beginSelective context.CancelFunc
+	ended          context.Context // done when requests in progress must end
+	end            context.CancelFunc
 }
 
 func newShutdown() shutdown {
+	selective, beginSelective := context.WithCancel(context.Background())
 	ended, end := context.WithCancel(context.Background())
-	return shutdown{ended: ended, end: end}
+	return shutdown{selective: selective, beginSelective: beginSelective, ended: ended, end: end}
 }
 
 // stopping reports whether the process is shutting down.
@@ -68,10 +81,12 @@
 
 // Stop begins the shutdown of the host, whose process ends after a given time. The host is
 // no longer ready, responses close their connections, and requests that may not finish in
-// time are rejected.
+// time are rejected, also those that wait for a server.
 func (g *Gateway) Stop(within time.Duration) {
 	now := g.now()
-	g.stop.plan.Store(&shutdownPlan{from: now, end: now + within})
+	plan := &shutdownPlan{from: now, end: now + within}
+	g.stop.plan.Store(plan)
+	time.AfterFunc(plan.acceptAllFor(), g.stop.beginSelective)
 }
 
 // AbortRequests sends the final replies of the requests that are still in progress, because the
--- a/tools/mutants/heads.go
+++ b/tools/mutants/heads.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// stopMutants break the rules by which a host that shuts down sends requests that have waited.
+func stopMutants() []mutant {
+	in := breaking("gateway", "TooLongInShutdown")
+	return []mutant{
+		in("stop.go", "stops: send waiting requests however late it is", "	return plan != nil && !plan.accepts(now, deadline)\n", "	return plan != nil && !plan.accepts(now, deadline) && now < plan.from\n"),
+		in("stop.go", "stops: reject waiting requests that end in time", " || deadline <= p.end\n", "\n"),
+		in("request.go", "stops: reject a forwarded request that another host may handle", "	if errors.Is(err, errHostStopping) && req.forwarded != nil ", "	if errors.Is(err, errLinksLost) && req.forwarded != nil "),
+	}
+}
+
 // resetMutants break the rule that a reset is no end of an answer.
 func resetMutants() []mutant {
 	in := breaking("link/backendlink", "Reset|Early")
--- a/tools/mutants/main.go
+++ b/tools/mutants/main.go
@@ -49,7 +49,7 @@
 
 // allMutants returns the mutants of all packages.
 func allMutants() []mutant {
-	return slices.Concat(ownershipMutants(), pathMutants(), keyspaceMutants(), balanceMutants(), entryMutants(), gatewayMutants(), currencyMutants(), listMutants(), targetMutants(), headMutants(), malformedMutants(), otherReaderMutants(), resetMutants(), writeMutants(), nestingMutants(), poisonMutants(), limitMutants(), noticeMutants(), eraMutants(), scaleMutants(), linkMutants(), admissionMutants(), priorityMutants(), grantMutants())
+	return slices.Concat(ownershipMutants(), pathMutants(), keyspaceMutants(), balanceMutants(), entryMutants(), gatewayMutants(), currencyMutants(), listMutants(), targetMutants(), headMutants(), malformedMutants(), otherReaderMutants(), resetMutants(), writeMutants(), stopMutants(), nestingMutants(), poisonMutants(), limitMutants(), noticeMutants(), eraMutants(), scaleMutants(), linkMutants(), admissionMutants(), priorityMutants(), grantMutants())
 }
 
 func main() { os.Exit(run()) }
