platform: an interim response to a health check does not prove a connection

Found while the readers of answers were gone through: a new connection carries grants once the server has answered a health check on it, and an interim response counted as that answer. The final one, which followed, was taken for the response to the grant if the server returns no IDs: the grant counted as accepted though the server had not read it.

--- a/tools/mutants/heads.go
+++ b/tools/mutants/heads.go
@@ -30,9 +30,10 @@
 // otherReaderMutants let the heads of responses of the store and to grants, releases and health checks go
 // unchecked.
 func otherReaderMutants() []mutant {
-	in := breaking("platform", "MalformedHeads")
+	in := breaking("platform", "MalformedHeads|Interim")
 	return []mutant{
 		in("../internal/responsehead/responsehead.go", "malformed: check nothing in a transport", "	if err := Check(response); err != nil {\n", "	if err := Check(response); false {\n"),
+		in("proven.go", "malformed: use a connection behind an interim response", "response.StatusCode < http.StatusOK {", "false {"),
 		in("proven.go", "malformed: use a connection behind a malformed response", "	if err := responsehead.Check(response); err != nil {\n", "	if err := responsehead.Check(response); false {\n"),
 	}
 }
