--- a/contract/platform/httpstore/httpstore.go
+++ b/contract/platform/httpstore/httpstore.go
@@ -189,14 +189,14 @@
 		if out == nil {
 			return nil
 		}
-		return readObjects(body, out)
+		return unmarshalBody(body, out)
 	case http.StatusNotFound:
 		return &platform.NotFoundError{Ref: ref}
 	case http.StatusGone:
 		return platform.ErrCompacted
 	case http.StatusConflict:
 		conflict := &platform.ConflictError{Ref: ref, Expected: version}
-		if err := readObjects(body, &conflict.Current); err != nil {
+		if err := unmarshalBody(body, &conflict.Current); err != nil {
 			return err
 		}
 		return conflict
@@ -204,9 +204,9 @@
 	return &StatusError{Method: request.Method, Path: request.URL.Path, Status: status, Body: string(body)}
 }
 
-// readObjects decodes the body of a response. A spec that is nested too deeply is replaced by one that no
+// unmarshalBody decodes the body of a response. A spec that is nested too deeply is replaced by one that no
 // decoder of records accepts.
-func readObjects(body []byte, into any) error {
+func unmarshalBody(body []byte, into any) error {
 	if err := nesting.Unmarshal(body, into); err != nil {
 		return unavailableError(err)
 	}
--- a/tools/mutants/main.go
+++ b/tools/mutants/main.go
@@ -19,7 +19,7 @@
 )
 
 // stateful has the packages whose tests accept the flags of rapid.
-var stateful = map[string]bool{"ownership": true, "dispatch": true, "directory": true, "keyspace": true, "poison": true, "balance": true, "ratelimit": true, "notice": true, "connectivity": true, "admission": true}
+var stateful = map[string]bool{"ownership": true, "dispatch": true, "directory": true, "keyspace": true, "poison": true, "balance": true, "ratelimit": true, "notice": true, "connectivity": true, "admission": true, "internal/nesting": true}
 
 // mutant is a change to the source that breaks one rule.
 type mutant struct {
