backendlink: the test of a close that resets makes sure that it does

The play was not what it says: a server that has read all that has arrived by then ends the stream when it closes the connection, and the answer is whole.

--- a/link/backendlink/reset_test.go
+++ b/link/backendlink/reset_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -30,6 +31,19 @@
 // endWithReset resets a connection without an end of stream.
 func endWithReset(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) } // the caller closes it
 
+// awaitUnreadBytes waits until the kernel holds bytes that the server has not read. Closing the connection then
+// resets it; without such bytes it ends the stream.
+func awaitUnreadBytes(conn net.Conn) {
+	control, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = control.Read(func(fd uintptr) bool { // fails only if the connection has ended
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return n > 0 || err != syscall.EAGAIN
+	})
+}
+
 // newUpload returns a request with a body of the given size.
 func newUpload(t *testing.T, size int64) *http.Request {
 	t.Helper()
@@ -76,7 +90,7 @@
 	}{
 		{"reset", part, endWithReset},
 		{"reset before the body", "", endWithReset},
-		{"closed with unread bytes, which resets", part, func(net.Conn) {}},
+		{"closed with unread bytes, which resets", part, awaitUnreadBytes},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			received := make(chan struct{})
