platformtest, backendlink: one accept loop and one loop over the forms of heads

The servers of the new tests share platformtest.ServeConns, and the forms of fields are played by one function for final and interim answers. No check has changed.

--- a/gateway/earlyanswer_test.go
+++ b/gateway/earlyanswer_test.go
@@ -38,23 +38,12 @@
 
 // listen serves connections at an address that it returns.
 func (e *earlyAnswerer) listen(s *site) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := platformtest.ServeConns(s.t.Context(), e.answer)
 	assert.NilError(s.t, err)
-	s.t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go e.answer(conn)
-		}
-	}()
-	return listener.Addr().String()
+	return address
 }
 
 func (e *earlyAnswerer) answer(conn net.Conn) {
-	defer conn.Close()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
--- a/gateway/stoptransfer_test.go
+++ b/gateway/stoptransfer_test.go
@@ -18,12 +18,8 @@
 // listenHalfway starts a server that answers downloads with a part of a body, and reads a part of uploads.
 // It then waits until the test goes on, or until the host closes the connection.
 func (s *site) listenHalfway(body int, goOn <-chan struct{}) (address string, halfway <-chan struct{}) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(s.t, err)
-	s.t.Cleanup(func() { _ = listener.Close() })
 	reached := make(chan struct{}, 16)
-	serve := func(conn net.Conn) {
-		defer conn.Close()
+	address, err := platformtest.ServeConns(s.t.Context(), func(conn net.Conn) {
 		reader := bufio.NewReader(conn)
 		request, err := http.ReadRequest(reader)
 		if err != nil {
@@ -47,17 +43,9 @@
 		if _, err := io.Copy(io.Discard, request.Body); err == nil {
 			_, _ = io.WriteString(conn, head+"Content-Length: 2\r\n\r\nok")
 		}
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return listener.Addr().String(), reached
+	})
+	assert.NilError(s.t, err)
+	return address, reached
 }
 
 // download requests a response and reads it as a caller of the given protocol would. The error is nil if it
--- a/link/backendlink/fields_test.go
+++ b/link/backendlink/fields_test.go
@@ -65,18 +65,14 @@
 	return cases
 }
 
-// Guards against answers whose head can't be relied on: fields whose names hold a blank, also before the
-// colon of a length or a transfer coding, whose body then isn't the server's.
-func TestFields(t *testing.T) {
+// checkFields plays all cases. answer returns the bytes of a case.
+func checkFields(t *testing.T, answer func(fieldCase) string) {
+	t.Helper()
 	cases := fieldCases()
 	pool := NewPool(serveText(t, func(path string) string {
 		at, err := strconv.Atoi(path[1:])
 		assert.Check(t, err)
-		body := "first"
-		if cases[at].chunked {
-			body = "5\r\nfirst\r\n0\r\n\r\n"
-		}
-		return "HTTP/1.1 200 OK\r\n" + cases[at].fields + "\r\n" + body
+		return answer(cases[at])
 	}), 0, 1<<10)
 	defer pool.Close()
 	for at, test := range cases {
@@ -89,23 +85,23 @@
 	}
 }
 
+// Guards against answers whose head can't be relied on: fields whose names hold a blank, also before the
+// colon of a length or a transfer coding, whose body then isn't the server's.
+func TestFields(t *testing.T) {
+	checkFields(t, func(test fieldCase) string {
+		body := "first"
+		if test.chunked {
+			body = "5\r\nfirst\r\n0\r\n\r\n"
+		}
+		return "HTTP/1.1 200 OK\r\n" + test.fields + "\r\n" + body
+	})
+}
+
 // The same in interim answers.
 func TestFieldsOfInterimAnswers(t *testing.T) {
-	cases := fieldCases()
-	pool := NewPool(serveText(t, func(path string) string {
-		at, err := strconv.Atoi(path[1:])
-		assert.Check(t, err)
-		return "HTTP/1.1 103 Early Hints\r\n" + cases[at].fields + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
-	}), 0, 1<<10)
-	defer pool.Close()
-	for at, test := range cases {
-		_, body, err := fetchBothWays(t, pool, fmt.Sprintf("/%d", at))
-		if test.valid {
-			assert.Check(t, err == nil && body == "first", "%s: body %q, %v", test.name, body, err)
-		} else {
-			assert.Check(t, err != nil, "%s: body %q", test.name, body)
-		}
-	}
+	checkFields(t, func(test fieldCase) string {
+		return "HTTP/1.1 103 Early Hints\r\n" + test.fields + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+	})
 }
 
 // Guards against the framing of chunks that is taken for a part of an HTTP/1.0 answer's body.
