--- a/gateway/stoptransfer_test.go
+++ b/gateway/stoptransfer_test.go
@@ -48,9 +48,9 @@
 	return address, reached
 }
 
-// download requests a response and reads it as a caller of the given protocol would. The error is nil if it
-// looks complete.
-func download(t *testing.T, h *hostUnderTest, protocol string) answer {
+// download requests a response and reads it as a caller of the given protocol would. It calls begun once the
+// body has begun. The error is nil if the response looks complete.
+func download(t *testing.T, h *hostUnderTest, protocol string, begun func()) answer {
 	t.Helper()
 	conn, err := net.Dial("tcp", strings.TrimPrefix(h.callers.URL, "http://"))
 	assert.NilError(t, err)
@@ -61,8 +61,13 @@
 	if err != nil {
 		return answer{err: err}
 	}
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(response.Body, first); err != nil {
+		return answer{status: response.StatusCode, err: err}
+	}
+	begun()
 	data, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, body: string(data), err: err}
+	return answer{status: response.StatusCode, body: string(first) + string(data), err: err}
 }
 
 // Guards against transfers that a shutdown cuts off: those that end in time do so as whole ones; of the
@@ -79,13 +84,17 @@
 			h := s.startHost("one")
 			protocols := []string{"HTTP/1.1", "HTTP/1.0"}
 			ended := []chan answer{make(chan answer, 1), make(chan answer, 1), make(chan answer, 1)}
+			begun := make(chan struct{}, len(protocols))
 			for i, protocol := range protocols {
-				go func() { ended[i] <- download(t, h, protocol) }()
+				go func() { ended[i] <- download(t, h, protocol, func() { begun <- struct{}{} }) }()
 			}
 			go func() { ended[len(protocols)] <- s.upload(h, "upload") }()
 			for range ended {
 				<-halfway
 			}
+			for range protocols {
+				<-begun
+			}
 			h.gateway.Stop(time.Minute)
 			if inTime {
 				close(goOn)
