--- a/tools/mutants/gateway.go
+++ b/tools/mutants/gateway.go
@@ -7,7 +7,7 @@
 		in("freshness.go", "keep watching a source that is no longer followed", "state.source != c.source && state.source != c.sender {", "false {"),
 		in("calls.go", "accept a claim after a successor was told that the controller stopped", "if e.record.Term < c.yieldedTerm {", "if false {"),
 		in("peers.go", "take over from a host whose claim is in progress", "case e.answer.Incarnation == e.to.Incarnation && e.answer.Claiming:", "case false:"),
-		in("stop.go", "accept all requests during shutdown", "return now < acceptAllUntil || deadline <= p.end", "return now < acceptAllUntil || true"),
+		in("stop.go", "accept all requests during shutdown", "return now < p.from+p.acceptAllFor() || deadline <= p.end", "return now < p.from+p.acceptAllFor() || true"),
 		in("request.go", "drop requests at shutdown without an answer", "	if g.stop.requestsEnded() {\n		return errorReply(", "	if false {\n		return errorReply("),
 		in("freshness.go", "trust a source forever", "f.startingUp(now) || f.isConfirmed(now) && f.isCurrent(name, now)", "f.startingUp(now) || f.hasConfirmation"),
 		in("freshness.go", "let a relay depend on other hosts", "	if f.isRelay(now) {\n		return !f.confirmationOverdue(now) && f.isCurrent(name, now)\n	}\n", ""),
