gateway: the caller of the tests reads no responses without end

It was the test's own caller, not a host: TestServerSendsWithoutEnd asks again and again whether the sound server is used, and when the other one was, read its body without end into memory for 4 s. Such a response also passed for one of the sound server, as only its status was asked.

Callers of the tests stop at 4 MiB with an error, and the test asks for a response without one, so it is stricter.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -31,11 +31,15 @@
 			}
 			s.eventually("all slots are free", func() bool { return metric(h, "cicada_in_flight") == "0" })
 			s.eventually("the memory for large heads is free", func() bool { return metric(h, "cicada_large_head_bytes") == "0" })
+			served := func() bool {
+				got := s.call(h, http.MethodGet, "/free/", "", "")
+				return got.err == nil && got.status == http.StatusOK
+			}
 			setFaults(platformtest.ServerFaults{}, "f2")
-			s.eventually("the other server is used", func() bool { return s.call(h, http.MethodGet, "/free/", "", "").status == http.StatusOK })
+			s.eventually("the other server is used", served)
 			setFaults(platformtest.ServerFaults{}, "f1")
 			setFaults(platformtest.ServerFaults{RejectRequests: true}, "f2")
-			s.eventually("the server is used again", func() bool { return s.call(h, http.MethodGet, "/free/", "", "").status == http.StatusOK })
+			s.eventually("the server is used again", served)
 			s.noRequestRanTwice()
 		})
 	}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -392,10 +393,19 @@
 		return answer{err: err}, id
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxCallBodyBytes))
+	if len(data) == maxCallBodyBytes {
+		err = errBodyTooLong
+	}
 	return answer{status: response.StatusCode, header: response.Header, body: string(data), err: err}, id
 }
 
+// maxCallBodyBytes is the size of a body in bytes from which on a caller reads no further: the responses of some
+// servers have no end.
+const maxCallBodyBytes = 4 << 20
+
+var errBodyTooLong = errors.New("the body is longer than any of a sound server")
+
 // record returns the assignment of the service with keys that the store holds, if any.
 func (s *site) record() (keyspace.Record, bool) {
 	var record keyspace.Record
